--- a/pkg/clock/fake.go
+++ b/pkg/clock/fake.go
@@ -31,6 +31,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	w := waiter{at: f.now.Add(d), wake: make(chan time.Time, 1)}
+	if d <= 0 {
+		w.wake <- f.now
+		return w.wake
+	}
 	f.waiters = append(f.waiters, w)
 	return w.wake
 }
--- a/pkg/node/run.go
+++ b/pkg/node/run.go
@@ -21,6 +21,8 @@
 	headerTimeout = 5 * time.Second
 	// closeTimeout bounds the wait for work in flight at a stop.
 	closeTimeout = 30 * time.Second
+	// answerTimeout bounds the wait for answers that are being written.
+	answerTimeout = time.Second
 	// pollEvery is the period in which a stop looks for work in flight.
 	pollEvery = 10 * time.Millisecond
 	// checkEvery is the period in which the node looks for its own end.
@@ -176,15 +178,24 @@
 	}
 	_ = clock.Sleep(ctx, n.clock, n.settings.Drain)
 	n.borrower.GiveBack(ctx)
-	for _, s := range servers {
-		if s.name == "callers" {
-			_ = s.http.Shutdown(ctx)
-		}
-	}
-	for n.admission.Load().InFlight+int(n.callsOut.Busy()) > 0 && clock.Sleep(ctx, n.clock, pollEvery) == nil {
+	for n.busy() && clock.Sleep(ctx, n.clock, pollEvery) == nil {
 		continue
 	}
+	shut(servers)
+}
+
+func (n *Node) busy() bool {
+	return n.callers.Busy()+n.callsOut.Busy()+int64(n.admission.Load().InFlight) > 0
+}
+
+// shut closes all faces. Answers on their way get a moment; connections that
+// were opened and never used do not hold the stop up.
+func shut(servers []*server) {
+	ctx, cancel := context.WithTimeout(context.Background(), answerTimeout)
+	defer cancel()
 	for _, s := range servers {
-		_ = s.http.Shutdown(ctx)
+		if s.http.Shutdown(ctx) != nil {
+			_ = s.http.Close()
+		}
 	}
 }
