Acceptance scenarios over real processes; borrowers ask holders, not slots

The first runs found two faults: while holders of rate slots left, 221 of 601 calls within the rate were refused, since a borrower asked at most 4 of 64 slots one by one; and the throttle counted calls under way as refused (3 of 601 shed at a planned stop). Change: a request for tokens goes to a holder, which lends from all its slots; holders without tokens are left alone for a moment instead of being asked by every call. The throttle counts calls when they end. Outcomes of actions go into the log, so that repeats have the answer after their node has gone.

--- /dev/null
+++ b/acceptance/tickets_test.go
@@ -0,0 +1,69 @@
+package acceptance
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+)
+
+// standardServices are the services of every scenario.
+const standardServices = `[service "showcase"]
+against = 0
+route = GET /homes/* normal idempotent
+route = GET /deep/* normal idempotent
+route = GET /fan/* normal idempotent
+[service "calendar"]
+against = 0
+route = GET /days* normal idempotent
+route = GET /open normal idempotent open
+route = POST /note normal
+[service "agreements"]
+against = 0
+route = GET /held* normal idempotent
+route = POST /confirm* critical
+[service "ledger"]
+against = 0
+route = GET /* low idempotent
+`
+
+// begin: begin ORGANISATION=RATE/BURST... files ticket 1 with the standard services
+// and makes a key for each organisation, named ORGANISATION-1.
+func (w *world) begin(args []string) error {
+	var text strings.Builder
+	text.WriteString("[ticket]\nnumber = 1\nauthor = awa\nreason = start\n")
+	for _, arg := range args {
+		name, amounts, _ := strings.Cut(arg, "=")
+		perSecond, burst, _ := strings.Cut(amounts, "/")
+		if err := w.makeKey([]string{name + "-1"}); err != nil {
+			return err
+		}
+		fmt.Fprintf(&text, "[organisation %q]\nagainst = 0\nrate = %s\nburst = %s\n", name, perSecond, burst)
+		fmt.Fprintf(&text, "[key %q]\nagainst = 0\norganisation = %s\ndigest = ${%s_1_digest}\n", name+"-1", name, name)
+	}
+	text.WriteString(standardServices)
+	if err := os.WriteFile(w.script.MkAbs("begin.ticket"), []byte(text.String()), 0o600); err != nil {
+		return err
+	}
+	return w.ticket([]string{"begin.ticket"})
+}
+
+// ticket: ticket FILE [CODE] files a ticket, with ${NAME} replaced, and expects the
+// exit code.
+func (w *world) ticket(args []string) error {
+	text := os.Expand(w.script.ReadFile(args[0]), w.script.Getenv)
+	cmd := exec.Command(programs+"/plantainramp", "ticket", "file", "-")
+	cmd.Stdin = strings.NewReader(text)
+	cmd.Env = []string{"PLANTAINRAMP_LOG=" + w.script.Getenv("PLANTAINRAMP_LOG"), "PLANTAINRAMP_NODE=" + w.script.Getenv("PLANTAINRAMP_NODE")}
+	out, _ := cmd.CombinedOutput()
+	want := 0
+	if len(args) > 1 {
+		want, _ = strconv.Atoi(args[1])
+	}
+	if code := cmd.ProcessState.ExitCode(); code != want {
+		return fmt.Errorf("ticket file exited with %d, want %d: %s", code, want, out)
+	}
+	w.script.Logf("%s", out)
+	return nil
+}
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -52,6 +52,8 @@
 	Lie     bool         `json:"lie"`
 	Leaving bool         `json:"leaving"`
 	Deeper  []DeeperCall `json:"deeper"`
+	// Parallel makes all deeper calls of a path at once.
+	Parallel bool `json:"parallel"`
 }
 
 // Received is one request that reached the stand-in.
@@ -271,15 +273,33 @@
 	if b.FailStatus != 0 {
 		return b.FailStatus
 	}
+	return u.callDeeper(r, b)
+}
+
+// callDeeper makes the deeper calls of a path, one after another until one
+// fails, or all at once. It returns the worst outcome.
+func (u *Instance) callDeeper(r *http.Request, b *Behaviour) int {
+	var group sync.WaitGroup
+	var worst atomic.Int64
+	worst.Store(http.StatusOK)
 	for _, d := range b.Deeper {
 		if !strings.HasPrefix(r.URL.Path, d.Prefix) {
 			continue
 		}
-		if status := u.deeper(r, d); status >= http.StatusBadRequest {
-			return max(status, http.StatusBadGateway)
+		group.Go(func() {
+			if status := u.deeper(r, d); status >= http.StatusBadRequest {
+				worst.Store(int64(max(status, http.StatusBadGateway)))
+			}
+		})
+		if !b.Parallel {
+			group.Wait()
+		}
+		if worst.Load() != http.StatusOK {
+			break
 		}
 	}
-	return http.StatusOK
+	group.Wait()
+	return int(worst.Load())
 }
 
 func (u *Instance) deeper(r *http.Request, d DeeperCall) int {
--- a/pkg/action/recorder.go
+++ b/pkg/action/recorder.go
@@ -35,12 +35,14 @@
 // Error implements error.
 func (e *UndecidedError) Error() string { return "the log did not confirm intent " + string(e.Intent) }
 
-// submission is one intent, or renewal, that waits for its verdict.
+// submission is one intent, renewal or outcome that waits to be recorded.
 type submission struct {
 	intent    Intent
 	abandoned IntentID
-	// first receives the winning intent, once.
-	first chan Intent
+	// outcome is set instead of intent.
+	outcome *Outcome
+	// first receives what stands first for the key, once.
+	first chan placed
 	ctx   context.Context
 }
 
@@ -59,10 +61,11 @@
 	appended time.Time
 }
 
-// placed is an intent and the offset of its record.
+// placed is an intent, the offset of its record, and its outcome if recorded.
 type placed struct {
 	Intent
 	offset platformlog.Offset
+	answer []byte
 }
 
 type seen struct {
@@ -87,22 +90,38 @@
 	if req.GetPartition() < 0 || req.GetPartition() >= Partitions {
 		return reply
 	}
-	p := &r.partitions[req.GetPartition()]
+	number := int(req.GetPartition())
 	for _, m := range req.GetIntents() {
-		s := &submission{intent: intentOf(m), abandoned: IntentID(m.GetAbandoned()), first: make(chan Intent, 1), ctx: ctx}
+		s := &submission{intent: intentOf(m), abandoned: IntentID(m.GetAbandoned())}
 		verdict := &peerrpc.Verdict{Id: m.GetId()}
-		if r.submit(p, int(req.GetPartition()), s) {
-			select {
-			case first := <-s.first:
-				verdict.First, verdict.Decided = first.message(), true
-			case <-ctx.Done():
-			}
+		if first, decided := r.await(ctx, number, s); decided {
+			verdict.First, verdict.Decided = first.message(), true
+			verdict.Answer = decodeAnswer(first.answer)
 		}
 		reply.Verdicts = append(reply.Verdicts, verdict)
 	}
+	reply.OutcomesKept = true
+	for _, m := range req.GetOutcomes() {
+		_, kept := r.await(ctx, number, &submission{outcome: outcomeOf(m)})
+		reply.OutcomesKept = reply.OutcomesKept && kept
+	}
 	return reply
 }
 
+// await submits to a partition and waits for the place in the log.
+func (r *Recorder) await(ctx context.Context, number int, s *submission) (placed, bool) {
+	s.first, s.ctx = make(chan placed, 1), ctx
+	if !r.submit(&r.partitions[number], number, s) {
+		return placed{}, false
+	}
+	select {
+	case first := <-s.first:
+		return first, true
+	case <-ctx.Done():
+		return placed{}, false
+	}
+}
+
 func (r *Recorder) submit(p *partition, number int, s *submission) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -180,8 +199,8 @@
 		}
 	}
 	for _, s := range batch {
-		if first, known := p.first[s.intent.Key]; known {
-			s.first <- first.Intent
+		if first, known := p.first[s.key()]; known || s.outcome != nil {
+			s.first <- first
 		}
 	}
 	return nil
@@ -191,10 +210,13 @@
 // already decided.
 func (r *Recorder) records(p *partition, batch []*submission) ([]platformlog.Record, error) {
 	var intents []Intent
+	var outcomes []Outcome
 	var records []platformlog.Record
 	for _, s := range batch {
-		first, known := p.first[s.intent.Key]
+		first, known := p.first[s.key()]
 		switch {
+		case s.outcome != nil:
+			outcomes = append(outcomes, *s.outcome)
 		case !known:
 			intents = append(intents, s.intent)
 		case s.abandoned != "" && first.ID == s.abandoned:
@@ -212,9 +234,23 @@
 		}
 		records = append(records, record)
 	}
+	if len(outcomes) > 0 {
+		record, err := platformlog.NewRecord(platformlog.RecordID(fleet.NewID()), RecordOutcome, outcomes)
+		if err != nil {
+			return nil, err
+		}
+		records = append(records, record)
+	}
 	return records, nil
 }
 
+func (s *submission) key() KeyDigest {
+	if s.outcome != nil {
+		return s.outcome.Key
+	}
+	return s.intent.Key
+}
+
 // catchUp folds the stream up to its present end.
 func (r *Recorder) catchUp(ctx context.Context, p *partition, stream platformlog.Stream) error {
 	for {
@@ -246,28 +282,38 @@
 	}
 	switch record.Kind {
 	case RecordIntents:
-		var intents []Intent
-		if json.Unmarshal(record.Body, &intents) != nil {
-			return
-		}
-		for _, intent := range intents {
+		for _, intent := range decode[[]Intent](record) {
 			if _, taken := p.first[intent.Key]; !taken {
 				p.put(offset, intent)
 			}
 		}
 	case RecordRenewal:
-		var renewal Renewal
-		if json.Unmarshal(record.Body, &renewal) != nil {
-			return
-		}
+		renewal := decode[Renewal](record)
 		if first, known := p.first[renewal.Intent.Key]; known && first.ID == renewal.Abandoned {
 			p.put(offset, renewal.Intent)
 		}
+	case RecordOutcome:
+		for _, o := range decode[[]Outcome](record) {
+			if first, known := p.first[o.Key]; known && first.ID == o.Intent {
+				first.answer = o.Answer
+				p.first[o.Key] = first
+			}
+		}
+	}
+}
+
+// decode reads the body of a record; one that cannot be read counts as empty.
+func decode[T any](record platformlog.Record) T {
+	var value T
+	if json.Unmarshal(record.Body, &value) != nil {
+		var empty T
+		return empty
 	}
+	return value
 }
 
 func (p *partition) put(offset platformlog.Offset, intent Intent) {
-	p.first[intent.Key] = placed{intent, offset}
+	p.first[intent.Key] = placed{Intent: intent, offset: offset}
 	p.order = append(p.order, seen{offset, intent.Key})
 }
 
--- a/pkg/action/records.go
+++ b/pkg/action/records.go
@@ -12,6 +12,7 @@
 	"encoding/hex"
 
 	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/plantainramp/plantainramp/pkg/call"
 	"github.com/plantainramp/plantainramp/pkg/fleet"
@@ -23,6 +24,7 @@
 const (
 	RecordIntents platformlog.Kind = "intents"
 	RecordRenewal platformlog.Kind = "renewal"
+	RecordOutcome platformlog.Kind = "outcomes"
 )
 
 // Partitions is the number of intent streams.
@@ -52,6 +54,15 @@
 	Intent    Intent   `json:"intent"`
 }
 
+// Outcome is the answer of an action that has run, for repeats that come after
+// its writer has gone.
+type Outcome struct {
+	Intent IntentID  `json:"intent"`
+	Key    KeyDigest `json:"key"`
+	// Answer is a RunReply message.
+	Answer []byte `json:"answer"`
+}
+
 func keyDigest(c *call.Call) KeyDigest {
 	sum := sha256.Sum256([]byte(string(c.Organisation) + "\x00" + string(c.Service) + "\x00" + c.IdempotencyKey))
 	return KeyDigest(hex.EncodeToString(sum[:16]))
@@ -80,7 +91,24 @@
 	}
 }
 
-// asker sends a message to a member.
+func outcomeOf(m *peerrpc.Outcome) *Outcome {
+	raw, err := proto.Marshal(m.GetAnswer())
+	if err != nil {
+		raw = nil
+	}
+	return &Outcome{Intent: IntentID(m.GetIntentId()), Key: KeyDigest(m.GetKeyDigest()), Answer: raw}
+}
+
+// decodeAnswer returns a recorded answer, or nil where there is none.
+func decodeAnswer(raw []byte) *peerrpc.RunReply {
+	reply := new(peerrpc.RunReply)
+	if len(raw) == 0 || proto.Unmarshal(raw, reply) != nil {
+		return nil
+	}
+	return reply
+}
+
+// Senders of messages to members.
 type (
 	intendFunc func(ctx context.Context, recorder fleet.MemberID, req *peerrpc.IntendRequest) (*peerrpc.IntendReply, error)
 	recallFunc func(ctx context.Context, writer fleet.MemberID, req *peerrpc.RecallRequest) (*peerrpc.RecallReply, error)
--- a/pkg/action/writer.go
+++ b/pkg/action/writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/plantainramp/plantainramp/pkg/call"
@@ -19,6 +20,10 @@
 	recallWait = time.Second
 	// runReserve is what an action keeps of its deadline to run.
 	runReserve = 50 * time.Millisecond
+	// keepTimeout bounds the wait for an outcome to be recorded.
+	keepTimeout = 10 * time.Second
+	// maxKeptBody bounds the answers that go into the log, in bytes.
+	maxKeptBody = 16 << 10
 	// reasonUnknown is the detail of a refusal whose fate nobody can tell.
 	reasonUnknown = "an earlier request with this idempotency key may have run, and the node that recorded it cannot tell"
 )
@@ -36,6 +41,7 @@
 	Off bool
 
 	answers answers
+	keeping sync.WaitGroup
 }
 
 // RecorderOf returns the member that records a partition's intents.
@@ -105,10 +111,11 @@
 // acts on that.
 func (w *Writer) decide(ctx context.Context, c *call.Call, e *entry, abandoned IntentID, next call.Handler) (*call.Answer, error) {
 	for {
-		first, err := w.record(ctx, e, abandoned)
+		verdict, err := w.record(ctx, e, abandoned)
 		if err != nil {
 			return nil, w.abandon(e, err)
 		}
+		first := intentOf(verdict.GetFirst())
 		if first.ID == e.intent.ID {
 			return w.run(ctx, c, e, next)
 		}
@@ -116,6 +123,10 @@
 			w.lose(e)
 			return nil, problem.New(problem.KindConflict, "use a new idempotency key for another request")
 		}
+		if verdict.GetAnswer() != nil {
+			w.lose(e)
+			return stored(verdict.GetAnswer())
+		}
 		reply := w.recall(ctx, first)
 		if reply == nil || !reply.GetAbandoned() {
 			w.lose(e)
@@ -126,7 +137,7 @@
 }
 
 // record asks the recorder for the first intent of e's key.
-func (w *Writer) record(ctx context.Context, e *entry, abandoned IntentID) (Intent, error) {
+func (w *Writer) record(ctx context.Context, e *entry, abandoned IntentID) (*peerrpc.Verdict, error) {
 	deadline, _ := ctx.Deadline()
 	ctx, cancel := context.WithDeadline(ctx, deadline.Add(-runReserve))
 	defer cancel()
@@ -137,13 +148,13 @@
 	for ctx.Err() == nil {
 		reply, err := w.Intend(ctx, RecorderOf(w.Follower.View(), partition), req)
 		if err == nil && len(reply.GetVerdicts()) == 1 && reply.GetVerdicts()[0].GetDecided() {
-			return intentOf(reply.GetVerdicts()[0].GetFirst()), nil
+			return reply.GetVerdicts()[0], nil
 		}
 		if clock.Sleep(ctx, w.Clock, logPause/4) != nil {
 			break
 		}
 	}
-	return Intent{}, &UndecidedError{Intent: e.intent.ID}
+	return nil, &UndecidedError{Intent: e.intent.ID}
 }
 
 // abandon gives an intent up for good; its record may still turn up, but it
@@ -171,10 +182,37 @@
 		w.answers.finish(e, stageAbandoned, nil)
 		return nil, err
 	}
-	w.answers.finish(e, stageDone, peer.Reply("", answer, err))
+	reply := peer.Reply("", answer, err)
+	w.answers.finish(e, stageDone, reply)
+	w.keeping.Go(func() { w.keep(e.intent, reply) })
 	return answer, err
 }
 
+// Flush waits until the outcomes of finished actions are recorded.
+func (w *Writer) Flush() { w.keeping.Wait() }
+
+// keep records an outcome, so that repeats have the answer even when this node
+// has gone. Where that fails, repeats are told that nobody knows.
+func (w *Writer) keep(intent Intent, reply *peerrpc.RunReply) {
+	ctx, cancel := context.WithTimeout(context.Background(), keepTimeout)
+	defer cancel()
+	if len(reply.GetBody()) > maxKeptBody {
+		reply = peer.Reply("", nil, &problem.Error{Kind: problem.KindUncertain, Run: problem.RunYes, Detail: "the action ran; its answer was too large to keep"})
+	}
+	partition := PartitionOf(intent.Key)
+	req := &peerrpc.IntendRequest{Partition: int32(partition), Outcomes: []*peerrpc.Outcome{{
+		IntentId: string(intent.ID), KeyDigest: string(intent.Key), Answer: reply,
+	}}}
+	for ctx.Err() == nil {
+		kept, err := w.Intend(ctx, RecorderOf(w.Follower.View(), partition), req)
+		if err == nil && kept.GetOutcomesKept() {
+			return
+		}
+		_ = clock.Sleep(ctx, w.Clock, logPause)
+	}
+	w.Logger.WithField("intent", intent.ID).Warn("outcome not recorded")
+}
+
 // recall asks the writer of the first intent what became of it, until it has an
 // answer, the writer cannot be asked, or ctx ends. It returns nil where nobody
 // can tell.
--- a/pkg/caller/face.go
+++ b/pkg/caller/face.go
@@ -34,7 +34,9 @@
 	// Parents finds the call that a context stands for; nil on the public face.
 	Parents func(upstream.Token) *call.Call
 	// Ready tells whether the node may serve.
-	Ready    func() bool
+	Ready func() bool
+	// PassKeys leaves keys where the caller put them.
+	PassKeys bool
 	MaxBody  int64
 	Deadline time.Duration
 
@@ -170,14 +172,18 @@
 	if c.Body, err = readBody(r, f.MaxBody); err != nil {
 		return err
 	}
-	if leaksKey(r.RequestURI, c.Body, strings.TrimPrefix(r.Header.Get("Authorization"), bearer)) {
-		return malformed("path, query or body hold a key; a key belongs into the Authorization header only")
-	}
-	c.Header = cleanHeaders(r.Header)
 	c.Path = to.path
 	if _, query, has := strings.Cut(r.RequestURI, "?"); has {
 		c.Path += "?" + query
 	}
+	if f.PassKeys {
+		c.Header = r.Header.Clone()
+		return nil
+	}
+	if leaksKey(r.RequestURI, c.Body, strings.TrimPrefix(r.Header.Get("Authorization"), bearer)) {
+		return malformed("path, query or body hold a key; a key belongs into the Authorization header only")
+	}
+	c.Header = cleanHeaders(r.Header)
 	return nil
 }
 
--- a/pkg/cmd/ticket/file/file.go
+++ b/pkg/cmd/ticket/file/file.go
@@ -102,7 +102,9 @@
 }
 
 func readInput(opts *Options) ([]byte, error) {
-	if opts.Path == "-" {
+	// The command line library hands a lone dash over as an empty argument.
+	if opts.Path == "-" || opts.Path == "" {
+		opts.Path = "standard input"
 		text, err := io.ReadAll(opts.Streams.In)
 		return text, eris.Wrap(err, "read standard input")
 	}
--- a/pkg/member/spread.go
+++ b/pkg/member/spread.go
@@ -47,6 +47,8 @@
 	Clock      clock.Clock
 	Start      time.Time
 	Logger     *logs.Logger
+	// Off keeps records from peers from being used.
+	Off bool
 }
 
 // isReader tells whether this node follows the log for its data centre.
@@ -141,7 +143,7 @@
 // they do not join up, it takes the peer's whole state.
 func (s *Spread) adopt(ctx context.Context, address string, next, from platformlog.Offset, records []*peerrpc.ConfigRecord) {
 	before := s.Follower.View().State.Next
-	if next <= before {
+	if next <= before || s.Off {
 		return
 	}
 	if len(records) == 0 || s.Follower.Offer(from, fromMessages(records)) == before {
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -105,6 +105,7 @@
 	n.spread = &member.Spread{
 		Self: n.self, DataCentre: n.settings.DataCentre, Seeds: n.settings.Seeds, Follower: n.follower,
 		Pool: n.pool, Clock: n.clock, Start: n.start, Logger: n.part(logs.PartMember),
+		Off: n.settings.Off[settings.MechanismSpread],
 	}
 	n.announcer = &member.Announcer{Spread: n.spread, Member: n.member()}
 	n.watch = &member.Watch{Spread: n.spread, SilentElsewhere: n.settings.RateLease}
@@ -114,13 +115,13 @@
 func (n *Node) member() state.Member {
 	return state.Member{
 		ID: n.self, Instance: n.settings.Instance, Service: n.settings.Service, DataCentre: n.settings.DataCentre,
-		Region: n.settings.Region, PeerAddress: n.settings.Peers, AdminAddress: n.settings.Admin,
+		Region: n.settings.Region, PeerAddress: n.settings.PeersAnnounced, AdminAddress: n.settings.Admin,
 	}
 }
 
 func (n *Node) makeRates() {
 	n.lender = &rate.Lender{Self: n.self, Follower: n.follower, Clock: n.clock, Lease: n.settings.RateLease}
-	n.borrower = &rate.Borrower{Self: n.self, Follower: n.follower, Clock: n.clock, Ask: n.borrow, Off: !n.settings.Overload}
+	n.borrower = &rate.Borrower{Self: n.self, Follower: n.follower, Clock: n.clock, Ask: n.borrow, Off: n.settings.Off[settings.MechanismRate]}
 	n.claimer = &rate.Claimer{Lender: n.lender, Log: n.log, Logger: n.part(logs.PartRate)}
 }
 
@@ -128,13 +129,16 @@
 	n.recorder = &action.Recorder{Log: n.log, Clock: n.clock, Logger: n.part(logs.PartAction)}
 	n.writer = &action.Writer{
 		Self: n.self, Follower: n.follower, Clock: n.clock, Logger: n.part(logs.PartAction),
-		Intend: n.intend, Recall: n.recall,
+		Intend: n.intend, Recall: n.recall, Off: n.settings.Off[settings.MechanismIntents],
 	}
 }
 
 func (n *Node) makeRequests() {
-	n.upstream = &upstream.Client{Address: n.settings.Upstream, Clock: n.clock, MaxAnswer: n.settings.MaxAnswer}
-	n.admission = &admission.Controller{Clock: n.clock, Off: !n.settings.Overload}
+	n.upstream = &upstream.Client{
+		Address: n.settings.Upstream, Clock: n.clock, MaxAnswer: n.settings.MaxAnswer,
+		Unfenced: n.settings.Off[settings.MechanismFence],
+	}
+	n.admission = &admission.Controller{Clock: n.clock, Off: n.settings.Off[settings.MechanismAdmission]}
 	n.upstream.Down = n.admission.Cold
 	n.outcomes = &outcome.Store{Clock: n.clock}
 	n.peers = &Peers{
@@ -145,7 +149,7 @@
 	n.router = &route.Router{
 		Self: n.self, DataCentre: n.settings.DataCentre, Follower: n.follower, Pool: n.pool, Clock: n.clock,
 		Links: n.links, Throttle: &route.Throttle{Clock: n.clock}, Logger: n.part(logs.PartNode),
-		Local: n.peers.RunLocal, Off: !n.settings.Overload,
+		Local: n.peers.RunLocal, Off: n.settings.Off[settings.MechanismRetries],
 	}
 }
 
@@ -154,6 +158,7 @@
 	n.callers = &caller.Face{
 		Follower: n.follower, Clock: n.clock, Logger: n.part(logs.PartCaller), Meter: n.meter, Handler: entrance,
 		Ready: n.ready, MaxBody: n.settings.MaxBody, Deadline: n.settings.Deadline,
+		PassKeys: n.settings.Off[settings.MechanismStrip],
 	}
 	deeper := call.Chain(n.router.Handle, n.writer.Filter())
 	n.callsOut = &caller.Face{
--- a/pkg/node/run.go
+++ b/pkg/node/run.go
@@ -181,6 +181,7 @@
 	for n.busy() && clock.Sleep(ctx, n.clock, pollEvery) == nil {
 		continue
 	}
+	n.writer.Flush()
 	shut(servers)
 }
 
--- a/pkg/rate/borrower.go
+++ b/pkg/rate/borrower.go
@@ -25,8 +25,10 @@
 	settleEvery = 50 * time.Millisecond
 	// askTimeout bounds one request for tokens.
 	askTimeout = 250 * time.Millisecond
-	// maxAsks bounds the slots that one call asks before it is refused.
-	maxAsks = 4
+	// avoidMost bounds how long a holder without tokens is not asked again.
+	avoidMost = 50 * time.Millisecond
+	// avoidFailed is how long a holder that did not answer is not asked again.
+	avoidFailed = 300 * time.Millisecond
 	// demandMemory is the time constant of the demand estimate.
 	demandMemory = time.Second
 	// spareBurst is the burst for each member of the fleet from which a node
@@ -61,8 +63,9 @@
 	demandAt time.Time
 	slots    []int
 	ticket   fleet.TicketNumber
-	prefer   int
 	waiting  int
+	// avoid holds holders that are not asked before a time.
+	avoid map[fleet.MemberID]time.Time
 }
 
 // Borrower takes tokens for calls that enter at this node. All exported fields
@@ -132,15 +135,14 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.noteDemand(b.Clock.Now())
-	for asks := 0; ; asks++ {
+	for {
 		if t := a.takeHeld(b.Clock.Now()); t != nil {
 			b.prefetch(c.Organisation, a)
 			return t, nil
 		}
-		if asks >= maxAsks || ctx.Err() != nil || c.Remaining(b.Clock.Now()) <= 0 {
+		if ctx.Err() != nil || c.Remaining(b.Clock.Now()) <= 0 || !b.await(ctx, c.Organisation, a) {
 			return nil, overRate(c, o.Rate)
 		}
-		b.await(ctx, c.Organisation, a)
 	}
 }
 
@@ -150,18 +152,22 @@
 	return e
 }
 
-// await waits, without the lock, for the answer to a request for tokens.
-func (b *Borrower) await(ctx context.Context, id fleet.OrganisationID, a *account) {
+// await asks for tokens and waits, without the lock, for the answer. It reports
+// false where there is nobody left to ask.
+func (b *Borrower) await(ctx context.Context, id fleet.OrganisationID, a *account) bool {
 	a.waiting++
-	b.ask(id, a)
+	defer func() { a.waiting-- }()
+	if !b.ask(id, a) {
+		return false
+	}
 	answered := a.answered
 	a.mu.Unlock()
+	defer a.mu.Lock()
 	select {
 	case <-answered:
 	case <-ctx.Done():
 	}
-	a.mu.Lock()
-	a.waiting--
+	return true
 }
 
 func (a *account) takeHeld(now time.Time) *token {
@@ -215,54 +221,75 @@
 	}
 }
 
-// ask starts a request for tokens, unless one is under way.
-func (b *Borrower) ask(id fleet.OrganisationID, a *account) {
+// ask starts a request for tokens, unless one is under way. It reports false
+// where there is no holder to ask.
+func (b *Borrower) ask(id fleet.OrganisationID, a *account) bool {
 	if a.asking {
-		return
+		return true
 	}
 	view := b.Follower.View()
 	o, known := view.State.Organisations[id]
 	if !known {
-		return
+		return false
 	}
 	if a.ticket != o.Ticket || a.slots == nil {
-		a.slots, a.ticket, a.prefer = slotsOf(&o.Value, b.Self), o.Ticket, 0
+		a.slots, a.ticket = slotsOf(&o.Value, b.Self), o.Ticket
+	}
+	holder := a.holder(view, b.Clock.Now())
+	if holder == "" {
+		return false
 	}
 	a.asking = true
-	slot := a.slots[a.prefer%len(a.slots)]
-	go b.request(id, a, slot, a.wanted())
+	go b.request(id, a, holder, a.wanted(), a.reports(id, holder, view))
+	return true
 }
 
-func (b *Borrower) request(id fleet.OrganisationID, a *account, slot int, wanted fleet.Tokens) {
-	tenure := b.Follower.View().State.Slots[slot]
-	began := b.Clock.Now()
-	var granted *peerrpc.Granted
-	if tenure.Holder != "" {
-		a.mu.Lock()
-		req := &peerrpc.BorrowRequest{Borrower: string(b.Self), Settled: a.reports(id, tenure.Holder, b.Follower.View())}
-		a.mu.Unlock()
-		req.Wanted = []*peerrpc.Loan{{Organisation: string(id), Slot: int32(slot), Epoch: uint64(tenure.Epoch), Tokens: float64(wanted)}}
-		ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
-		reply, err := b.Ask(ctx, tenure.Holder, req)
-		cancel()
-		if err == nil && len(reply.GetGranted()) == 1 {
-			granted = reply.GetGranted()[0]
+// holder returns the first holder, in this node's order of slots, that is not
+// to be avoided.
+func (a *account) holder(v *config.View, now time.Time) fleet.MemberID {
+	for _, slot := range a.slots {
+		if id := v.State.Slots[slot].Holder; id != "" && !now.Before(a.avoid[id]) {
+			return id
 		}
 	}
+	return ""
+}
+
+func (b *Borrower) request(id fleet.OrganisationID, a *account, holder fleet.MemberID, wanted fleet.Tokens, settled []*peerrpc.Settle) {
+	began := b.Clock.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	reply, err := b.Ask(ctx, holder, &peerrpc.BorrowRequest{
+		Borrower: string(b.Self), Settled: settled,
+		Wanted: []*peerrpc.Want{{Organisation: string(id), Tokens: float64(wanted)}},
+	})
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.take(granted, began)
+	if err != nil || len(reply.GetGranted()) == 0 {
+		a.shun(holder, b.Clock.Now(), reply.GetRetryAfterMs())
+	}
+	for _, g := range reply.GetGranted() {
+		a.add(g, began)
+	}
 	a.asking = false
 	close(a.answered)
 	a.answered = make(chan struct{})
 }
 
-// take adds a granted loan, or turns to the next slot where there was none.
-func (a *account) take(g *peerrpc.Granted, began time.Time) {
-	if g == nil || g.GetNotHolder() || g.GetTokens() < 1 {
-		a.prefer++
-		return
+// shun leaves a holder alone until it may have tokens again.
+func (a *account) shun(holder fleet.MemberID, now time.Time, hintMs int64) {
+	if a.avoid == nil {
+		a.avoid = map[fleet.MemberID]time.Time{}
+	}
+	wait := avoidFailed
+	if hintMs > 0 {
+		wait = min(time.Duration(hintMs)*time.Millisecond, avoidMost)
 	}
+	a.avoid[holder] = now.Add(wait)
+}
+
+// add takes a granted loan over.
+func (a *account) add(g *peerrpc.Granted, began time.Time) {
 	tokens := fleet.Tokens(g.GetTokens())
 	a.loans = append(a.loans, &held{
 		loan: LoanID(g.GetLoan()), slot: int(g.GetSlot()), epoch: state.Epoch(g.GetEpoch()),
--- a/pkg/rate/lender.go
+++ b/pkg/rate/lender.go
@@ -8,6 +8,7 @@
 	"github.com/plantainramp/plantainramp/pkg/config"
 	"github.com/plantainramp/plantainramp/pkg/fleet"
 	"github.com/plantainramp/plantainramp/pkg/state"
+	"github.com/plantainramp/plantainramp/pkg/ticket"
 	"github.com/plantainramp/plantainramp/rpc/peerrpc"
 )
 
@@ -33,7 +34,13 @@
 	tenures map[int]*tenure
 	closed  bool
 	lastID  LoanID
-	lent    fleet.Tokens
+	carried map[fleet.OrganisationID]carried
+}
+
+// carried remembers the slots that a ticket gave an organisation.
+type carried struct {
+	ticket fleet.TicketNumber
+	slots  []int
 }
 
 func (l *Lender) lease() time.Duration {
@@ -121,7 +128,7 @@
 	}
 	reply := &peerrpc.BorrowReply{}
 	for _, w := range req.GetWanted() {
-		reply.Granted = append(reply.Granted, l.lend(view, w, now))
+		l.lend(view, w, now, reply)
 	}
 	return reply
 }
@@ -133,21 +140,57 @@
 	}
 }
 
-func (l *Lender) lend(v *config.View, w *peerrpc.Loan, now time.Time) *peerrpc.Granted {
-	granted := &peerrpc.Granted{Organisation: w.GetOrganisation(), Slot: w.GetSlot(), Epoch: w.GetEpoch()}
-	b := l.bucket(v, int(w.GetSlot()), state.Epoch(w.GetEpoch()), fleet.OrganisationID(w.GetOrganisation()), now)
-	if b == nil || !l.mayLend(int(w.GetSlot()), now) {
-		granted.NotHolder = true
-		return granted
+// lend takes tokens out of the slots that this node holds, one after another.
+func (l *Lender) lend(v *config.View, w *peerrpc.Want, now time.Time, reply *peerrpc.BorrowReply) {
+	id := fleet.OrganisationID(w.GetOrganisation())
+	o, known := v.State.Organisations[id]
+	if !known {
+		return
+	}
+	left := fleet.Tokens(w.GetTokens())
+	for _, slot := range l.carriers(&o) {
+		if !l.mayLend(slot, now) {
+			continue
+		}
+		t := l.tenures[slot]
+		b := l.bucket(v, slot, t.epoch, id, now)
+		l.lastID++
+		amount := b.lend(l.lastID, left, now)
+		if amount == 0 {
+			reply.RetryAfterMs = sooner(reply.GetRetryAfterMs(), b.wait())
+			continue
+		}
+		left -= amount
+		reply.Granted = append(reply.Granted, &peerrpc.Granted{
+			Loan: uint64(l.lastID), Organisation: w.GetOrganisation(), Slot: int32(slot), Epoch: uint64(t.epoch),
+			Tokens: float64(amount), TermMs: loanTerm.Milliseconds(),
+		})
+		if left < 1 {
+			return
+		}
+	}
+}
+
+// sooner returns the lesser of a hint, 0 for none yet, and a wait.
+func sooner(hint int64, wait time.Duration) int64 {
+	ms := wait.Milliseconds() + 1
+	if hint == 0 {
+		return ms
+	}
+	return min(hint, ms)
+}
+
+// carriers returns the slots of an organisation, as its present ticket has them.
+func (l *Lender) carriers(o *state.InForce[ticket.Organisation]) []int {
+	if l.carried == nil {
+		l.carried = map[fleet.OrganisationID]carried{}
+	}
+	c := l.carried[o.Value.ID]
+	if c.ticket != o.Ticket {
+		c = carried{ticket: o.Ticket, slots: carriers(&o.Value)}
+		l.carried[o.Value.ID] = c
 	}
-	l.lastID++
-	amount := b.lend(l.lastID, fleet.Tokens(w.GetTokens()), now)
-	l.lent += amount
-	granted.Loan = uint64(l.lastID)
-	granted.Tokens = float64(amount)
-	granted.TermMs = loanTerm.Milliseconds()
-	granted.RetryAfterMs = b.wait().Milliseconds()
-	return granted
+	return c.slots
 }
 
 // mayLend judges the tenure and its lease.
--- a/pkg/rate/slots.go
+++ b/pkg/rate/slots.go
@@ -20,7 +20,7 @@
 const (
 	// burstPerSlot is the least burst, in tokens, that a slot carries, unless
 	// the organisation has less in all.
-	burstPerSlot = 8
+	burstPerSlot = 4
 	// loanTerm is how long a borrower may use a loan, from before it asked.
 	loanTerm = 2 * time.Second
 	// clockMargin covers clocks that run at different speeds.
--- a/pkg/route/router.go
+++ b/pkg/route/router.go
@@ -61,9 +61,7 @@
 		return nil, throttled(c)
 	}
 	answer, err := r.try(ctx, c)
-	if !shedAnywhere(answer, err) {
-		r.Throttle.Accepted(c)
-	}
+	r.Throttle.Ended(c, !shedAnywhere(answer, err))
 	return answer, err
 }
 
--- a/pkg/route/throttle.go
+++ b/pkg/route/throttle.go
@@ -12,7 +12,7 @@
 const (
 	// throttleMemory is the time constant with which counts fade.
 	throttleMemory = 3 * time.Second
-	// throttleSlack is how many calls may be sent for each one accepted.
+	// throttleSlack is how many calls may end for each one accepted.
 	throttleSlack = 1.4
 	// throttleLeast is the number of calls below which none is held back.
 	throttleLeast = 10
@@ -26,15 +26,16 @@
 
 // counts fades with time, so that recovery is noticed.
 type counts struct {
-	mu             sync.Mutex
-	at             time.Time
-	sent, accepted float64
+	mu sync.Mutex
+	at time.Time
+	// ended counts calls that were answered, refused or held back.
+	ended, accepted float64
 }
 
 func (c *counts) fade(now time.Time) {
 	if d := now.Sub(c.at); d > 0 {
 		keep := 1 - min(float64(d)/float64(throttleMemory), 1)
-		c.sent *= keep
+		c.ended *= keep
 		c.accepted *= keep
 		c.at = now
 	}
@@ -67,21 +68,29 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.fade(t.Clock.Now())
-	k.sent++
-	if k.sent < throttleLeast {
+	if k.ended < throttleLeast {
 		return false
 	}
-	excess := (k.sent - throttleSlack*k.accepted) / k.sent
-	return float64(c.Bucket()) >= (1-excess)*call.Buckets
+	excess := (k.ended - throttleSlack*k.accepted) / k.ended
+	held := float64(c.Bucket()) >= (1-excess)*call.Buckets
+	if held {
+		k.ended++
+	}
+	return held
 }
 
-// Accepted notes that the instances took the call.
-func (t *Throttle) Accepted(c *call.Call) {
+// Ended notes the end of a call that was not held back, and whether the
+// instances took it. Calls under way count for neither side.
+func (t *Throttle) Ended(c *call.Call, accepted bool) {
 	if c.Route.Class == fleet.ClassCritical {
 		return
 	}
 	k := t.of(c)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.accepted++
+	k.fade(t.Clock.Now())
+	k.ended++
+	if accepted {
+		k.accepted++
+	}
 }
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -33,6 +34,8 @@
 callsOut = 127.0.0.1:7001
 # Other nodes; this address is announced to them.
 peers = 127.0.0.1:7002
+# Announced in place of peers, where others reach it under another address.
+# peersAnnounced = 127.0.0.1:7102
 # Operators.
 admin = 127.0.0.1:7003
 
@@ -58,8 +61,9 @@
 deadline = 5s
 
 [policy]
-# false runs every call at once, retries blindly and sheds nothing.
-overload = true
+# Mechanisms to switch off, separated by commas, for proofs and baselines only:
+# rate, retries, admission, intents, strip, spread, fence.
+off =
 # How long a holder of rate slots lends without reading the log.
 rateLease = 1h
 # How long callers are answered after a stop was asked for.
@@ -70,6 +74,31 @@
 format = json
 `
 
+// Mechanism names a part of the policy that proofs and baselines switch off.
+type Mechanism string
+
+// Mechanisms.
+const (
+	// MechanismRate keeps organisations within their rate and burst.
+	MechanismRate Mechanism = "rate"
+	// MechanismRetries bounds retries and holds back calls that would be shed.
+	MechanismRetries Mechanism = "retries"
+	// MechanismAdmission limits calls in flight and orders shedding.
+	MechanismAdmission Mechanism = "admission"
+	// MechanismIntents runs actions at most once.
+	MechanismIntents Mechanism = "intents"
+	// MechanismStrip keeps keys from upstreams.
+	MechanismStrip Mechanism = "strip"
+	// MechanismSpread passes config records between peers.
+	MechanismSpread Mechanism = "spread"
+	// MechanismFence refuses a call whose lease to start has ended.
+	MechanismFence Mechanism = "fence"
+)
+
+var mechanisms = []Mechanism{
+	MechanismRate, MechanismRetries, MechanismAdmission, MechanismIntents, MechanismStrip, MechanismSpread, MechanismFence,
+}
+
 // Settings of one node.
 type Settings struct {
 	Instance   fleet.InstanceName
@@ -78,6 +107,8 @@
 	Region     fleet.Region
 
 	Callers, CallsOut, Peers, Admin string
+	// PeersAnnounced is what other nodes connect to.
+	PeersAnnounced string
 
 	Upstream string
 
@@ -91,7 +122,9 @@
 	MaxHeader          int
 	Deadline           time.Duration
 
-	Overload  bool
+	// Off holds the mechanisms that are switched off.
+	Off map[Mechanism]bool
+
 	RateLease time.Duration
 	Drain     time.Duration
 
@@ -168,6 +201,10 @@
 	s.CallsOut = read("callsOut")
 	s.Peers = read("peers")
 	s.Admin = read("admin")
+	s.PeersAnnounced = s.Peers
+	if l.Has("peersAnnounced") {
+		s.PeersAnnounced = l.Address("peersAnnounced")
+	}
 }
 
 // minSecret is the least length of the peer secret in bytes.
@@ -197,7 +234,16 @@
 }
 
 func (s *Settings) readPolicy(p *inifile.Section) {
-	s.Overload = p.Bool("overload", true)
+	s.Off = map[Mechanism]bool{}
+	for _, name := range strings.Split(p.String("off", ""), ",") {
+		if name = strings.TrimSpace(name); name == "" {
+			continue
+		}
+		if !slices.Contains(mechanisms, Mechanism(name)) {
+			p.Problem("off", fmt.Sprintf("off names %q", name), fmt.Sprint(mechanisms))
+		}
+		s.Off[Mechanism(name)] = true
+	}
 	s.RateLease = p.Duration("rateLease", rate.DefaultLease, time.Second)
 	s.Drain = p.Duration("drain", time.Second, 0)
 }
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -43,6 +43,8 @@
 	Clock   clock.Clock
 	// MaxAnswer bounds an answer in bytes.
 	MaxAnswer int64
+	// Unfenced starts calls whose lease to start has ended.
+	Unfenced bool
 	// Down, where set, is called when the upstream refuses connections.
 	Down func()
 
@@ -84,7 +86,7 @@
 	if err != nil {
 		return nil, problem.New(problem.KindMalformed, "the call cannot be written as an HTTP request")
 	}
-	if u.Clock.Now().After(c.StartLimit()) {
+	if !u.Unfenced && u.Clock.Now().After(c.StartLimit()) {
 		return nil, problem.New(problem.KindDeadline, "the time to start the call had passed")
 	}
 	resp, err := u.http.Do(req)
--- a/scripts/mesh.sh
+++ b/scripts/mesh.sh
@@ -39,7 +39,7 @@
 secretFile = $out/peer.secret
 seeds = ${SEEDS:-}
 [policy]
-overload = ${POLICY:-true}
+off = ${OFF:-}
 drain = ${DRAIN:-500ms}
 [logs]
 level = ${LEVEL:-info}
