Rate: wait for holders instead of refusing; limit shrinks only when in use

Cause: paired benchmark of two nodes on the path refused calls of an organisation far within its rate: with a holder not open yet the borrower answered 429 at once, a bucket of a new tenure began to fill at its first use instead of when the tenure opened, and the concurrency limit shrank on slow windows in which hardly any of it was in use. Change: calls wait up to 1 s for a holder that answers; buckets fill from the opening; the limit shrinks only when half of it was in use.

--- a/pkg/admission/limit.go
+++ b/pkg/admission/limit.go
@@ -18,6 +18,10 @@
 	// decrease and increase move the limit.
 	decrease = 0.85
 	increase = 1.05
+	// usedToShrink and usedToGrow are the parts of the limit that must have been
+	// in use: calls that are slow while few are in flight do not queue.
+	usedToShrink = 0.5
+	usedToGrow   = 0.8
 	// minLimit and maxLimit bound the limit in calls.
 	minLimit = 2
 	maxLimit = 4096
@@ -127,10 +131,11 @@
 		return
 	}
 	old := float64(l.value.Load())
+	used := float64(peak) / old
 	switch {
-	case refused > 0 || slow/float64(samples) > tolerance:
+	case refused > 0, used >= usedToShrink && slow/float64(samples) > tolerance:
 		l.value.Store(int64(max(old*decrease, minLimit)))
-	case float64(peak) >= old*0.8:
+	case used >= usedToGrow:
 		l.value.Store(int64(min(math.Ceil(old*increase), maxLimit)))
 	}
 }
--- /dev/null
+++ b/pkg/node/mesh_test.go
@@ -0,0 +1,173 @@
+package node_test
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/samber/do/v2"
+
+	"github.com/plantainramp/plantainramp/internal/standin/logservice"
+	"github.com/plantainramp/plantainramp/pkg/adminclient"
+	"github.com/plantainramp/plantainramp/pkg/clock"
+	"github.com/plantainramp/plantainramp/pkg/fleet"
+	"github.com/plantainramp/plantainramp/pkg/logs"
+	"github.com/plantainramp/plantainramp/pkg/node"
+	"github.com/plantainramp/plantainramp/pkg/platformlog"
+	"github.com/plantainramp/plantainramp/pkg/settings"
+	"github.com/plantainramp/plantainramp/pkg/ticket"
+)
+
+// mesh is a few nodes in this process, with a log and one upstream handler.
+type mesh struct {
+	settings []*settings.Settings
+	key      string
+	log      *httptest.Server
+	upstream *httptest.Server
+}
+
+func address(t testing.TB) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// newMesh starts a node for each service named.
+func newMesh(t testing.TB, handler http.Handler, services ...string) *mesh {
+	m := &mesh{
+		log:      httptest.NewServer((&logservice.Service{Clock: clock.System{}}).Handler()),
+		upstream: httptest.NewServer(handler),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	for i, service := range services {
+		s := &settings.Settings{
+			Instance: fleet.InstanceName(fmt.Sprintf("%s-%d", service, i)), Service: fleet.ServiceName(service), DataCentre: "dc1",
+			Callers: address(t), CallsOut: address(t), Peers: address(t), Admin: address(t),
+			Upstream: m.upstream.Listener.Addr().String(), LogURL: m.log.URL, Retention: time.Hour,
+			Secret: []byte("the secret of the test fleet"), MaxBody: 1 << 20, MaxAnswer: 8 << 20, MaxHeader: 32 << 10,
+			Deadline: 5 * time.Second, RateLease: time.Hour, Off: map[settings.Mechanism]bool{},
+		}
+		s.PeersAnnounced = s.Peers
+		m.settings = append(m.settings, s)
+		group.Go(func() { runNode(ctx, t, s) })
+	}
+	t.Cleanup(func() {
+		cancel()
+		group.Wait()
+		m.upstream.Close()
+		m.log.CloseClientConnections()
+		m.log.Close()
+	})
+	m.announce(t)
+	m.file(t, services)
+	return m
+}
+
+func runNode(ctx context.Context, t testing.TB, s *settings.Settings) {
+	logger, err := logs.New(os.Stderr, cmp.Or(os.Getenv("MESH_LOG_LEVEL"), "error"), logs.FormatText, string(s.Instance))
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	injector := do.New()
+	do.ProvideValue(injector, s)
+	do.ProvideValue(injector, logger)
+	do.ProvideValue[clock.Clock](injector, clock.System{})
+	do.ProvideNamedValue(injector, "version", "test")
+	n, err := node.New(injector)
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	if err := n.Run(ctx); err != nil {
+		t.Error(err)
+	}
+}
+
+func (m *mesh) announce(t testing.TB) {
+	for _, s := range m.settings {
+		body, _ := json.Marshal(node.Announcement{State: node.UpstreamServing, Slots: 200, Started: "x"})
+		eventually(t, func() bool {
+			req, _ := http.NewRequest(http.MethodPut, "http://"+s.CallsOut+node.AnnouncePath, bytes.NewReader(body))
+			resp, err := http.DefaultClient.Do(req)
+			if err != nil {
+				return false
+			}
+			_ = resp.Body.Close()
+			return resp.StatusCode == http.StatusNoContent
+		})
+	}
+}
+
+func (m *mesh) file(t testing.TB, services []string) {
+	key, digest := ticket.NewKey("k1")
+	m.key = key
+	text := "[ticket]\nnumber = 1\nauthor = a\nreason = r\n[organisation \"dakar\"]\nagainst = 0\nrate = 1000000\nburst = 1000000\n" +
+		"[key \"k1\"]\nagainst = 0\norganisation = dakar\ndigest = " + string(digest) + "\n"
+	seen := map[string]bool{}
+	for _, service := range services {
+		if !seen[service] {
+			text += "[service \"" + service + "\"]\nagainst = 0\nroute = GET /* normal idempotent\nroute = POST /* critical\n"
+		}
+		seen[service] = true
+	}
+	tk, err := ticket.Parse("test", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	record, err := tk.Record()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := (&platformlog.Client{URL: m.log.URL}).Append(context.Background(), platformlog.StreamConfig, record); err != nil {
+		t.Fatal(err)
+	}
+	for _, s := range m.settings {
+		client := &adminclient.Client{URL: "http://" + s.Admin}
+		eventually(t, func() bool {
+			objects, err := client.Objects(context.Background())
+			members, err2 := client.Members(context.Background())
+			return err == nil && err2 == nil && len(objects.Keys) == 1 && len(members) == len(services)
+		})
+	}
+}
+
+func eventually(t testing.TB, done func() bool) {
+	end := time.Now().Add(10 * time.Second)
+	for !done() {
+		if time.Now().After(end) {
+			t.Fatal("gave up waiting")
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// get makes one call and reads the whole answer.
+func get(client *http.Client, url, key string) (int, error) {
+	req, err := http.NewRequest(http.MethodGet, url, nil)
+	if err != nil {
+		return 0, err
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, err
+}
--- a/pkg/rate/borrower.go
+++ b/pkg/rate/borrower.go
@@ -29,6 +29,10 @@
 	avoidMost = 50 * time.Millisecond
 	// avoidFailed is how long a holder that did not answer is not asked again.
 	avoidFailed = 300 * time.Millisecond
+	// holderPatience bounds the wait of a call while no holder answers.
+	holderPatience = time.Second
+	// holderPause is the wait before holders are looked for again.
+	holderPause = 20 * time.Millisecond
 	// demandMemory is the time constant of the demand estimate.
 	demandMemory = time.Second
 	// spareBurst is the burst for each member of the fleet from which a node
@@ -64,8 +68,15 @@
 	slots    []int
 	ticket   fleet.TicketNumber
 	waiting  int
-	// avoid holds holders that are not asked before a time.
-	avoid map[fleet.MemberID]time.Time
+	// avoid holds holders that are not asked for a moment.
+	avoid map[fleet.MemberID]avoidance
+}
+
+// avoidance leaves a holder alone until a time.
+type avoidance struct {
+	until time.Time
+	// empty tells that the holder had no token left, rather than no answer.
+	empty bool
 }
 
 // Borrower takes tokens for calls that enter at this node. All exported fields
@@ -135,39 +146,64 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.noteDemand(b.Clock.Now())
+	giveUp := b.Clock.Now().Add(holderPatience)
 	for {
-		if t := a.takeHeld(b.Clock.Now()); t != nil {
+		now := b.Clock.Now()
+		if t := a.takeHeld(now); t != nil {
 			b.prefetch(c.Organisation, a)
 			return t, nil
 		}
-		if ctx.Err() != nil || c.Remaining(b.Clock.Now()) <= 0 || !b.await(ctx, c.Organisation, a) {
+		switch {
+		case ctx.Err() != nil || c.Remaining(now) <= 0:
+			return nil, problem.New(problem.KindDeadline, "the deadline passed before a token of the organisation's rate was had")
+		case b.ask(c.Organisation, a):
+			a.await(ctx)
+		case a.empty(now):
 			return nil, overRate(c, o.Rate)
+		case now.After(giveUp):
+			return nil, noHolder()
+		default:
+			a.mu.Unlock()
+			_ = clock.Sleep(ctx, b.Clock, holderPause)
+			a.mu.Lock()
 		}
 	}
 }
 
+// noHolder refuses a call because nobody who could lend a token answers.
+func noHolder() error {
+	e := problem.New(problem.KindNotReady, "no holder of the organisation's rate slots answers")
+	e.RetryAfter = time.Second
+	return e
+}
+
 func overRate(c *call.Call, rate fleet.Rate) error {
 	e := problem.New(problem.KindRate, fmt.Sprintf("organisation %s is over its rate of %g calls a second", c.Organisation, float64(rate)))
 	e.RetryAfter = time.Second
 	return e
 }
 
-// await asks for tokens and waits, without the lock, for the answer. It reports
-// false where there is nobody left to ask.
-func (b *Borrower) await(ctx context.Context, id fleet.OrganisationID, a *account) bool {
-	a.waiting++
-	defer func() { a.waiting-- }()
-	if !b.ask(id, a) {
-		return false
-	}
+// await waits, without the lock, for the answer to a request for tokens.
+func (a *account) await(ctx context.Context) {
 	answered := a.answered
+	a.waiting++
 	a.mu.Unlock()
-	defer a.mu.Lock()
 	select {
 	case <-answered:
 	case <-ctx.Done():
 	}
-	return true
+	a.mu.Lock()
+	a.waiting--
+}
+
+// empty tells whether a holder said lately that it has no token left.
+func (a *account) empty(now time.Time) bool {
+	for _, v := range a.avoid {
+		if v.empty && now.Before(v.until) {
+			return true
+		}
+	}
+	return false
 }
 
 func (a *account) takeHeld(now time.Time) *token {
@@ -205,7 +241,7 @@
 // demand of the next moment needs.
 func (a *account) wanted() fleet.Tokens {
 	ahead := a.demand * float64(askAhead) / float64(demandMemory)
-	return fleet.Tokens(math.Max(float64(a.waiting), math.Ceil(ahead)))
+	return fleet.Tokens(max(float64(a.waiting), math.Ceil(ahead), 1))
 }
 
 // prefetch asks for tokens before they run out, where the burst is large enough
@@ -248,7 +284,7 @@
 // to be avoided.
 func (a *account) holder(v *config.View, now time.Time) fleet.MemberID {
 	for _, slot := range a.slots {
-		if id := v.State.Slots[slot].Holder; id != "" && !now.Before(a.avoid[id]) {
+		if id := v.State.Slots[slot].Holder; id != "" && !now.Before(a.avoid[id].until) {
 			return id
 		}
 	}
@@ -279,13 +315,13 @@
 // shun leaves a holder alone until it may have tokens again.
 func (a *account) shun(holder fleet.MemberID, now time.Time, hintMs int64) {
 	if a.avoid == nil {
-		a.avoid = map[fleet.MemberID]time.Time{}
+		a.avoid = map[fleet.MemberID]avoidance{}
 	}
 	wait := avoidFailed
 	if hintMs > 0 {
 		wait = min(time.Duration(hintMs)*time.Millisecond, avoidMost)
 	}
-	a.avoid[holder] = now.Add(wait)
+	a.avoid[holder] = avoidance{until: now.Add(wait), empty: hintMs > 0}
 }
 
 // add takes a granted loan over.
--- a/pkg/rate/lender.go
+++ b/pkg/rate/lender.go
@@ -212,7 +212,8 @@
 	}
 	b := t.buckets[id]
 	if b == nil {
-		b = &bucket{part: partOf(&o.Value, slot), ticket: o.Ticket, updated: now}
+		// Nothing was lent since the tenure opened, so the rate has yielded since then.
+		b = &bucket{part: partOf(&o.Value, slot), ticket: o.Ticket, updated: t.opens}
 		if o.Replaced == 0 && o.Offset > v.State.Slots[slot].Since {
 			b.level = b.part.burst
 		}
