--- a/pkg/action/recorder.go
+++ b/pkg/action/recorder.go
@@ -17,7 +17,7 @@
 
 const (
 	// batchGap is the least time between two appends to one partition.
-	batchGap = 30 * time.Millisecond
+	batchGap = 40 * time.Millisecond
 	// logPause is the wait after the log refused an append.
 	logPause = 200 * time.Millisecond
 	// readBatch is the number of records read at once.
--- /dev/null
+++ b/pkg/caller/read_test.go
@@ -0,0 +1,120 @@
+package caller
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/plantainramp/plantainramp/pkg/call"
+	"github.com/plantainramp/plantainramp/pkg/fleet"
+)
+
+func noHost(string) (fleet.ServiceName, bool) { return "", false }
+
+func TestReadTarget(t *testing.T) {
+	tests := []struct {
+		uri, service, path string
+		refused            bool
+	}{
+		{uri: "/showcase/homes/1?x=/../", service: "showcase", path: "/homes/1"},
+		{uri: "/showcase", service: "showcase", path: "/"},
+		{uri: "/", service: "", path: "/"},
+		{uri: "/a/b%20c", service: "a", path: "/b%20c"},
+		{uri: "http://other/showcase/homes", refused: true},
+		{uri: "*", refused: true},
+		{uri: "/showcase/../ledger/x", refused: true},
+		{uri: "/showcase/%2e%2E/x", refused: true},
+		{uri: "/showcase/a%2fb", refused: true},
+		{uri: "/showcase//x", refused: true},
+		{uri: "/showcase/a%00b", refused: true},
+		{uri: `/showcase/a\b`, refused: true},
+		{uri: "/showcase/%zz", refused: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.uri, func(t *testing.T) {
+			is := is.New(t)
+			to, err := readTarget(&http.Request{RequestURI: tt.uri}, noHost)
+			is.Equal(err != nil, tt.refused)
+			if !tt.refused {
+				is.Equal(to, target{service: fleet.ServiceName(tt.service), path: tt.path})
+			}
+		})
+	}
+}
+
+func TestReadHeaders(t *testing.T) {
+	tests := []struct {
+		name, header, value string
+		refused             bool
+	}{
+		{"deadline", call.HeaderDeadline, "250", false},
+		{"deadline with a unit", call.HeaderDeadline, "250ms", true},
+		{"deadline of nothing", call.HeaderDeadline, "0", true},
+		{"deadline below nothing", call.HeaderDeadline, "-1", true},
+		{"deadline too long", call.HeaderDeadline, "99999999999", true},
+		{"key", call.HeaderIdempotencyKey, `"swap-17"`, false},
+		{"key without marks", call.HeaderIdempotencyKey, "swap-17", true},
+		{"empty key", call.HeaderIdempotencyKey, `""`, true},
+		{"key with a space", call.HeaderIdempotencyKey, `"a b"`, true},
+		{"key too long", call.HeaderIdempotencyKey, `"` + strings.Repeat("x", 256) + `"`, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			h := http.Header{}
+			h.Set(tt.header, tt.value)
+			_, err := readDeadline(h, time.Second)
+			_, err2 := readIdempotencyKey(h)
+			is.Equal(err != nil || err2 != nil, tt.refused)
+		})
+	}
+}
+
+func TestCleanHeaders(t *testing.T) {
+	is := is.New(t)
+	h := http.Header{}
+	h.Set("Authorization", "Bearer x")
+	h.Set("X-Copy", "see prk_dakar-1_0123456789abcdef0123456789abcdef")
+	h.Set("Plantainramp-Organisation", "thies")
+	h.Set("Connection", "X-Hop")
+	h.Set("X-Hop", "1")
+	h.Set("Accept", "text/html")
+	is.Equal(cleanHeaders(h), http.Header{"Accept": {"text/html"}})
+}
+
+func FuzzReadTarget(f *testing.F) {
+	f.Add("/showcase/homes/1?x=1")
+	f.Add("/a/%2e%2e/b")
+	f.Fuzz(func(t *testing.T, uri string) {
+		to, err := readTarget(&http.Request{RequestURI: uri}, noHost)
+		if err != nil {
+			return
+		}
+		for _, part := range strings.Split(to.path, "/") {
+			if part == ".." || part == "." {
+				t.Fatalf("%q passes a dot segment on: %q", uri, to.path)
+			}
+		}
+		if strings.ContainsAny(to.path, "\r\n") {
+			t.Fatalf("%q passes a line end on", uri)
+		}
+	})
+}
+
+func FuzzReadHeaders(f *testing.F) {
+	f.Add("250", `"swap"`, "Bearer prk_a_0123456789abcdef")
+	f.Fuzz(func(_ *testing.T, deadline, key, authorization string) {
+		r := httptest.NewRequest(http.MethodGet, "/a/b", nil)
+		r.Header[call.HeaderDeadline] = []string{deadline}
+		r.Header[call.HeaderIdempotencyKey] = []string{key}
+		r.Header["Authorization"] = []string{authorization}
+		_, _ = readDeadline(r.Header, time.Second)
+		_, _ = readIdempotencyKey(r.Header)
+		_, _ = readKey(r.Header)
+		_ = cleanHeaders(r.Header)
+	})
+}
--- a/pkg/peer/auth.go
+++ b/pkg/peer/auth.go
@@ -7,7 +7,7 @@
 	"bytes"
 	"crypto/hmac"
 	"crypto/sha256"
-	"encoding/hex"
+	"encoding/base64"
 	"io"
 	"net/http"
 
@@ -15,12 +15,18 @@
 )
 
 const (
-	// headerMAC carries the authentication code of a peer request.
-	headerMAC = "Plantainramp-Peer-Mac"
+	// headerMAC carries the authentication code of a peer request. Headers make up
+	// most of a control message, so its name is short.
+	headerMAC = "Pr-Mac"
+	// macSize is the length of the code in bytes.
+	macSize = 16
 	// maxMessage bounds a peer message in bytes.
 	maxMessage = 32 << 20
 )
 
+// needless headers are set by the generated client and used by nobody.
+var needless = []string{"Accept", "Twirp-Version"}
+
 // Secret is shared by all nodes of a fleet.
 type Secret []byte
 
@@ -29,7 +35,7 @@
 	_, _ = mac.Write([]byte(path))
 	_, _ = mac.Write([]byte{0})
 	_, _ = mac.Write(body)
-	return hex.EncodeToString(mac.Sum(nil))
+	return base64.RawURLEncoding.EncodeToString(mac.Sum(nil)[:macSize])
 }
 
 // signer adds the code to each request.
@@ -47,6 +53,10 @@
 	req.Body = io.NopCloser(bytes.NewReader(body))
 	req.ContentLength = int64(len(body))
 	req.GetBody = nil
+	for _, name := range needless {
+		req.Header.Del(name)
+	}
+	req.Header.Set("User-Agent", "") // keeps the client from sending its own
 	req.Header.Set(headerMAC, s.secret.code(req.URL.Path, body))
 	return s.next.Do(req)
 }
@@ -65,6 +75,7 @@
 			return
 		}
 		r.Body = io.NopCloser(bytes.NewReader(body))
+		w.Header()["Date"] = nil
 		next.ServeHTTP(w, r)
 	})
 }
--- a/pkg/rate/claimer.go
+++ b/pkg/rate/claimer.go
@@ -19,8 +19,11 @@
 	claimEvery = 500 * time.Millisecond
 	// claimRank is how long each next-ranked member holds back its claim.
 	claimRank = time.Second
-	// balanceRounds is the number of rounds between two slots given away.
+	// balanceRounds is the number of rounds between two gifts of slots.
 	balanceRounds = 4
+	// giftPart is the part of its excess that a holder gives away at once, so
+	// that most of what an organisation is due stays lendable meanwhile.
+	giftPart = 8
 )
 
 // Claimer takes vacant rate slots for this node and gives away slots that
@@ -98,23 +101,29 @@
 	return records
 }
 
-// giveAway releases one slot whose first-ranked member is another, if this
+// giveAway releases some slots whose first-ranked member is another, if this
 // node holds more than an even share.
 func (c *Claimer) giveAway(v *config.View) []platformlog.Record {
 	even := (state.SlotCount + len(v.All) - 1) / len(v.All)
-	if c.Lender.Held() <= even {
+	excess := c.Lender.Held() - even
+	if excess <= 0 {
 		return nil
 	}
+	gifts := (excess + giftPart - 1) / giftPart
+	var records []platformlog.Record
 	for i, slot := range v.State.Slots {
+		if len(records) == gifts {
+			break
+		}
 		if slot.Holder != c.Lender.Self || rankOf(v, i, c.Lender.Self) == 0 {
 			continue
 		}
 		if release, held := c.Lender.Drop(i); held {
-			c.Logger.WithField("slot", i).Info("rate slot given away")
-			return c.add(nil, state.RecordSlotRelease, release)
+			records = c.add(records, state.RecordSlotRelease, release)
 		}
 	}
-	return nil
+	c.Logger.WithField("slots", len(records)).Info("rate slots given away")
+	return records
 }
 
 func (c *Claimer) add(records []platformlog.Record, kind platformlog.Kind, body any) []platformlog.Record {
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -19,8 +19,9 @@
 )
 
 const (
-	// SlotCount is the number of rate slots of the fleet.
-	SlotCount = 64
+	// SlotCount is the number of rate slots of the fleet. It is of the order of
+	// the largest fleet, so that lending is spread over all its nodes.
+	SlotCount = 1024
 	// keptVerdicts bounds the verdicts on tickets that are remembered.
 	keptVerdicts = 10_000
 	// keptEnds bounds the ended members that are remembered.
--- /dev/null
+++ b/pkg/upstream/upstream_test.go
@@ -0,0 +1,62 @@
+package upstream_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/plantainramp/plantainramp/pkg/call"
+	"github.com/plantainramp/plantainramp/pkg/clock"
+	"github.com/plantainramp/plantainramp/pkg/problem"
+	"github.com/plantainramp/plantainramp/pkg/retry"
+	"github.com/plantainramp/plantainramp/pkg/ticket"
+	"github.com/plantainramp/plantainramp/pkg/upstream"
+)
+
+// TestStaleHandOverIsRefused has a call arrive after the lease under which it was
+// sent has ended, as when its sender was frozen in between.
+func TestStaleHandOverIsRefused(t *testing.T) {
+	is := is.New(t)
+	ran := 0
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { ran++ }))
+	defer server.Close()
+	fake := new(clock.Fake)
+	fake.Advance(time.Hour)
+	c := &call.Call{
+		Method: http.MethodGet, Path: "/x", Route: &ticket.Route{}, Retries: retry.NewAccount(0),
+		StartBy: fake.Now().Add(-time.Millisecond), Deadline: fake.Now().Add(time.Second),
+	}
+	u := &upstream.Client{Address: server.Listener.Addr().String(), Clock: fake, MaxAnswer: 1 << 10}
+	_, err := u.Handle(context.Background(), c)
+	p, refused := err.(*problem.Error)
+	is.True(refused)
+	is.Equal(p.Run, problem.RunNo)
+	is.Equal(ran, 0)
+	u.Unfenced = true // the mechanism off
+	_, err = u.Handle(context.Background(), c)
+	is.NoErr(err)
+	is.Equal(ran, 1)
+}
+
+func TestTruncatedAnswerIsNotPassedOn(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "100")
+		_, _ = w.Write([]byte("half"))
+		panic(http.ErrAbortHandler)
+	}))
+	defer server.Close()
+	c := &call.Call{
+		Method: http.MethodGet, Path: "/x", Route: &ticket.Route{}, Retries: retry.NewAccount(0),
+		Deadline: time.Now().Add(time.Second),
+	}
+	u := &upstream.Client{Address: server.Listener.Addr().String(), Clock: clock.System{}, MaxAnswer: 1 << 10}
+	answer, err := u.Handle(context.Background(), c)
+	p, refused := err.(*problem.Error)
+	is.True(answer == nil && refused)
+	is.Equal(p.Run, problem.RunUnknown)
+}
