Calls out inherit the class of their root

A confirmation reads the calendar, and there its read competed as a read: shed with the others after its own upstream had already begun the work. Ruled out: the wait for a place at the agreements service (no refusals there). Change: a call made for another has the class of that one; critical reads wait as long as actions do.

--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -13,6 +13,7 @@
 
 	"github.com/plantainramp/plantainramp/pkg/call"
 	"github.com/plantainramp/plantainramp/pkg/clock"
+	"github.com/plantainramp/plantainramp/pkg/fleet"
 	"github.com/plantainramp/plantainramp/pkg/problem"
 )
 
@@ -192,7 +193,7 @@
 
 func (a *Controller) patience(c *call.Call, now time.Time) time.Duration {
 	left := c.StartLimit().Sub(now)
-	if c.Action() {
+	if c.Action() || c.Route.Class == fleet.ClassCritical {
 		return left
 	}
 	return min(left, maxWait)
--- a/pkg/caller/face.go
+++ b/pkg/caller/face.go
@@ -18,6 +18,7 @@
 	"github.com/plantainramp/plantainramp/pkg/meter"
 	"github.com/plantainramp/plantainramp/pkg/problem"
 	"github.com/plantainramp/plantainramp/pkg/retry"
+	"github.com/plantainramp/plantainramp/pkg/ticket"
 	"github.com/plantainramp/plantainramp/pkg/upstream"
 )
 
@@ -107,12 +108,23 @@
 	if c.Route = service.Route(r.Method, to.path); c.Route == nil {
 		return c, problem.New(problem.KindNotFound, "the service has no route for this method and path")
 	}
+	if c.parent != nil {
+		c.Route = inherit(c.Route, c.parent)
+	}
 	if c.Organisation == "" && !c.Route.Open {
 		return c, problem.New(problem.KindKey, "this route needs a key")
 	}
 	return c, f.fill(c, r, to, now)
 }
 
+// inherit gives a call out the class of the call that it is made for: a whole
+// request is as important as its root, at every depth.
+func inherit(r *ticket.Route, parent *call.Call) *ticket.Route {
+	inherited := *r
+	inherited.Class = parent.Route.Class
+	return &inherited
+}
+
 // identify finds out for whom the call runs: by key on the public face, by
 // context for calls out.
 func (f *Face) identify(c *outgoing, r *http.Request, view *config.View) error {
