Throttle forgets within a second and lets twice the accepted through

With 1.4 calls let through for each one accepted and a memory of 3 s the throttle reopens by 1.4 in 3 s only, while held-back callers repeat and count again. Ruled out: the concurrency limit (polled: 11 to 20 for 8 slots throughout). Change: memory 1 s, slack 2.

--- a/pkg/route/throttle.go
+++ b/pkg/route/throttle.go
@@ -11,9 +11,9 @@
 
 const (
 	// throttleMemory is the time constant with which counts fade.
-	throttleMemory = 3 * time.Second
+	throttleMemory = time.Second
 	// throttleSlack is how many calls may end for each one accepted.
-	throttleSlack = 1.4
+	throttleSlack = 2
 	// throttleLeast is the number of calls below which none is held back.
 	throttleLeast = 10
 )
