Slot records name many slots

Cause: with 1,024 slots a fleet of 150 nodes did not list its members within 60 s (capacity.sh): one record a slot made 174 KB of claims, pushed by every node. Change: one claim or release record names all slots of a round.

--- a/internal/nodecmd/nodecmd.go
+++ b/internal/nodecmd/nodecmd.go
@@ -31,9 +31,9 @@
 const (
 	// collectPercent lets the heap grow further than usual between collections:
 	// a node holds little and has a budget of 128 MB.
-	collectPercent = 400
+	collectPercent = 200
 	// memoryLimit is the heap, in bytes, from which collections come sooner.
-	memoryLimit = 96 << 20
+	memoryLimit = 80 << 20
 )
 
 // Main runs the daemon until SIGTERM or SIGINT and returns its exit code.
--- a/pkg/rate/claimer.go
+++ b/pkg/rate/claimer.go
@@ -64,10 +64,10 @@
 	if v.Member(c.Lender.Self) == nil {
 		return
 	}
-	records := c.claims(v)
+	records := c.record(nil, state.RecordSlotClaim, state.SlotClaim{Member: c.Lender.Self, Slots: c.claims(v)})
 	c.rounds++
 	if c.rounds%balanceRounds == 0 {
-		records = append(records, c.giveAway(v)...)
+		records = c.record(records, state.RecordSlotRelease, state.SlotRelease{Member: c.Lender.Self, Slots: c.giveAway(v)})
 	}
 	if len(records) == 0 {
 		return
@@ -81,8 +81,8 @@
 
 // claims returns claims for slots that have been vacant for as long as this
 // node's rank asks for.
-func (c *Claimer) claims(v *config.View) []platformlog.Record {
-	var records []platformlog.Record
+func (c *Claimer) claims(v *config.View) []state.ClaimedSlot {
+	var claims []state.ClaimedSlot
 	now := c.Lender.Clock.Now()
 	for i, slot := range v.State.Slots {
 		if slot.Holder != "" {
@@ -97,35 +97,34 @@
 		if now.Sub(since) < time.Duration(rankOf(v, i, c.Lender.Self))*claimRank {
 			continue
 		}
-		claim := state.SlotClaim{Slot: i, Member: c.Lender.Self, After: slot.Epoch}
-		records = c.add(records, state.RecordSlotClaim, claim)
+		claims = append(claims, state.ClaimedSlot{Slot: i, After: slot.Epoch})
 	}
-	return records
+	return claims
 }
 
 // giveAway releases some slots whose first-ranked member is another, if this
 // node holds more than an even share.
-func (c *Claimer) giveAway(v *config.View) []platformlog.Record {
+func (c *Claimer) giveAway(v *config.View) []state.ReleasedSlot {
 	even := (state.SlotCount + len(v.All) - 1) / len(v.All)
 	excess := c.Lender.Held() - even
 	if excess <= 0 {
 		return nil
 	}
 	gifts := (excess + giftPart - 1) / giftPart
-	var records []platformlog.Record
+	var releases []state.ReleasedSlot
 	for i, slot := range v.State.Slots {
-		if len(records) == gifts {
+		if len(releases) == gifts {
 			break
 		}
 		if slot.Holder != c.Lender.Self || rankOf(v, i, c.Lender.Self) == 0 {
 			continue
 		}
 		if release, held := c.Lender.Drop(i); held {
-			records = c.add(records, state.RecordSlotRelease, release)
+			releases = append(releases, release)
 		}
 	}
-	c.Logger.WithField("slots", len(records)).Info("rate slots given away")
-	return records
+	c.Logger.WithField("slots", len(releases)).Info("rate slots given away")
+	return releases
 }
 
 // ReleaseAll gives every slot back, at the stop of a node. It waits a moment for
@@ -136,10 +135,7 @@
 	for end := c.Lender.Clock.Now().Add(settleWait); !c.Lender.Settled() && c.Lender.Clock.Now().Before(end); {
 		_ = clock.Sleep(ctx, c.Lender.Clock, settleEvery)
 	}
-	var records []platformlog.Record
-	for _, release := range c.Lender.Releases() {
-		records = c.add(records, state.RecordSlotRelease, release)
-	}
+	records := c.record(nil, state.RecordSlotRelease, state.SlotRelease{Member: c.Lender.Self, Slots: c.Lender.Releases()})
 	if len(records) == 0 {
 		return
 	}
@@ -148,7 +144,11 @@
 	}
 }
 
-func (c *Claimer) add(records []platformlog.Record, kind platformlog.Kind, body any) []platformlog.Record {
+// record adds a record that names slots, if it names any.
+func (c *Claimer) record(records []platformlog.Record, kind platformlog.Kind, body slotRecord) []platformlog.Record {
+	if body.Empty() {
+		return records
+	}
 	record, err := platformlog.NewRecord(platformlog.RecordID(fleet.NewID()), kind, body)
 	if err != nil {
 		c.Logger.WithError(err).Error("slot record not written")
@@ -156,3 +156,8 @@
 	}
 	return append(records, record)
 }
+
+// slotRecord is a claim or a release.
+type slotRecord interface {
+	Empty() bool
+}
--- a/pkg/rate/lender.go
+++ b/pkg/rate/lender.go
@@ -113,12 +113,11 @@
 	return true
 }
 
-// Releases stops lending from all slots and returns the records that give them
-// back.
-func (l *Lender) Releases() []state.SlotRelease {
+// Releases stops lending from all slots and returns what gives them back.
+func (l *Lender) Releases() []state.ReleasedSlot {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var list []state.SlotRelease
+	var list []state.ReleasedSlot
 	for slot, t := range l.tenures {
 		list = append(list, l.drop(slot, t))
 	}
@@ -126,22 +125,22 @@
 }
 
 // Drop stops lending from one slot, if nothing is lent out from it, and returns
-// the record that gives it back.
-func (l *Lender) Drop(slot int) (state.SlotRelease, bool) {
+// what gives it back.
+func (l *Lender) Drop(slot int) (state.ReleasedSlot, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	t := l.tenures[slot]
 	if t == nil || t.dropped || !t.settled(l.Clock.Now()) {
-		return state.SlotRelease{}, false
+		return state.ReleasedSlot{}, false
 	}
 	return l.drop(slot, t), true
 }
 
 // drop ends a tenure here, even if the release is lost: under this epoch it
 // never lends again.
-func (l *Lender) drop(slot int, t *tenure) state.SlotRelease {
+func (l *Lender) drop(slot int, t *tenure) state.ReleasedSlot {
 	t.dropped = true
-	return state.SlotRelease{Slot: slot, Member: l.Self, Epoch: t.epoch, Settled: t.settled(l.Clock.Now())}
+	return state.ReleasedSlot{Slot: slot, Epoch: t.epoch, Settled: t.settled(l.Clock.Now())}
 }
 
 func (t *tenure) settled(now time.Time) bool {
--- a/pkg/rate/rate_test.go
+++ b/pkg/rate/rate_test.go
@@ -57,7 +57,7 @@
 		w.holders[id] = l
 		w.append(state.RecordMemberJoin, state.Member{ID: id, PeerAddress: string(id)})
 	}
-	w.append(state.RecordSlotClaim, state.SlotClaim{Slot: w.slot, Member: "h1"})
+	w.claim("h1", 0)
 	w.read("h1")
 	w.read("h2")
 	return w
@@ -73,6 +73,10 @@
 	}
 }
 
+func (w *world) claim(id fleet.MemberID, after state.Epoch) {
+	w.append(state.RecordSlotClaim, state.SlotClaim{Member: id, Slots: []state.ClaimedSlot{{Slot: w.slot, After: after}}})
+}
+
 func (w *world) read(id fleet.MemberID) {
 	if err := w.holders[id].Follower.ReadLog(context.Background(), 0); err != nil {
 		panic(err)
@@ -146,9 +150,9 @@
 			}
 		case 9:
 			if release, settled := w.holders[current].Drop(w.slot); settled && !ended {
-				w.append(state.RecordSlotRelease, release)
+				w.append(state.RecordSlotRelease, state.SlotRelease{Member: current, Slots: []state.ReleasedSlot{release}})
 				w.read(next)
-				w.append(state.RecordSlotClaim, state.SlotClaim{Slot: w.slot, Member: next, After: release.Epoch})
+				w.claim(next, release.Epoch)
 				w.read(current)
 				w.read(next)
 				current, next = next, current
@@ -164,7 +168,7 @@
 				}
 				w.append(state.RecordMemberEnd, state.MemberEnd{Member: current, Evidence: evidence})
 				w.read(next)
-				w.append(state.RecordSlotClaim, state.SlotClaim{Slot: w.slot, Member: next, After: w.holders[next].Follower.View().State.Slots[w.slot].Epoch})
+				w.claim(next, w.holders[next].Follower.View().State.Slots[w.slot].Epoch)
 			}
 			w.read(next)
 			if !ended || !frozen {
@@ -205,7 +209,7 @@
 		w.borrow("h1", testBurst, fake.Now(), false)
 		w.append(state.RecordMemberEnd, state.MemberEnd{Member: "h1", Evidence: state.EvidenceSilent})
 		w.read("h2")
-		w.append(state.RecordSlotClaim, state.SlotClaim{Slot: w.slot, Member: "h2", After: w.holders["h2"].Follower.View().State.Slots[w.slot].Epoch})
+		w.claim("h2", w.holders["h2"].Follower.View().State.Slots[w.slot].Epoch)
 		w.read("h2")
 		for range 9 { // the frozen holder's loans are spent while its successor lends
 			fake.Advance(100 * time.Millisecond)
--- a/pkg/state/records.go
+++ b/pkg/state/records.go
@@ -55,18 +55,34 @@
 	Witness  fleet.MemberID `json:"witness"`
 }
 
-// SlotClaim takes a rate slot. It names the epoch it follows.
+// SlotClaim takes rate slots for a member. Each slot is decided on its own.
 type SlotClaim struct {
-	Slot   int            `json:"slot"`
 	Member fleet.MemberID `json:"member"`
-	After  Epoch          `json:"after"`
+	Slots  []ClaimedSlot  `json:"slots"`
 }
 
-// SlotRelease gives a rate slot back after the holder stopped lending from it.
+// Empty tells whether the claim names no slot.
+func (c SlotClaim) Empty() bool { return len(c.Slots) == 0 }
+
+// ClaimedSlot names a slot and the epoch that the claim follows.
+type ClaimedSlot struct {
+	Slot  int   `json:"slot"`
+	After Epoch `json:"after"`
+}
+
+// SlotRelease gives rate slots back after the holder stopped lending from them.
 type SlotRelease struct {
-	Slot   int            `json:"slot"`
 	Member fleet.MemberID `json:"member"`
-	Epoch  Epoch          `json:"epoch"`
+	Slots  []ReleasedSlot `json:"slots"`
+}
+
+// Empty tells whether the release names no slot.
+func (r SlotRelease) Empty() bool { return len(r.Slots) == 0 }
+
+// ReleasedSlot names a slot and the epoch that ends.
+type ReleasedSlot struct {
+	Slot  int   `json:"slot"`
+	Epoch Epoch `json:"epoch"`
 	// Settled tells that nothing was lent out when the holder stopped.
 	Settled bool `json:"settled"`
 }
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -195,33 +195,42 @@
 }
 
 func (s *State) applyClaim(offset platformlog.Offset, c *SlotClaim) {
-	if c.Slot < 0 || c.Slot >= len(s.Slots) {
+	if _, listed := s.Members[c.Member]; !listed {
 		return
 	}
-	slot := &s.Slots[c.Slot]
-	_, member := s.Members[c.Member]
-	if !member || slot.Holder != "" || slot.Epoch != c.After {
-		return
+	for _, claimed := range c.Slots {
+		slot := s.slot(claimed.Slot)
+		if slot == nil || slot.Holder != "" || slot.Epoch != claimed.After {
+			continue
+		}
+		slot.Holder = c.Member
+		slot.Epoch = Epoch(offset) + 1
+		slot.Since = offset
 	}
-	slot.Holder = c.Member
-	slot.Epoch = Epoch(offset) + 1
-	slot.Since = offset
 }
 
 func (s *State) applyRelease(r *SlotRelease) {
-	if r.Slot < 0 || r.Slot >= len(s.Slots) {
-		return
-	}
-	slot := &s.Slots[r.Slot]
-	if slot.Holder == r.Member && slot.Epoch == r.Epoch {
+	for _, released := range r.Slots {
+		slot := s.slot(released.Slot)
+		if slot == nil || slot.Holder != r.Member || slot.Epoch != released.Epoch {
+			continue
+		}
 		slot.Holder = ""
 		slot.Before = EvidenceLeft
-		if r.Settled {
+		if released.Settled {
 			slot.Before = EvidenceSettled
 		}
 	}
 }
 
+// slot returns a slot by number, or nil.
+func (s *State) slot(number int) *Slot {
+	if number < 0 || number >= len(s.Slots) {
+		return nil
+	}
+	return &s.Slots[number]
+}
+
 // Marshal returns the canonical form of the state and its digest.
 func (s *State) Marshal() ([]byte, string, error) {
 	raw, err := json.Marshal(s)
--- a/pkg/state/state_test.go
+++ b/pkg/state/state_test.go
@@ -126,9 +126,9 @@
 		evidence := rapid.SampledFrom([]state.Evidence{state.EvidenceLeft, state.EvidenceRefused, state.EvidenceSilent}).Draw(t, "evidence")
 		kind, body = state.RecordMemberEnd, state.MemberEnd{Member: member, Evidence: evidence}
 	case 3:
-		kind, body = state.RecordSlotClaim, state.SlotClaim{Slot: slot, Member: member, After: s.Slots[slot].Epoch}
+		kind, body = state.RecordSlotClaim, state.SlotClaim{Member: member, Slots: []state.ClaimedSlot{{Slot: slot, After: s.Slots[slot].Epoch}}}
 	default:
-		kind, body = state.RecordSlotRelease, state.SlotRelease{Slot: slot, Member: member, Epoch: s.Slots[slot].Epoch, Settled: rapid.Bool().Draw(t, "settled")}
+		kind, body = state.RecordSlotRelease, state.SlotRelease{Member: member, Slots: []state.ReleasedSlot{{Slot: slot, Epoch: s.Slots[slot].Epoch, Settled: rapid.Bool().Draw(t, "settled")}}}
 	}
 	record, err := platformlog.NewRecord("r", kind, body)
 	if err != nil {
