--- a/pkg/admin/admin.go
+++ b/pkg/admin/admin.go
@@ -11,6 +11,7 @@
 
 	"github.com/danielgtaylor/huma/v2"
 	"github.com/danielgtaylor/huma/v2/adapters/humago"
+	"github.com/samber/lo"
 
 	"github.com/plantainramp/plantainramp/pkg/config"
 	"github.com/plantainramp/plantainramp/pkg/fleet"
@@ -103,19 +104,12 @@
 }
 
 func sorted[K cmp.Ordered, V any](values map[K]V) []V {
-	list := make([]V, 0, len(values))
-	for _, k := range slices.Sorted(maps.Keys(values)) {
-		list = append(list, values[k])
-	}
-	return list
+	return lo.Map(slices.Sorted(maps.Keys(values)), func(key K, _ int) V { return values[key] })
 }
 
 func (f *Face) members(context.Context, *struct{}) (*membersOutput, error) {
-	out := &membersOutput{Body: []state.Member{}}
-	for _, m := range f.Follower.View().All {
-		out.Body = append(out.Body, *m)
-	}
-	return out, nil
+	members := lo.Map(f.Follower.View().All, func(m *state.Member, _ int) state.Member { return *m })
+	return &membersOutput{Body: members}, nil
 }
 
 func (f *Face) slots(context.Context, *struct{}) (*slotsOutput, error) {
--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -107,7 +108,7 @@
 			}
 			start := a.Clock.Now()
 			answer, err := next(ctx, c)
-			a.leave(c, route, start, answer)
+			a.leave(c, route, start, answer, err)
 			return answer, err
 		}
 	}
@@ -236,14 +237,14 @@
 	a.delay.Store(old + (int64(d)-old)/8)
 }
 
-func (a *Controller) leave(c *call.Call, route *routeStats, start time.Time, answer *call.Answer) {
+func (a *Controller) leave(c *call.Call, route *routeStats, start time.Time, answer *call.Answer, err error) {
 	now := a.Clock.Now()
 	whole := now.Sub(start)
-	if answer != nil {
-		route.add(whole-min(c.Below.Waited(), whole), whole)
-		if answer.Status == http.StatusServiceUnavailable && !answer.Shed {
-			a.limit.refused.Add(1)
-		}
+	if tells(answer, err) {
+		a.limit.add(route, whole-min(c.Below.Waited(), whole), whole)
+	}
+	if answer != nil && answer.Status == http.StatusServiceUnavailable && !answer.Shed {
+		a.limit.refused.Add(1)
 	}
 	a.inFlight.Add(-1)
 	route.inFlight.Add(-1)
@@ -256,3 +257,14 @@
 		a.mu.Unlock()
 	}
 }
+
+// tells tells whether the time of a call says something about the upstream's load.
+// Failures are often quick and would pass for a fast upstream; a call that ran out
+// of time is the slowest of all.
+func tells(answer *call.Answer, err error) bool {
+	if answer != nil {
+		return answer.Status < http.StatusInternalServerError
+	}
+	var p *problem.Error
+	return errors.As(err, &p) && p.Run == problem.RunUnknown
+}
--- a/pkg/admission/limit.go
+++ b/pkg/admission/limit.go
@@ -10,8 +10,10 @@
 const (
 	// window is the period after which the limit is adapted.
 	window = 100 * time.Millisecond
-	// minSamples is the number of calls that a window needs to count.
-	minSamples = 8
+	// minSamples is the number of calls that a window waits for, up to
+	// longestWindow.
+	minSamples    = 8
+	longestWindow = time.Second
 	// tolerance is the slow-down of calls that is taken for queueing in the
 	// upstream.
 	tolerance = 1.6
@@ -96,6 +98,8 @@
 	windowEnd atomic.Int64
 	// refused counts refusals for load by the upstream itself.
 	refused atomic.Int64
+	// samples counts the calls of the window.
+	samples atomic.Int64
 	// peak is the highest number in flight in the window.
 	peak   atomic.Int64
 	routes sync.Map
@@ -109,15 +113,25 @@
 	return found.(*routeStats)
 }
 
+// add notes a call that has ended.
+func (l *limit) add(r *routeStats, own, whole time.Duration) {
+	r.add(own, whole)
+	l.samples.Add(1)
+}
+
 // due tells, to one caller only, that the window has ended.
 func (l *limit) due(now time.Time) bool {
 	end := l.windowEnd.Load()
 	at := now.UnixNano()
-	return at >= end && l.windowEnd.CompareAndSwap(end, at+int64(window))
+	if at < end || l.samples.Load() < minSamples && at < end+int64(longestWindow-window) {
+		return false
+	}
+	return l.windowEnd.CompareAndSwap(end, at+int64(window))
 }
 
 // adapt moves the limit by what the window showed.
 func (l *limit) adapt() {
+	l.samples.Store(0)
 	slow, samples := 0.0, 0
 	l.routes.Range(func(_, value any) bool {
 		r, n := value.(*routeStats).close()
@@ -127,13 +141,13 @@
 	})
 	refused := l.refused.Swap(0)
 	peak := l.peak.Swap(0)
-	if refused == 0 && samples < minSamples {
+	if refused == 0 && samples == 0 {
 		return
 	}
 	old := float64(l.value.Load())
 	used := float64(peak) / old
 	switch {
-	case refused > 0, used >= usedToShrink && slow/float64(samples) > tolerance:
+	case refused > 0, used >= usedToShrink && slow > tolerance*float64(samples):
 		l.value.Store(int64(max(old*decrease, minLimit)))
 	case used >= usedToGrow:
 		l.value.Store(int64(min(math.Ceil(old*increase), maxLimit)))
--- /dev/null
+++ b/pkg/admission/limit_test.go
@@ -0,0 +1,37 @@
+package admission
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/plantainramp/plantainramp/pkg/call"
+	"github.com/plantainramp/plantainramp/pkg/clock"
+	"github.com/plantainramp/plantainramp/pkg/retry"
+	"github.com/plantainramp/plantainramp/pkg/ticket"
+)
+
+func TestQuickFailuresDoNotPassForAFastUpstream(t *testing.T) {
+	is := is.New(t)
+	fake := new(clock.Fake)
+	a := &Controller{Clock: fake}
+	a.Announce(2)
+	run := func(n, status int, took time.Duration) {
+		handler := call.Chain(func(context.Context, *call.Call) (*call.Answer, error) {
+			fake.Advance(took)
+			return &call.Answer{Status: status}, nil
+		}, a.Filter())
+		for range n {
+			c := &call.Call{Weight: 1, Route: &ticket.Route{Pattern: "/x"}, Retries: retry.NewAccount(0), Deadline: fake.Now().Add(time.Minute)}
+			_, _ = handler(context.Background(), c)
+		}
+	}
+	run(50, http.StatusOK, 40*time.Millisecond)
+	run(200, http.StatusInternalServerError, time.Millisecond)
+	run(50, http.StatusOK, 40*time.Millisecond)
+	// Off (before the change) the best time was that of the failures, 1 ms.
+	is.True(a.limit.route(" /x").baseline >= 40*time.Millisecond)
+}
--- a/pkg/clock/fake.go
+++ b/pkg/clock/fake.go
@@ -6,14 +6,17 @@
 )
 
 // Fake is a clock that stands still until Advance moves it. Its zero value
-// starts at the zero time.
+// starts at fakeStart.
 type Fake struct {
 	mu sync.Mutex
-	// now only grows.
-	now     time.Time
+	// passed only grows.
+	passed  time.Duration
 	waiters []waiter
 }
 
+// fakeStart is a time that has a value in nanoseconds since 1970.
+var fakeStart = time.Unix(1_000_000_000, 0)
+
 type waiter struct {
 	at   time.Time
 	wake chan time.Time
@@ -23,16 +26,18 @@
 func (f *Fake) Now() time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.now
+	return f.now()
 }
 
+func (f *Fake) now() time.Time { return fakeStart.Add(f.passed) }
+
 // After implements Clock.
 func (f *Fake) After(d time.Duration) <-chan time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	w := waiter{at: f.now.Add(d), wake: make(chan time.Time, 1)}
+	w := waiter{at: f.now().Add(d), wake: make(chan time.Time, 1)}
 	if d <= 0 {
-		w.wake <- f.now
+		w.wake <- f.now()
 		return w.wake
 	}
 	f.waiters = append(f.waiters, w)
@@ -43,14 +48,14 @@
 func (f *Fake) Advance(d time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.now = f.now.Add(d)
+	f.passed += d
 	var left []waiter
 	for _, w := range f.waiters {
-		if w.at.After(f.now) {
+		if w.at.After(f.now()) {
 			left = append(left, w)
 			continue
 		}
-		w.wake <- f.now
+		w.wake <- f.now()
 	}
 	f.waiters = left
 }
--- a/pkg/cmd/state/show/show.go
+++ b/pkg/cmd/state/show/show.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/samber/lo"
 
 	"github.com/plantainramp/plantainramp/internal/iostreams"
 	"github.com/plantainramp/plantainramp/internal/tableprinter"
@@ -58,10 +59,7 @@
 		return string(k.ID), fmt.Sprintf("organisation %s %s", k.Organisation, k.State)
 	})
 	addKind(table, kind, ticket.KindService, objects.Services, func(s ticket.Service) (string, string) {
-		routes := make([]string, len(s.Routes))
-		for i := range s.Routes {
-			routes[i] = s.Routes[i].String()
-		}
+		routes := lo.Map(s.Routes, func(r ticket.Route, _ int) string { return r.String() })
 		return string(s.Name), strings.Join(routes, "; ")
 	})
 	addKind(table, kind, ticket.KindUpstream, objects.Upstreams, func(u ticket.Upstream) (string, string) {
--- a/pkg/peer/pool.go
+++ b/pkg/peer/pool.go
@@ -15,6 +15,9 @@
 const (
 	// dialTimeout bounds a new connection.
 	dialTimeout = 500 * time.Millisecond
+	// clockTimeout bounds the question for a peer's clock, so that a silent peer
+	// leaves a call time for another instance.
+	clockTimeout = 500 * time.Millisecond
 	// idleConnections bounds kept connections to one peer.
 	idleConnections = 64
 	// idleTimeout closes connections without use.
@@ -101,8 +104,11 @@
 	if p.offset.Load() != nil {
 		return nil
 	}
+	ctx, cancel := context.WithTimeout(ctx, clockTimeout)
+	defer cancel()
 	reply, err := p.client.Exchange(ctx, &peerrpc.ExchangeRequest{})
 	if err != nil {
+		p.DropConnections()
 		return err
 	}
 	p.Learn(c.Now(), reply.GetClock())
--- a/pkg/route/links.go
+++ b/pkg/route/links.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/plantainramp/plantainramp/pkg/clock"
 	"github.com/plantainramp/plantainramp/pkg/config"
 	"github.com/plantainramp/plantainramp/pkg/fleet"
@@ -141,7 +143,7 @@
 	now := ls.Clock.Now()
 	var nearby, further, away []*Candidate
 	for _, m := range v.ByService[service] {
-		if contains(tried, m.ID) || v.Leaving(m.Instance) {
+		if lo.Contains(tried, m.ID) || v.Leaving(m.Instance) {
 			continue
 		}
 		c := &Candidate{Member: m, Link: ls.Of(m.ID)}
@@ -164,15 +166,6 @@
 	return best
 }
 
-func contains(ids []fleet.MemberID, id fleet.MemberID) bool {
-	for _, other := range ids {
-		if other == id {
-			return true
-		}
-	}
-	return false
-}
-
 // better returns the less loaded of two random candidates.
 func better(from []*Candidate, now time.Time) *Candidate {
 	if len(from) == 0 {
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,26 @@
+#!/usr/bin/env bash
+# Runs all tests. A failure that KNOWN-RED.txt names is printed and passed over; any
+# other fails the run. Entries: TEST | COMMAND AND SEED | SEEN | ISSUE.
+set -u
+cd "$(dirname "$0")/.."
+mkdir -p out
+go test -count=1 -timeout 20m ./... 2>&1 | tee out/test.log
+code=${PIPESTATUS[0]}
+echo 'Known red:'
+if [ -s KNOWN-RED.txt ]; then cat KNOWN-RED.txt; else echo 'none'; fi
+[ "$code" = 0 ] && exit 0
+# Leaf tests that failed: a parent fails with its children.
+failed=$(sed -n 's/^ *--- FAIL: \([^ ]*\).*/\1/p' out/test.log | sort -u)
+[ -n "$failed" ] || exit "$code" # a build or a panic: nothing to pass over
+unknown=0
+for test in $failed; do
+  echo "$failed" | grep -q "^$test/" && continue
+  if grep -q "^$test |" KNOWN-RED.txt 2>/dev/null; then
+    echo "passed over, known red: $test"
+  else
+    echo "failed: $test"
+    unknown=1
+  fi
+done
+if grep -q '^panic:\|\[build failed\]\|\[setup failed\]' out/test.log; then unknown=1; fi
+exit $unknown
