--- /dev/null
+++ b/pkg/node/face_test.go
@@ -0,0 +1,44 @@
+package node_test
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestMalformedRequestsAreNotPassedOn sends raw bytes to the callers' face.
+func TestMalformedRequestsAreNotPassedOn(t *testing.T) {
+	var reached atomic.Int64
+	m := newMesh(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { reached.Add(1) }), "calendar")
+	head := "POST /calendar/x HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer " + m.key + "\r\n"
+	tests := []struct{ name, raw, status string }{
+		{"two lengths", head + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", "400"},
+		{"length not a number", head + "Content-Length: +3\r\n\r\nabc", "400"},
+		{"unknown transfer coding", head + "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n", "501"},
+		{"space before the colon", head + "Content-Length : 3\r\n\r\nabc", "400"},
+		{"body over the limit", head + "Content-Length: 99999999\r\n\r\n", "413"},
+		{"headers over the limit", head + "X-Large: " + strings.Repeat("x", 128<<10) + "\r\n\r\n", "431"},
+		{"absolute form", strings.Replace(head, "/calendar/x", "http://other/calendar/x", 1) + "\r\n", "400"},
+		{"two keys", head + "Authorization: Bearer other\r\n\r\n", "400"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			connection, err := net.Dial("tcp", m.settings[0].Callers)
+			is.NoErr(err)
+			defer func() { _ = connection.Close() }()
+			_ = connection.SetDeadline(time.Now().Add(5 * time.Second))
+			_, _ = connection.Write([]byte(tt.raw))
+			line, err := bufio.NewReader(connection).ReadString('\n')
+			is.NoErr(err)
+			is.Equal(strings.Fields(line)[1], tt.status)
+			is.Equal(reached.Load(), int64(0))
+		})
+	}
+}
