Rate slots spread at once when they rest

The node that started first claimed all 1,024 slots and gave an eighth of its excess away every 2 s; killed (its slots wait 2.2 s) or cut off (1 h) soon after the start it took nearly all of every organisation's rate with it. Whether a script passed hung on which node came up first.

Ruled out: a node that answers before it holds a configuration (same kind of problem, other text); the harness taking the list of a killed incarnation for its successor (ready now asks for all running nodes on every list; it was not what failed).

Change: slots from which nothing was lent for 10 s go in one round of 0.25 to 0.75 s; the release says how long a slot rested, so its next holder starts with what the rate yielded, not from empty; slots never held are claimed 1 s after a member is listed.

TestRestedSlotKeepsItsBurst: the successor lends the whole burst and no more; random schedules with rests in releases stay within rate and burst.

--- a/acceptance/world_test.go
+++ b/acceptance/world_test.go
@@ -18,9 +18,12 @@
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+	"github.com/samber/lo"
 
 	"github.com/plantainramp/plantainramp/internal/standin/upstream"
 	"github.com/plantainramp/plantainramp/pkg/adminclient"
+	"github.com/plantainramp/plantainramp/pkg/fleet"
+	"github.com/plantainramp/plantainramp/pkg/state"
 	"github.com/plantainramp/plantainramp/pkg/ticket"
 )
 
@@ -204,15 +207,28 @@
 	return w.launch(in)
 }
 
-// ready: ready N [SECONDS] waits until every running node lists N members.
+// ready: ready N waits until every running node lists N members, all running
+// nodes among them.
 func (w *world) ready(args []string) error {
 	want, _ := strconv.Atoi(args[0])
 	return await(20*time.Second, func() error {
+		running := map[fleet.MemberID]bool{}
+		for _, in := range w.running() {
+			status, err := (&adminclient.Client{URL: "http://" + in.admin}).Status(w.ctx())
+			if err != nil {
+				return err
+			}
+			running[status.Member] = true
+		}
 		for _, in := range w.running() {
 			members, err := (&adminclient.Client{URL: "http://" + in.admin}).Members(w.ctx())
 			if err != nil || len(members) != want {
 				return fmt.Errorf("%s lists %d members, want %d (%v)", in.name, len(members), want, err)
 			}
+			listed := lo.CountBy(members, func(m state.Member) bool { return running[m.ID] })
+			if listed != len(running) {
+				return fmt.Errorf("%s lists %d of %d running nodes", in.name, listed, len(running))
+			}
 		}
 		return nil
 	})
--- a/pkg/rate/bucket.go
+++ b/pkg/rate/bucket.go
@@ -29,7 +29,9 @@
 		level       fleet.Tokens
 		outstanding fleet.Tokens
 		updated     time.Time
-		loans       map[LoanID]*loan
+		// touched is when anything was last lent, spent or given back; zero for never.
+		touched time.Time
+		loans   map[LoanID]*loan
 		// lent lists loans in the order in which they expire; settled ones are
 		// dropped when their turn comes.
 		lent []LoanID
@@ -54,6 +56,7 @@
 			return
 		}
 		if l != nil {
+			b.touched = now
 			b.outstanding -= l.tokens - l.settled
 			delete(b.loans, b.lent[0])
 		}
@@ -82,6 +85,7 @@
 	}
 	b.level = max(b.level-amount, 0)
 	b.outstanding += amount
+	b.touched = now
 	if b.loans == nil {
 		b.loans = map[LoanID]*loan{}
 	}
@@ -102,6 +106,7 @@
 		return
 	}
 	if done := spent + returned; done > l.settled {
+		b.touched = now
 		b.outstanding -= done - l.settled
 		l.settled = done
 		b.level += returned
--- a/pkg/rate/claimer.go
+++ b/pkg/rate/claimer.go
@@ -19,12 +19,17 @@
 	claimEvery = 500 * time.Millisecond
 	// claimRank is how long each next-ranked member holds back its claim.
 	claimRank = time.Second
-	// balanceRounds is the number of rounds between two gifts of slots.
+	// gatherTime is how long a member waits, from when it is listed, before it
+	// claims a slot that nobody ever held, so that the members of a fleet that
+	// starts divide the slots from the beginning.
+	gatherTime = time.Second
+	// balanceRounds is the number of rounds between two gifts of slots in use.
 	balanceRounds = 4
 	// settleWait bounds the wait for loans to be settled at a stop.
 	settleWait = 400 * time.Millisecond
-	// giftPart is the part of its excess that a holder gives away at once, so
-	// that most of what an organisation is due stays lendable meanwhile.
+	// giftPart is the part of its excess that a holder gives away at once from
+	// slots in use, so that most of what an organisation is due stays lendable
+	// meanwhile. Rested slots go all at once.
 	giftPart = 8
 )
 
@@ -36,6 +41,8 @@
 	Logger *logs.Logger
 
 	vacant map[int]time.Time
+	// listed is when the node first saw itself on the list.
+	listed time.Time
 	rounds int
 }
 
@@ -64,11 +71,13 @@
 	if v.Member(c.Lender.Self) == nil {
 		return
 	}
+	if c.listed.IsZero() {
+		c.listed = c.Lender.Clock.Now()
+	}
 	records := c.record(nil, state.RecordSlotClaim, state.SlotClaim{Member: c.Lender.Self, Slots: c.claims(v)})
 	c.rounds++
-	if c.rounds%balanceRounds == 0 {
-		records = c.record(records, state.RecordSlotRelease, state.SlotRelease{Member: c.Lender.Self, Slots: c.giveAway(v)})
-	}
+	gifts := c.giveAway(v, c.rounds%balanceRounds == 0)
+	records = c.record(records, state.RecordSlotRelease, state.SlotRelease{Member: c.Lender.Self, Slots: gifts})
 	if len(records) == 0 {
 		return
 	}
@@ -94,6 +103,9 @@
 			since = now
 			c.vacant[i] = now
 		}
+		if slot.Epoch == 0 && now.Sub(c.listed) < gatherTime {
+			continue
+		}
 		if now.Sub(since) < time.Duration(rankOf(v, i, c.Lender.Self))*claimRank {
 			continue
 		}
@@ -102,28 +114,43 @@
 	return claims
 }
 
-// giveAway releases some slots whose first-ranked member is another, if this
-// node holds more than an even share.
-func (c *Claimer) giveAway(v *config.View) []state.ReleasedSlot {
+// giveAway releases slots whose first-ranked member is another, if this node
+// holds more than an even share: all that have rested and, if used is set, some
+// of the others.
+func (c *Claimer) giveAway(v *config.View, used bool) []state.ReleasedSlot {
 	even := (state.SlotCount + len(v.All) - 1) / len(v.All)
 	excess := c.Lender.Held() - even
 	if excess <= 0 {
 		return nil
 	}
-	gifts := (excess + giftPart - 1) / giftPart
+	inUse := 0
+	if used {
+		inUse = (excess + giftPart - 1) / giftPart
+	}
 	var releases []state.ReleasedSlot
 	for i, slot := range v.State.Slots {
-		if len(releases) == gifts {
+		if len(releases) == excess {
 			break
 		}
 		if slot.Holder != c.Lender.Self || rankOf(v, i, c.Lender.Self) == 0 {
 			continue
 		}
-		if release, held := c.Lender.Drop(i); held {
-			releases = append(releases, release)
+		rested := c.Lender.Rested(i)
+		if !rested && inUse == 0 {
+			continue
+		}
+		release, held := c.Lender.Drop(i)
+		if !held {
+			continue
 		}
+		if !rested {
+			inUse--
+		}
+		releases = append(releases, release)
+	}
+	if len(releases) > 0 {
+		c.Logger.WithField("slots", len(releases)).Info("rate slots given away")
 	}
-	c.Logger.WithField("slots", len(releases)).Info("rate slots given away")
 	return releases
 }
 
--- a/pkg/rate/lender.go
+++ b/pkg/rate/lender.go
@@ -17,6 +17,9 @@
 	epoch state.Epoch
 	// opens is when all loans of earlier tenures have surely expired.
 	opens time.Time
+	// rested is since when nothing is lent out, but for what the buckets say.
+	// It is not after opens.
+	rested time.Time
 	// dropped never goes back to false.
 	dropped bool
 	buckets map[fleet.OrganisationID]*bucket
@@ -66,14 +69,21 @@
 			continue
 		}
 		if held == nil || held.epoch != slot.Epoch {
-			l.tenures[i] = &tenure{
-				epoch: slot.Epoch, opens: l.Clock.Now().Add(l.handover(slot.Before)),
-				buckets: map[fleet.OrganisationID]*bucket{},
-			}
+			l.tenures[i] = l.begin(slot)
 		}
 	}
 }
 
+// begin returns the tenure of a slot that this node has just come to hold.
+func (l *Lender) begin(slot state.Slot) *tenure {
+	opens := l.Clock.Now().Add(l.handover(slot.Before))
+	rest := time.Duration(slot.RestMs) * time.Millisecond
+	if slot.Before == "" {
+		rest = longRest // the first tenure of all: nothing was ever lent
+	}
+	return &tenure{epoch: slot.Epoch, opens: opens, rested: opens.Add(-rest), buckets: map[fleet.OrganisationID]*bucket{}}
+}
+
 // handover returns how long a successor waits until the loans of the earlier
 // tenure have surely expired.
 func (l *Lender) handover(before state.Evidence) time.Duration {
@@ -140,7 +150,32 @@
 // never lends again.
 func (l *Lender) drop(slot int, t *tenure) state.ReleasedSlot {
 	t.dropped = true
-	return state.ReleasedSlot{Slot: slot, Epoch: t.epoch, Settled: t.settled(l.Clock.Now())}
+	now := l.Clock.Now()
+	release := state.ReleasedSlot{Slot: slot, Epoch: t.epoch, Settled: t.settled(now)}
+	if release.Settled {
+		release.RestMs = t.rest(now).Milliseconds()
+	}
+	return release
+}
+
+// rest returns for how long nothing has been lent out, at most longRest.
+func (t *tenure) rest(now time.Time) time.Duration {
+	since := t.rested
+	for _, b := range t.buckets {
+		if b.touched.After(since) {
+			since = b.touched
+		}
+	}
+	return max(min(now.Sub(since), longRest), 0)
+}
+
+// Rested tells whether nothing has been lent out from a slot for longRest, so
+// that its next holder starts with all that it carries.
+func (l *Lender) Rested(slot int) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t, now := l.tenures[slot], l.Clock.Now()
+	return t != nil && t.settled(now) && t.rest(now) >= longRest
 }
 
 func (t *tenure) settled(now time.Time) bool {
@@ -248,8 +283,8 @@
 	}
 	b := t.buckets[id]
 	if b == nil {
-		// Nothing was lent since the tenure opened, so the rate has yielded since then.
-		b = &bucket{part: partOf(&o.Value, slot), ticket: o.Ticket, updated: t.opens}
+		// Nothing was lent while the slot rested, so the rate has yielded since then.
+		b = &bucket{part: partOf(&o.Value, slot), ticket: o.Ticket, updated: t.rested}
 		if o.Replaced == 0 && o.Offset > v.State.Slots[slot].Since {
 			b.level = b.part.burst
 		}
--- a/pkg/rate/rate_test.go
+++ b/pkg/rate/rate_test.go
@@ -82,7 +82,7 @@
 		panic(err)
 	}
 	if t := w.holders[id].tenures[w.slot]; w.unfenced && t != nil {
-		t.opens = w.clock.Now()
+		t.opens, t.rested = w.clock.Now(), w.clock.Now()
 	}
 }
 
@@ -226,3 +226,28 @@
 	is.True(over[true] > 0)   // off: both lend the same burst
 	is.True(over[false] <= 0) // on
 }
+
+// TestRestedSlotKeepsItsBurst hands a slot over that nothing was lent from for a
+// while: its next holder lends all of it at once, and no more.
+func TestRestedSlotKeepsItsBurst(t *testing.T) {
+	is := is.New(t)
+	fake := new(clock.Fake)
+	fake.Advance(time.Hour)
+	service := httptest.NewServer((&logservice.Service{Clock: fake}).Handler())
+	defer service.Close()
+	w := newWorld(service.URL, fake)
+	w.borrow("h1", testBurst, fake.Now(), true) // the answer is lost: counted until its term has passed
+	fake.Advance(longRest + loanTerm + time.Second)
+	is.True(!w.holders["h1"].Rested(w.slot)) // the loan has just been counted as spent
+	fake.Advance(longRest)
+	is.True(w.holders["h1"].Rested(w.slot))
+	release, dropped := w.holders["h1"].Drop(w.slot)
+	is.True(dropped)
+	w.append(state.RecordSlotRelease, state.SlotRelease{Member: "h1", Slots: []state.ReleasedSlot{release}})
+	w.read("h2")
+	w.claim("h2", release.Epoch)
+	w.read("h2")
+	w.borrow("h2", 2*testBurst, fake.Now(), false)
+	is.Equal(len(w.loans), 1)
+	is.Equal(w.loans[0].GetTokens(), float64(testBurst))
+}
--- a/pkg/rate/slots.go
+++ b/pkg/rate/slots.go
@@ -30,6 +30,8 @@
 	// actionStartWindow is the same for actions, which may wait longer for a
 	// place than other calls.
 	actionStartWindow = time.Second
+	// longRest is the longest rest of a slot that is told to its next holder.
+	longRest = 10 * time.Second
 	// DefaultLease is how long a slot's holder may lend without having read
 	// the log, and how long a successor waits after a silent end.
 	DefaultLease = time.Hour
--- a/pkg/state/records.go
+++ b/pkg/state/records.go
@@ -85,4 +85,6 @@
 	Epoch Epoch `json:"epoch"`
 	// Settled tells that nothing was lent out when the holder stopped.
 	Settled bool `json:"settled"`
+	// RestMs is for how many milliseconds, up to then, nothing was lent out.
+	RestMs int64 `json:"restMs,omitempty"`
 }
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -63,6 +63,9 @@
 	Epoch Epoch `json:"epoch"`
 	// Before is how the earlier tenure ended; empty for the first tenure.
 	Before Evidence `json:"before"`
+	// RestMs is for how many milliseconds nothing was lent out when a settled
+	// tenure ended; 0 after any other end.
+	RestMs int64 `json:"restMs,omitempty"`
 	// Since is the offset of the claim.
 	Since platformlog.Offset `json:"since"`
 }
@@ -190,6 +193,7 @@
 		if s.Slots[i].Holder == id {
 			s.Slots[i].Holder = ""
 			s.Slots[i].Before = evidence
+			s.Slots[i].RestMs = 0
 		}
 	}
 }
@@ -216,9 +220,9 @@
 			continue
 		}
 		slot.Holder = ""
-		slot.Before = EvidenceLeft
+		slot.Before, slot.RestMs = EvidenceLeft, 0
 		if released.Settled {
-			slot.Before = EvidenceSettled
+			slot.Before, slot.RestMs = EvidenceSettled, released.RestMs
 		}
 	}
 }
