--- a/acceptance/checks_test.go
+++ b/acceptance/checks_test.go
@@ -142,9 +142,16 @@
 	return nil
 }
 
-// peercall: peercall NODE sends a forged peer message; it must be refused.
+// peercall: peercall NODE PATH sends a forged peer message that would run PATH on
+// the node's upstream; it must be refused.
 func (w *world) peercall(args []string) error {
-	body := strings.NewReader(`{"callId":"forged","service":"agreements","method":"POST","path":"/confirm"}`)
+	status, err := (&adminclient.Client{URL: "http://" + w.at(args[0]).admin}).Status(w.ctx())
+	if err != nil {
+		return err
+	}
+	body := strings.NewReader(fmt.Sprintf(
+		`{"callId":"forged","target":%q,"organisation":"thies","method":"GET","path":%q,"startBy":"3600000000000","deadline":"3600000000000"}`,
+		status.Member, args[1]))
 	resp, err := http.Post("http://"+w.at(args[0]).peers+"/twirp/plantainramp.peer.Peer/Run", "application/json", body)
 	if err != nil {
 		return err
--- a/acceptance/relay_test.go
+++ b/acceptance/relay_test.go
@@ -13,6 +13,9 @@
 	// relaySilent keeps the connections that stand and carries nothing more on
 	// them; new ones work.
 	relaySilent = "silent"
+	// relayLate holds what comes on the connections that stand, until open; new
+	// ones work.
+	relayLate = "late"
 	// relayCut refuses to carry anything, on old and new connections.
 	relayCut = "cut"
 )
@@ -25,6 +28,8 @@
 	mu    sync.Mutex
 	pairs []*pair
 	cut   bool
+	// late is closed when what is held may go on; nil while nothing is held.
+	late chan struct{}
 }
 
 // pair is one connection through the relay.
@@ -32,6 +37,7 @@
 	client, server net.Conn
 	mu             sync.Mutex
 	silent         bool
+	late           chan struct{}
 }
 
 func newRelay(listen, to string) *relay {
@@ -79,8 +85,11 @@
 	for {
 		n, err := from.Read(buffer)
 		p.mu.Lock()
-		silent := p.silent
+		silent, late := p.silent, p.late
 		p.mu.Unlock()
+		if late != nil {
+			<-late
+		}
 		if silent {
 			continueSilent(from, buffer, err)
 			return
@@ -110,16 +119,29 @@
 	defer r.mu.Unlock()
 	r.cut = state == relayCut
 	if state == relayOpen {
+		r.release()
 		return
 	}
+	if state == relayLate {
+		r.late = make(chan struct{})
+	}
 	for _, p := range r.pairs {
 		p.mu.Lock()
-		p.silent = true
+		p.silent = state != relayLate
+		p.late = r.late
 		p.mu.Unlock()
 	}
 	r.pairs = nil
 }
 
+// release lets go on what was held.
+func (r *relay) release() {
+	if r.late != nil {
+		close(r.late)
+		r.late = nil
+	}
+}
+
 func (r *relay) close() {
 	if r == nil {
 		return
@@ -127,12 +149,13 @@
 	_ = r.listener.Close()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.release()
 	for _, p := range r.pairs {
 		_ = p.client.Close()
 	}
 }
 
-// setRelay: relay NAME open|silent|cut changes the connections that come from
+// setRelay: relay NAME open|silent|late|cut changes the connections that come from
 // other nodes to NAME.
 func (w *world) setRelay(args []string) error {
 	w.at(args[0]).relay.set(args[1])
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -101,7 +101,7 @@
 	n.links = &route.Links{Clock: n.clock}
 	n.follower = &config.Follower{Log: n.log, Clock: n.clock, Logger: n.part(logs.PartConfig)}
 	n.follower.Changed = n.onChange
-	n.pool = &peer.Pool{Secret: n.settings.Secret, Clock: n.clock}
+	n.pool = &peer.Pool{Secret: n.settings.Secret, Clock: n.clock, Unwatched: n.settings.Off[settings.MechanismSilence]}
 	n.spread = &member.Spread{
 		Self: n.self, DataCentre: n.settings.DataCentre, Seeds: n.settings.Seeds, Follower: n.follower,
 		Pool: n.pool, Clock: n.clock, Start: n.start, Logger: n.part(logs.PartMember),
@@ -140,7 +140,7 @@
 	}
 	n.admission = &admission.Controller{Clock: n.clock, Off: n.settings.Off[settings.MechanismAdmission]}
 	n.upstream.Down = n.admission.Cold
-	n.outcomes = &outcome.Store{Clock: n.clock}
+	n.outcomes = &outcome.Store{Clock: n.clock, Unsealed: n.settings.Off[settings.MechanismSeal]}
 	n.peers = &Peers{
 		Self: n.self, Clock: n.clock, Start: n.start, Follower: n.follower, Spread: n.spread, Outcomes: n.outcomes,
 		Admitted: call.Chain(n.upstream.Handle, n.admission.Filter()), Load: n.admission.Load,
@@ -174,6 +174,9 @@
 // leaving tells whether the instance takes no new work: the node stops, the
 // upstream drains or is not there, or a ticket says so.
 func (n *Node) leaving() bool {
+	if n.settings.Off[settings.MechanismLeaving] {
+		return false
+	}
 	announced := n.upstreamState.Load()
 	return n.stopping.Load() || announced == nil || announced.State != UpstreamServing ||
 		n.follower.View().Leaving(n.settings.Instance)
--- a/pkg/node/run.go
+++ b/pkg/node/run.go
@@ -13,6 +13,7 @@
 	"github.com/plantainramp/plantainramp/pkg/clock"
 	"github.com/plantainramp/plantainramp/pkg/logs"
 	"github.com/plantainramp/plantainramp/pkg/peer"
+	"github.com/plantainramp/plantainramp/pkg/settings"
 	"github.com/plantainramp/plantainramp/rpc/peerrpc"
 )
 
@@ -60,7 +61,10 @@
 		}
 		n.callsOut.ServeHTTP(w, r)
 	})
-	twirp := peer.Verify(n.settings.Secret, peerrpc.NewPeerServer(n.peers))
+	var twirp http.Handler = peerrpc.NewPeerServer(n.peers)
+	if !n.settings.Off[settings.MechanismAuth] {
+		twirp = peer.Verify(n.settings.Secret, twirp)
+	}
 	faces := []struct {
 		name, address string
 		handler       http.Handler
--- a/pkg/outcome/outcome.go
+++ b/pkg/outcome/outcome.go
@@ -35,8 +35,10 @@
 
 // Store remembers calls. It needs Clock.
 type Store struct {
-	Clock  clock.Clock
-	shards [shardCount]shard
+	Clock clock.Clock
+	// Unsealed lets a call begin after it was given up.
+	Unsealed bool
+	shards   [shardCount]shard
 }
 
 type shard struct {
@@ -107,6 +109,10 @@
 func (s *Store) Fetch(ctx context.Context, id fleet.CallID, seal *peerrpc.RunReply) *peerrpc.RunReply {
 	sh := s.shard(id)
 	sh.mu.Lock()
+	if s.Unsealed && sh.entries[id] == nil {
+		sh.mu.Unlock()
+		return seal
+	}
 	e, fresh := sh.begin(id, nil)
 	sh.mu.Unlock()
 	if fresh {
--- a/pkg/peer/pool.go
+++ b/pkg/peer/pool.go
@@ -37,6 +37,7 @@
 	// client uses kept connections, fresh a new connection each time.
 	client, fresh peerrpc.Peer
 	kept          *http.Transport
+	unwatched     bool
 	offset        atomic.Pointer[offset]
 }
 
@@ -44,7 +45,9 @@
 type Pool struct {
 	Secret Secret
 	Clock  clock.Clock
-	peers  sync.Map
+	// Unwatched leaves silent connections alone: only the deadline ends a call.
+	Unwatched bool
+	peers     sync.Map
 }
 
 // At returns the client of the node at an address.
@@ -58,7 +61,7 @@
 		DisableCompression: true,
 	}
 	fresh := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}
-	made := &Peer{Address: address, kept: kept}
+	made := &Peer{Address: address, kept: kept, unwatched: p.Unwatched}
 	made.client = peerrpc.NewPeerProtobufClient("http://"+address, &signer{p.Secret, &http.Client{Transport: kept}})
 	made.fresh = peerrpc.NewPeerProtobufClient("http://"+address, &signer{p.Secret, &http.Client{Transport: fresh}})
 	found, _ := p.peers.LoadOrStore(address, made)
--- a/pkg/peer/run.go
+++ b/pkg/peer/run.go
@@ -72,6 +72,9 @@
 // is sealed, so that it never starts. It returns *NotSentError, *LostError or
 // *DamagedError.
 func (p *Peer) Run(ctx context.Context, c clock.Clock, req *peerrpc.RunRequest) (*peerrpc.RunReply, error) {
+	if p.unwatched {
+		return p.runUnwatched(ctx, c, req)
+	}
 	sendCtx, stopSend := context.WithCancel(ctx)
 	defer stopSend()
 	w := &watch{peer: p, call: req.GetCallId(), stopSend: stopSend, ended: make(chan struct{})}
@@ -95,6 +98,15 @@
 	return nil, &LostError{Cause: errors.Join(err, w.lost)}
 }
 
+// runUnwatched sends a call and waits for as long as its deadline allows.
+func (p *Peer) runUnwatched(ctx context.Context, c clock.Clock, req *peerrpc.RunRequest) (*peerrpc.RunReply, error) {
+	reply, err := p.client.Run(ctx, req)
+	if err != nil {
+		return nil, &LostError{Cause: err}
+	}
+	return p.check(c, req, reply)
+}
+
 // check makes sure that an answer is whole and belongs to the call.
 func (p *Peer) check(c clock.Clock, req *peerrpc.RunRequest, reply *peerrpc.RunReply) (*peerrpc.RunReply, error) {
 	p.Learn(c.Now(), reply.GetClock())
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -62,7 +62,7 @@
 
 [policy]
 # Mechanisms to switch off, separated by commas, for proofs and baselines only:
-# rate, retries, admission, intents, strip, spread, fence.
+# rate, retries, admission, intents, strip, spread, fence, auth, silence, seal, leaving.
 off =
 # How long a holder of rate slots lends without reading the log.
 rateLease = 1h
@@ -93,10 +93,19 @@
 	MechanismSpread Mechanism = "spread"
 	// MechanismFence refuses a call whose lease to start has ended.
 	MechanismFence Mechanism = "fence"
+	// MechanismAuth refuses peer messages without a right code.
+	MechanismAuth Mechanism = "auth"
+	// MechanismSilence asks over a new connection where one has fallen silent.
+	MechanismSilence Mechanism = "silence"
+	// MechanismSeal keeps a call that was given up from starting later.
+	MechanismSeal Mechanism = "seal"
+	// MechanismLeaving refuses new work for an instance that leaves.
+	MechanismLeaving Mechanism = "leaving"
 )
 
 var mechanisms = []Mechanism{
 	MechanismRate, MechanismRetries, MechanismAdmission, MechanismIntents, MechanismStrip, MechanismSpread, MechanismFence,
+	MechanismAuth, MechanismSilence, MechanismSeal, MechanismLeaving,
 }
 
 // Settings of one node.
