--- a/pkg/rate/ways_test.go
+++ b/pkg/rate/ways_test.go
@@ -66,7 +66,7 @@
 	for i := range wayNodes {
 		id := fleet.MemberID(fmt.Sprintf("m%d", i))
 		f.lenders = append(f.lenders, &Lender{Self: id, Follower: f.follower, Clock: clock.System{}, Lease: 100 * 365 * 24 * time.Hour})
-		f.borrowers = append(f.borrowers, &Borrower{Self: id, Follower: f.follower, Clock: clock.System{}, Ask: f.ask(id)})
+		f.borrowers = append(f.borrowers, &Borrower{Self: id, Follower: f.follower, Clock: clock.System{}, Ask: f.ask()})
 		f.fold(state.RecordMemberJoin, state.Member{ID: id, PeerAddress: string(id)})
 	}
 	f.follower.Changed = func(v *config.View) {
@@ -101,7 +101,7 @@
 }
 
 // ask carries a request to a holder, or answers it from an equal share.
-func (f *fleetOf) ask(self fleet.MemberID) func(context.Context, fleet.MemberID, *peerrpc.BorrowRequest) (*peerrpc.BorrowReply, error) {
+func (f *fleetOf) ask() func(context.Context, fleet.MemberID, *peerrpc.BorrowRequest) (*peerrpc.BorrowReply, error) {
 	var mu sync.Mutex
 	share := bucket{part: part{rate: wayRate / wayNodes, burst: max(wayBurst/wayNodes, 1)}, updated: time.Now()}
 	return func(_ context.Context, holder fleet.MemberID, req *peerrpc.BorrowRequest) (*peerrpc.BorrowReply, error) {
