--- a/acceptance/acceptance_test.go
+++ b/acceptance/acceptance_test.go
@@ -4,14 +4,18 @@
 package acceptance
 
 import (
+	"context"
 	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
+	"runtime"
 	"testing"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+	"golang.org/x/sync/semaphore"
 )
 
 // programs is the folder of the built programs.
@@ -38,21 +42,41 @@
 	return m.Run()
 }
 
-// gate lets one scenario run at a time: more would compete for the processor and
-// make bounds in seconds mean nothing.
-var gate = make(chan struct{}, 1)
+// coresEach is the number of processor cores that a scenario at a time needs.
+// With fewer, scenarios compete and their bounds in seconds mean nothing.
+const coresEach = 3
+
+var (
+	// lanes is the number of scenarios that may run at a time.
+	lanes = int64(max(runtime.NumCPU()/coresEach, 1))
+	gate  = semaphore.NewWeighted(lanes)
+	// alone matches the scenarios that load the machine, which take all lanes.
+	alone = regexp.MustCompile("shedding|retries|whole|rate")
+)
+
+// enter waits for a scenario's turn and returns what ends it.
+func enter(env *testscript.Env) (func(), error) {
+	weight := int64(1)
+	if alone.MatchString(filepath.Base(env.WorkDir)) {
+		weight = lanes
+	}
+	return func() { gate.Release(weight) }, gate.Acquire(context.Background(), weight)
+}
 
 func TestScenarios(t *testing.T) {
 	testscript.Run(t, testscript.Params{
 		Dir:                 "testdata",
 		RequireExplicitExec: true,
 		Setup: func(env *testscript.Env) error {
-			gate <- struct{}{}
+			leave, err := enter(env)
+			if err != nil {
+				return err
+			}
 			w := newWorld(env)
 			env.Values[worldKey{}] = w
 			env.Defer(func() {
 				w.close()
-				<-gate
+				leave()
 			})
 			return nil
 		},
--- a/pkg/rate/lender.go
+++ b/pkg/rate/lender.go
@@ -284,7 +284,7 @@
 	b := t.buckets[id]
 	if b == nil {
 		// Nothing was lent while the slot rested, so the rate has yielded since then.
-		b = &bucket{part: partOf(&o.Value, slot), ticket: o.Ticket, updated: t.rested}
+		b = &bucket{part: partOf(&o.Value, l.carriers(&o), slot), ticket: o.Ticket, updated: t.rested}
 		if o.Replaced == 0 && o.Offset > v.State.Slots[slot].Since {
 			b.level = b.part.burst
 		}
@@ -292,7 +292,7 @@
 	}
 	if b.ticket != o.Ticket {
 		b.ticket = o.Ticket
-		b.change(partOf(&o.Value, slot), now)
+		b.change(partOf(&o.Value, l.carriers(&o), slot), now)
 	}
 	return b
 }
--- a/pkg/rate/slots.go
+++ b/pkg/rate/slots.go
@@ -40,29 +40,30 @@
 // slotsOf returns the slots that carry an organisation, ordered by the node
 // that asks, so that different nodes prefer different ones.
 func slotsOf(o *ticket.Organisation, asker fleet.MemberID) []int {
-	slots := carriers(o)
-	slices.SortFunc(slots, func(a, b int) int {
-		return cmp.Compare(fleet.Score(strconv.Itoa(b), asker), fleet.Score(strconv.Itoa(a), asker))
-	})
-	return slots
+	return ranked(carriers(o), func(slot int) uint64 { return fleet.Score(strconv.Itoa(slot), asker) })
 }
 
 // carriers returns the slots that carry an organisation: as many as keep
-// burstPerSlot in each, chosen by rendezvous hashing.
+// burstPerSlot in each, chosen by rendezvous hashing. It ranks all slots, so its
+// result is worth keeping.
 func carriers(o *ticket.Organisation) []int {
 	count := min(max(int(o.Burst/burstPerSlot), 1), state.SlotCount)
 	all := make([]int, state.SlotCount)
 	for i := range all {
 		all[i] = i
 	}
-	slices.SortFunc(all, func(a, b int) int {
-		return cmp.Compare(slotScore(o.ID, b), slotScore(o.ID, a))
-	})
-	return all[:count]
+	owner := fleet.MemberID(o.ID)
+	return ranked(all, func(slot int) uint64 { return fleet.Score(strconv.Itoa(slot), owner) })[:count]
 }
 
-func slotScore(o fleet.OrganisationID, slot int) uint64 {
-	return fleet.Score(strconv.Itoa(slot), fleet.MemberID(o))
+// ranked sorts slots by score, highest first.
+func ranked(slots []int, score func(slot int) uint64) []int {
+	var scores [state.SlotCount]uint64
+	for _, slot := range slots {
+		scores[slot] = score(slot)
+	}
+	slices.SortFunc(slots, func(a, b int) int { return cmp.Compare(scores[b], scores[a]) })
+	return slots
 }
 
 // part is what one slot carries of an organisation.
@@ -71,13 +72,12 @@
 	burst fleet.Tokens
 }
 
-// partOf returns what a slot carries of an organisation; nothing where the slot
-// is none of its carriers.
-func partOf(o *ticket.Organisation, slot int) part {
-	slots := carriers(o)
-	if !slices.Contains(slots, slot) {
+// partOf returns what a slot carries of an organisation with the given carriers;
+// nothing where the slot is none of them.
+func partOf(o *ticket.Organisation, carriers []int, slot int) part {
+	if !slices.Contains(carriers, slot) {
 		return part{}
 	}
-	n := len(slots)
+	n := len(carriers)
 	return part{rate: o.Rate / fleet.Rate(n), burst: o.Burst / fleet.Tokens(n)}
 }
--- a/pkg/rate/ways_test.go
+++ b/pkg/rate/ways_test.go
@@ -4,11 +4,15 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http/httptest"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
+	"github.com/plantainramp/plantainramp/internal/standin/logservice"
 	"github.com/plantainramp/plantainramp/pkg/call"
 	"github.com/plantainramp/plantainramp/pkg/clock"
 	"github.com/plantainramp/plantainramp/pkg/config"
@@ -57,15 +61,22 @@
 	if err != nil {
 		panic(err)
 	}
-	f.follower.Offer(f.follower.View().State.Next, []platformlog.Record{record})
+	if _, err := f.follower.Log.Append(context.Background(), platformlog.StreamConfig, record); err != nil {
+		panic(err)
+	}
+	if err := f.follower.ReadLog(context.Background(), 0); err != nil {
+		panic(err)
+	}
 }
 
 // newFleet makes a fleet whose slots the first holders members share.
-func newFleet(holders int, equal bool) *fleetOf {
-	f := &fleetOf{equal: equal, follower: &config.Follower{Log: &platformlog.Client{}, Clock: clock.System{}, Logger: logs.Discard()}}
+func newFleet(t testing.TB, holders int, equal bool) *fleetOf {
+	server := httptest.NewServer((&logservice.Service{Clock: clock.System{}}).Handler())
+	t.Cleanup(server.Close)
+	f := &fleetOf{equal: equal, follower: &config.Follower{Log: &platformlog.Client{URL: server.URL}, Clock: clock.System{}, Logger: logs.Discard()}}
 	for i := range wayNodes {
 		id := fleet.MemberID(fmt.Sprintf("m%d", i))
-		f.lenders = append(f.lenders, &Lender{Self: id, Follower: f.follower, Clock: clock.System{}, Lease: 100 * 365 * 24 * time.Hour})
+		f.lenders = append(f.lenders, &Lender{Self: id, Follower: f.follower, Clock: clock.System{}})
 		f.borrowers = append(f.borrowers, &Borrower{Self: id, Follower: f.follower, Clock: clock.System{}, Ask: f.ask()})
 		f.fold(state.RecordMemberJoin, state.Member{ID: id, PeerAddress: string(id)})
 	}
@@ -86,6 +97,7 @@
 // claim gives vacant slots to the best ranked of the first holders members that live.
 func (f *fleetOf) claim(holders int) {
 	v := f.follower.View()
+	claims := map[fleet.MemberID][]state.ClaimedSlot{}
 	for i, slot := range v.State.Slots {
 		var best fleet.MemberID
 		for _, l := range f.lenders[:holders] {
@@ -95,9 +107,12 @@
 			}
 		}
 		if slot.Holder == "" {
-			f.fold(state.RecordSlotClaim, state.SlotClaim{Member: best, Slots: []state.ClaimedSlot{{Slot: i, After: slot.Epoch}}})
+			claims[best] = append(claims[best], state.ClaimedSlot{Slot: i, After: slot.Epoch})
 		}
 	}
+	for member, slots := range claims {
+		f.fold(state.RecordSlotClaim, state.SlotClaim{Member: member, Slots: slots})
+	}
 }
 
 // ask carries a request to a holder, or answers it from an equal share.
@@ -209,6 +224,21 @@
 	return err
 }
 
+// TestFirstLoanIsQuick lends the whole burst of a large organisation for the first
+// time; callers wait for it, and a borrower gives up after askTimeout.
+func TestFirstLoanIsQuick(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 1, false)
+	f.fold(ticket.RecordKind, ticket.Ticket{
+		Number: 2, Against: map[ticket.Ref]fleet.TicketNumber{{Kind: ticket.KindOrganisation, Name: "large"}: 0},
+		Organisations: []ticket.Organisation{{ID: "large", Rate: 5000, Burst: 5000, Weight: 1}},
+	})
+	began := time.Now()
+	reply := f.lenders[0].Borrow(&peerrpc.BorrowRequest{Wanted: []*peerrpc.Want{{Organisation: "large", Tokens: 5000}}})
+	is.True(time.Since(began) < askTimeout)
+	is.Equal(len(reply.GetGranted()), state.SlotCount)
+}
+
 // BenchmarkRateWays weighs the ways of docs/design/rate.md: an organisation of
 // 100/s with burst 20 over 13 nodes, offered 70/s, or a burst of 20 every 0.5 s.
 func BenchmarkRateWays(b *testing.B) {
@@ -228,7 +258,7 @@
 		for _, p := range patterns {
 			b.Run(w.name+"/"+p.name, func(b *testing.B) {
 				for range b.N {
-					b.ReportMetric(100*newFleet(w.holders, w.equal).play(p, w.holders), "%refused")
+					b.ReportMetric(100*newFleet(b, w.holders, w.equal).play(p, w.holders), "%refused")
 				}
 			})
 		}
