--- a/pkg/config/follower.go
+++ b/pkg/config/follower.go
@@ -29,9 +29,11 @@
 
 // Snapshot is the body of a snapshot record.
 type Snapshot struct {
-	Next   platformlog.Offset `json:"next"`
-	Digest string             `json:"digest"`
-	State  []byte             `json:"state"`
+	Next platformlog.Offset `json:"next"`
+	// Digest is of the state's canonical form.
+	Digest string `json:"digest"`
+	// State is packed.
+	State []byte `json:"state"`
 }
 
 // Follower holds the folded state. It needs Log, Clock and Logger.
@@ -206,17 +208,17 @@
 	if err := json.Unmarshal(batch.Records[0].Body, &body); err != nil {
 		return nil, eris.Wrap(err, "decode snapshot record")
 	}
-	return state.Unmarshal(body.State, body.Digest)
+	return state.Unpack(body.State, body.Digest)
 }
 
 // WriteSnapshot appends the current state to the snapshot stream.
 func (f *Follower) WriteSnapshot(ctx context.Context) error {
 	s := f.View().State
-	raw, sum, err := s.Marshal()
+	packed, sum, err := s.Pack()
 	if err != nil {
 		return err
 	}
-	record, err := platformlog.NewRecord(platformlog.RecordID(fleet.NewID()), RecordSnapshot, Snapshot{Next: s.Next, Digest: sum, State: raw})
+	record, err := platformlog.NewRecord(platformlog.RecordID(fleet.NewID()), RecordSnapshot, Snapshot{Next: s.Next, Digest: sum, State: packed})
 	if err != nil {
 		return err
 	}
--- a/pkg/config/slope_test.go
+++ b/pkg/config/slope_test.go
@@ -89,11 +89,11 @@
 			s := bigFollower(b, n).View().State
 			var size int
 			for b.Loop() {
-				raw, _, err := s.Marshal()
+				packed, _, err := s.Pack()
 				if err != nil {
 					b.Fatal(err)
 				}
-				size = len(raw)
+				size = len(packed)
 			}
 			b.ReportMetric(float64(size)/1024, "KB")
 		})
--- a/pkg/member/spread.go
+++ b/pkg/member/spread.go
@@ -163,7 +163,7 @@
 		s.Logger.WithError(err).Debug("snapshot not had from peer")
 		return
 	}
-	taken, err := state.Unmarshal(reply.GetState(), reply.GetDigest())
+	taken, err := state.Unpack(reply.GetState(), reply.GetDigest())
 	if err != nil {
 		s.Logger.WithError(err).Warn("snapshot of peer not usable")
 		return
--- a/pkg/node/peers.go
+++ b/pkg/node/peers.go
@@ -123,11 +123,11 @@
 // Snapshot implements peerrpc.Peer.
 func (p *Peers) Snapshot(context.Context, *peerrpc.SnapshotRequest) (*peerrpc.SnapshotReply, error) {
 	s := p.Follower.View().State
-	raw, digest, err := s.Marshal()
+	packed, digest, err := s.Pack()
 	if err != nil {
 		return nil, twirp.InternalErrorWith(err)
 	}
-	return &peerrpc.SnapshotReply{NextOffset: int64(s.Next), State: raw, Digest: digest}, nil
+	return &peerrpc.SnapshotReply{NextOffset: int64(s.Next), State: packed, Digest: digest}, nil
 }
 
 // Borrow implements peerrpc.Peer.
--- a/pkg/state/state_test.go
+++ b/pkg/state/state_test.go
@@ -166,11 +166,11 @@
 }
 
 func reload(t *rapid.T, s *state.State) *state.State {
-	raw, digest, err := s.Marshal()
+	packed, digest, err := s.Pack()
 	if err != nil {
 		t.Fatal(err)
 	}
-	loaded, err := state.Unmarshal(raw, digest)
+	loaded, err := state.Unpack(packed, digest)
 	if err != nil {
 		t.Fatal(err)
 	}
