A refusal of its own for a rate whose holders do not answer

It was notReady, whose title says that the node holds no configuration; that title misled the search for why restart_writer failed. noHolder says what happened and what to do. No script or test asked for the old kind.

--- a/pkg/problem/problem.go
+++ b/pkg/problem/problem.go
@@ -42,6 +42,7 @@
 	KindShed        Kind = "shed"
 	KindLeaving     Kind = "leaving"
 	KindNotReady    Kind = "notReady"
+	KindNoHolder    Kind = "noHolder"
 	KindDeadline    Kind = "deadline"
 	KindUnreachable Kind = "unreachable"
 	KindUncertain   Kind = "uncertain"
@@ -64,6 +65,7 @@
 	KindShed:        {http.StatusServiceUnavailable, "The call was shed under overload."},
 	KindLeaving:     {http.StatusServiceUnavailable, "The instance is leaving."},
 	KindNotReady:    {http.StatusServiceUnavailable, "The node holds no configuration yet."},
+	KindNoHolder:    {http.StatusServiceUnavailable, "No node that lends from the organisation's rate answers."},
 	KindDeadline:    {http.StatusGatewayTimeout, "The deadline passed."},
 	KindUnreachable: {http.StatusServiceUnavailable, "No instance of the service could be reached."},
 	KindUncertain:   {http.StatusBadGateway, "The answer was lost; the call may have run."},
--- a/pkg/rate/borrower.go
+++ b/pkg/rate/borrower.go
@@ -111,17 +111,13 @@
 	a := b.account(c.Organisation)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.noteDemand(b.Clock.Now())
 	began := b.Clock.Now()
+	a.noteDemand(began)
 	within := a.ceiling.take(&o.Value, o.Ticket, began)
 	giveUp := began.Add(min(holderPatience, c.Remaining(began)/2))
-	window := startWindow
-	if c.Action() {
-		window = actionStartWindow
-	}
 	for {
 		now := b.Clock.Now()
-		if t := a.takeHeld(now, window); t != nil {
+		if t := a.takeHeld(now, windowOf(c)); t != nil {
 			b.prefetch(c.Organisation, a)
 			return t, nil
 		}
@@ -140,6 +136,14 @@
 	}
 }
 
+// windowOf returns how long after its token was taken a call may start.
+func windowOf(c *call.Call) time.Duration {
+	if c.Action() {
+		return actionStartWindow
+	}
+	return startWindow
+}
+
 // over tells whether a call for which no token is to be had is over the rate:
 // for sure if all holders are empty. A call that is not worth a longer wait, or is
 // above what the whole fleet may start, is taken for over if some holder is empty.
@@ -157,7 +161,7 @@
 
 // noHolder refuses a call because nobody who could lend a token answers.
 func noHolder() error {
-	e := problem.New(problem.KindNotReady, "no holder of the organisation's rate slots answers")
+	e := problem.New(problem.KindNoHolder, "no holder of the organisation's rate slots answers; repeat the call after a moment")
 	e.RetryAfter = time.Second
 	return e
 }
