Critical calls may use all slots of an upstream that is slow

With agreements at 1.2 s a call the adaptive limit shrank to 2 of 20 slots an instance, 5 calls a second in all, and 15 actions a second waited until they might no longer start. The limit took slowness for queueing in the upstream.

Ruled out: the rate (0.2 % refused), the throttle (never holds critical calls), intents (the log was fine).

Change: critical calls run beside what the limit allows up to the slots that the upstream announced, ramped while it is cold.

TestSlowUpstreamKeepsItsSlotsForCriticalCalls hangs before (2 of 20 run).

--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -48,7 +48,10 @@
 	// Off switches the policy off: every call runs at once.
 	Off bool
 
-	limit    limit
+	limit limit
+	// slots is how many calls the upstream says it runs at once. Critical calls may
+	// use them all, however far the limit has shrunk.
+	slots    atomic.Int64
 	inFlight atomic.Int64
 	queued   atomic.Int64
 	shed     atomic.Int64
@@ -65,6 +68,7 @@
 	if slots <= 0 {
 		slots = defaultLimit
 	}
+	a.slots.Store(int64(slots))
 	a.limit.value.Store(int64(slots))
 }
 
@@ -84,7 +88,24 @@
 
 // allowed returns the limit, ramped while the upstream is cold.
 func (a *Controller) allowed(now time.Time) int64 {
-	value := max(a.limit.value.Load(), minLimit)
+	return a.ramped(max(a.limit.value.Load(), minLimit), now)
+}
+
+// allowedCritical returns the limit for critical calls. A slow upstream is no
+// reason to run fewer of them than it has slots.
+func (a *Controller) allowedCritical(now time.Time) int64 {
+	return a.ramped(max(a.limit.value.Load(), a.slots.Load(), minLimit), now)
+}
+
+func (a *Controller) allowedFor(c *call.Call, now time.Time) int64 {
+	if c.Route.Class == fleet.ClassCritical {
+		return a.allowedCritical(now)
+	}
+	return a.allowed(now)
+}
+
+// ramped cuts a limit while the upstream is cold.
+func (a *Controller) ramped(value int64, now time.Time) int64 {
 	age := now.UnixNano() - a.coldAt.Load()
 	if age >= int64(rampTime) {
 		return value
@@ -119,15 +140,14 @@
 	if now.After(c.StartLimit()) {
 		return problem.New(problem.KindDeadline, "the time to start the call had passed when it arrived")
 	}
-	if a.queued.Load() == 0 && a.take(now, route) {
+	if a.queued.Load() == 0 && a.take(a.allowedFor(c, now), route) {
 		return nil
 	}
 	return a.wait(ctx, c, now, route)
 }
 
-// take takes a place for a route if there is one.
-func (a *Controller) take(now time.Time, route *routeStats) bool {
-	allowed := a.allowed(now)
+// take takes a place for a route if there is one within a limit.
+func (a *Controller) take(allowed int64, route *routeStats) bool {
 	if !route.mayTake(allowed) || !a.reserve(allowed) {
 		return false
 	}
@@ -211,12 +231,25 @@
 	a.queued.Store(int64(a.queue.length))
 }
 
-// dispatch gives free places to waiting calls.
+// dispatch gives free places to waiting calls, and what the upstream's slots have
+// beyond the limit to critical ones.
 func (a *Controller) dispatch(now time.Time) {
+	a.admit(now, a.allowed(now), 0)
+	if a.queue.waits(fleet.ClassCritical) {
+		a.admit(now, a.allowedCritical(now), fleet.ClassCritical)
+	}
+	a.queued.Store(int64(a.queue.length))
+	if a.queue.length == 0 {
+		a.noteDelay(0)
+	}
+}
+
+// admit gives the places within a limit to calls of the lowest class named and
+// those above.
+func (a *Controller) admit(now time.Time, allowed int64, lowest fleet.Class) {
 	newest := time.Duration(a.delay.Load()) > newestAfter
-	allowed := a.allowed(now)
 	for a.queue.length > 0 && a.reserve(allowed) {
-		w := a.queue.pop(newest, allowed)
+		w := a.queue.pop(newest, allowed, lowest)
 		if w == nil {
 			a.inFlight.Add(-1)
 			break
@@ -225,10 +258,6 @@
 		a.noteDelay(now.Sub(w.since))
 		w.verdict <- true
 	}
-	a.queued.Store(int64(a.queue.length))
-	if a.queue.length == 0 {
-		a.noteDelay(0)
-	}
 }
 
 // noteDelay keeps a moving average of the wait in the queue.
--- a/pkg/admission/limit_test.go
+++ b/pkg/admission/limit_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/plantainramp/plantainramp/pkg/call"
 	"github.com/plantainramp/plantainramp/pkg/clock"
+	"github.com/plantainramp/plantainramp/pkg/fleet"
 	"github.com/plantainramp/plantainramp/pkg/retry"
 	"github.com/plantainramp/plantainramp/pkg/ticket"
 )
@@ -35,3 +36,34 @@
 	// Off (before the change) the best time was that of the failures, 1 ms.
 	is.True(a.limit.route(" /x").baseline >= 40*time.Millisecond)
 }
+
+// TestSlowUpstreamKeepsItsSlotsForCriticalCalls shrinks the limit by slow calls; as
+// many critical calls as the upstream has slots still run at once.
+func TestSlowUpstreamKeepsItsSlotsForCriticalCalls(t *testing.T) {
+	is := is.New(t)
+	const slots = 20
+	var a Controller
+	a.Clock = clock.System{}
+	a.Announce(slots)
+	a.limit.value.Store(minLimit)
+	started, ended := make(chan struct{}, slots), make(chan struct{})
+	handler := call.Chain(func(context.Context, *call.Call) (*call.Answer, error) {
+		started <- struct{}{}
+		<-ended
+		return &call.Answer{Status: http.StatusOK}, nil
+	}, a.Filter())
+	run := func(class fleet.Class) {
+		c := &call.Call{Weight: 1, Route: &ticket.Route{Class: class}, Retries: retry.NewAccount(0), Deadline: time.Now().Add(5 * time.Second)}
+		_, _ = handler(t.Context(), c)
+	}
+	for range slots {
+		go run(fleet.ClassNormal)
+		go run(fleet.ClassCritical)
+	}
+	for range slots {
+		<-started // before the change: 2
+	}
+	is.Equal(len(started), 0)
+	is.Equal(a.inFlight.Load(), int64(slots))
+	close(ended)
+}
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -70,9 +70,10 @@
 }
 
 // pop takes out the call that is next: highest class, then the organisation
-// with the least served for its weight, then newest or oldest first.
-func (q *queue) pop(newest bool, allowed int64) *waiter {
-	for class := fleet.ClassCount - 1; class >= 0; class-- {
+// with the least served for its weight, then newest or oldest first. Classes below
+// the lowest named are left.
+func (q *queue) pop(newest bool, allowed int64, lowest fleet.Class) *waiter {
+	for class := fleet.ClassCount - 1; class >= int(lowest); class-- {
 		best := q.least(class, newest, allowed)
 		if best == nil {
 			continue
@@ -86,6 +87,16 @@
 	return nil
 }
 
+// waits tells whether a call of a class waits.
+func (q *queue) waits(class fleet.Class) bool {
+	for _, s := range q.classes[class] {
+		if s.waiting.Len() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // least returns the share of a class that was served least and whose next call
 // may take a place, or nil.
 func (q *queue) least(class int, newest bool, allowed int64) *share {
--- a/pkg/admission/queue_test.go
+++ b/pkg/admission/queue_test.go
@@ -29,7 +29,7 @@
 	waiting(&q, "large", fleet.ClassCritical, 0)
 	var order []string
 	for q.length > 0 {
-		w := q.pop(false, 100)
+		w := q.pop(false, 100, 0)
 		order = append(order, fmt.Sprintf("%s %s", w.call.Organisation, w.call.Route.Class))
 	}
 	is.Equal(order[0], "large critical") // class first
