Refusals within the rate are judged try by try

Cause: the load tool judged by the second of the arrival and counted all of a request's repeats there, though they are sent seconds later, and excused seconds above 0.9 of the rate, whatever the burst allows. So it could neither clear nor blame the nodes in scenarios with hard retries.

Change: each try has its own time and is played to one token bucket of rate and burst; seconds in which that runs empty, and the next, are left out. This is stricter: 0.9 of the rate excuses nothing any more.

--- a/pkg/load/measure.go
+++ b/pkg/load/measure.go
@@ -19,9 +19,6 @@
 	recovered = 0.95
 	// recoveryWindow is the number of seconds that must hold in a row.
 	recoveryWindow = 3
-	// withinRateSlack excuses refusals in seconds in which an organisation sent
-	// nearly its rate.
-	withinRateSlack = 0.9
 	// maxLatency bounds the histograms, in microseconds.
 	maxLatency = 60_000_000
 )
@@ -100,7 +97,7 @@
 			times[key] = hdrhistogram.New(1, maxLatency, 3)
 		}
 		row.Arrivals++
-		row.Tries += float64(o.Sent)
+		row.Tries += float64(len(o.Tries))
 		if o.Whole {
 			row.Whole++
 			_ = times[key].RecordValue(min(o.Took.Microseconds(), maxLatency))
@@ -213,31 +210,62 @@
 	return due
 }
 
-// wronglyRefused looks at seconds in which an organisation stayed well within
-// its rate.
+// attempt is one try of an organisation.
+type attempt struct {
+	at       time.Duration
+	overRate bool
+}
+
+// wronglyRefused returns the part of the tries that were refused for rate while
+// their organisation was within it.
 func wronglyRefused(s *Scenario, outcomes []Outcome) float64 {
-	type bin struct {
-		organisation fleet.OrganisationID
-		second       int
-	}
-	sent, refused := map[bin]int{}, map[bin]int{}
+	attempts := map[fleet.OrganisationID][]attempt{}
 	for _, o := range outcomes {
-		b := bin{o.Traffic.Organisation, int(o.At / time.Second)}
-		sent[b] += max(o.Sent, 1)
-		if o.OverRate {
-			refused[b]++
+		for i, at := range o.Tries {
+			last := i == len(o.Tries)-1
+			id := o.Traffic.Organisation
+			attempts[id] = append(attempts[id], attempt{at: at, overRate: last && o.OverRate})
 		}
 	}
 	all, wrong := 0, 0
-	for b, n := range sent {
-		if rate, limited := s.Rates[b.organisation]; limited && float64(n) > withinRateSlack*float64(rate) {
-			continue
-		}
+	for id, list := range attempts {
+		n, refused := s.judge(id, list)
 		all += n
-		wrong += refused[b]
+		wrong += refused
 	}
 	if all == 0 {
 		return 0
 	}
 	return float64(wrong) / float64(all)
 }
+
+// judge counts the tries of an organisation in seconds in which it was within its
+// rate, and those of them that were refused for it. It plays the tries to one token
+// bucket; a second in which that ran empty, and the next one, are left out, since
+// which calls are refused then is up to the nodes.
+func (s *Scenario) judge(id fleet.OrganisationID, list []attempt) (all, refused int) {
+	slices.SortFunc(list, func(a, b attempt) int { return cmp.Compare(a.at, b.at) })
+	rate, limited := s.Rates[id]
+	over := map[time.Duration]bool{}
+	level, last := s.Bursts[id], time.Duration(0)
+	for _, t := range list {
+		level = min(level+rate.Over(t.at-last), s.Bursts[id])
+		last = t.at
+		if level < 1 && limited {
+			second := t.at.Truncate(time.Second)
+			over[second], over[second+time.Second] = true, true
+			continue
+		}
+		level--
+	}
+	for _, t := range list {
+		if over[t.at.Truncate(time.Second)] {
+			continue
+		}
+		all++
+		if t.overRate {
+			refused++
+		}
+	}
+	return all, refused
+}
--- a/pkg/load/runner.go
+++ b/pkg/load/runner.go
@@ -38,8 +38,8 @@
 	Whole bool
 	// Status is that of the last answer, 0 for none.
 	Status int
-	// Sent counts the tries.
-	Sent int
+	// Tries holds when each try was sent, counted like At.
+	Tries []time.Duration
 	// OverRate is true where the last answer was a refusal for rate.
 	OverRate bool
 }
@@ -144,7 +144,7 @@
 		if try > 0 && clock.Sleep(ctx, r.Clock, hardRetryPause) != nil {
 			break
 		}
-		out.Sent++
+		out.Tries = append(out.Tries, r.Clock.Now().Sub(r.began))
 		out.Whole, out.Status, out.OverRate = r.send(ctx, m, t, n, m.Callers[(first+try)%len(m.Callers)], key)
 		if out.Whole || out.OverRate {
 			break
--- a/pkg/load/scenario.go
+++ b/pkg/load/scenario.go
@@ -65,7 +65,9 @@
 	Warmup   time.Duration
 	Duration time.Duration
 	// Rates are the organisations' rates, to judge refusals by.
-	Rates    map[fleet.OrganisationID]fleet.Rate
+	Rates map[fleet.OrganisationID]fleet.Rate
+	// Bursts are the organisations' bursts.
+	Bursts   map[fleet.OrganisationID]fleet.Tokens
 	Traffic  []Traffic
 	Triggers []Trigger
 }
@@ -76,7 +78,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Scenario{Rates: map[fleet.OrganisationID]fleet.Rate{}}
+	s := &Scenario{Rates: map[fleet.OrganisationID]fleet.Rate{}, Bursts: map[fleet.OrganisationID]fleet.Tokens{}}
 	head := f.Section("scenario")
 	s.Name = head.Required("name", "a name")
 	s.Scale = head.String("scale", "1/1")
@@ -91,8 +93,7 @@
 		case "organisation":
 			o := f.Section(section)
 			s.Rates[fleet.OrganisationID(label)] = fleet.Rate(o.Float("rate", 1, 0, 1e7))
-			// The burst goes into the ticket that the experiment files.
-			o.Float("burst", 1, 1, 1e7)
+			s.Bursts[fleet.OrganisationID(label)] = fleet.Tokens(o.Float("burst", 1, 1, 1e7))
 		case "traffic":
 			s.Traffic = append(s.Traffic, readTraffic(f.Section(section), label))
 		case "trigger":
