Critical calls come first within an organisation's rate

Ruled out: shedding at the ledger (no other league lost one).

Change: a critical call that finds no token waits for one of the next, up to 1 s and half of its time, and other calls of the organisation at the node take none meanwhile; unless its critical calls alone are over the rate.

--- a/pkg/rate/account.go
+++ b/pkg/rate/account.go
@@ -9,6 +9,7 @@
 	"github.com/plantainramp/plantainramp/pkg/config"
 	"github.com/plantainramp/plantainramp/pkg/fleet"
 	"github.com/plantainramp/plantainramp/pkg/state"
+	"github.com/plantainramp/plantainramp/pkg/ticket"
 	"github.com/plantainramp/plantainramp/rpc/peerrpc"
 )
 
@@ -39,7 +40,11 @@
 	demandAt time.Time
 	slots    []int
 	ticket   fleet.TicketNumber
-	ceiling  ceiling
+	// all and onlyCritical count the calls that enter here, and the critical ones
+	// among them, against what the whole fleet may start.
+	all, onlyCritical ceiling
+	// critical is the number of critical calls that wait for a token.
+	critical int
 	waiting  int
 	// avoid holds holders that are not asked for a moment.
 	avoid map[fleet.MemberID]avoidance
@@ -92,8 +97,22 @@
 	return n, n == len(a.slots)
 }
 
+// within counts a call and tells whether it may be within the rate: a critical one
+// beside other critical calls, any other beside all calls.
+func (a *account) within(o *state.InForce[ticket.Organisation], critical bool, now time.Time) bool {
+	whole := a.all.take(&o.Value, o.Ticket, now)
+	if critical {
+		return a.onlyCritical.take(&o.Value, o.Ticket, now)
+	}
+	return whole
+}
+
 // takeHeld takes a token that is at hand, for a call that starts within window.
-func (a *account) takeHeld(now time.Time, window time.Duration) *token {
+// While critical calls wait, no other call gets one.
+func (a *account) takeHeld(now time.Time, window time.Duration, critical bool) *token {
+	if a.critical > 0 && !critical {
+		return nil
+	}
 	for _, h := range a.loans {
 		if h.left < 1 || h.ends.Sub(now) < window {
 			continue
--- a/pkg/rate/borrower.go
+++ b/pkg/rate/borrower.go
@@ -113,11 +113,16 @@
 	defer a.mu.Unlock()
 	began := b.Clock.Now()
 	a.noteDemand(began)
-	within := a.ceiling.take(&o.Value, o.Ticket, began)
+	critical := c.Route.Class == fleet.ClassCritical
+	within := a.within(&o, critical, began)
+	if critical {
+		a.critical++
+		defer func() { a.critical-- }()
+	}
 	giveUp := began.Add(min(holderPatience, c.Remaining(began)/2))
 	for {
 		now := b.Clock.Now()
-		if t := a.takeHeld(now, windowOf(c)); t != nil {
+		if t := a.takeHeld(now, windowOf(c), critical); t != nil {
 			b.prefetch(c.Organisation, a)
 			return t, nil
 		}
@@ -126,7 +131,7 @@
 			return nil, problem.New(problem.KindDeadline, "the deadline passed before a token of the organisation's rate was had")
 		case b.ask(c.Organisation, a):
 			a.await(ctx)
-		case b.over(a, within && now.Before(giveUp), now):
+		case b.over(a, within && now.Before(giveUp), critical, now):
 			return nil, overRate(c, o.Value.Rate)
 		case now.After(giveUp):
 			return nil, noHolder()
@@ -147,7 +152,12 @@
 // over tells whether a call for which no token is to be had is over the rate:
 // for sure if all holders are empty. A call that is not worth a longer wait, or is
 // above what the whole fleet may start, is taken for over if some holder is empty.
-func (b *Borrower) over(a *account, worthWaiting bool, now time.Time) bool {
+// A critical call that is worth it waits for one of the next tokens, so that an
+// organisation over its rate loses other calls first.
+func (b *Borrower) over(a *account, worthWaiting, critical bool, now time.Time) bool {
+	if critical && worthWaiting {
+		return false
+	}
 	some, all := a.empty(b.Follower.View(), now)
 	return all || some > 0 && !worthWaiting
 }
--- a/pkg/rate/ways_test.go
+++ b/pkg/rate/ways_test.go
@@ -188,7 +188,7 @@
 			allowed := ideal.lend(1, 1, time.Now()) == 1
 			ideal.outstanding, ideal.loans, ideal.lent = 0, nil, nil
 			calls.Go(func() {
-				if f.call(from) != nil && allowed {
+				if f.call(from, fleet.ClassNormal) != nil && allowed {
 					refused.Add(1)
 				}
 				if allowed {
@@ -213,8 +213,8 @@
 	return live[0]
 }
 
-func (f *fleetOf) call(b *Borrower) error {
-	c := &call.Call{Organisation: testOrg, Route: &ticket.Route{}, Deadline: time.Now().Add(time.Second)}
+func (f *fleetOf) call(b *Borrower, class fleet.Class) error {
+	c := &call.Call{Organisation: testOrg, Route: &ticket.Route{Class: class}, Deadline: time.Now().Add(time.Second)}
 	ctx, cancel := context.WithDeadline(context.Background(), c.Deadline)
 	defer cancel()
 	_, err := b.Filter()(func(context.Context, *call.Call) (*call.Answer, error) {
@@ -239,6 +239,34 @@
 	is.Equal(len(reply.GetGranted()), state.SlotCount)
 }
 
+// TestCriticalCallsComeFirstWithinTheRate floods an organisation of 100/s with 500
+// calls a second and sends 10 critical ones a second beside them.
+func TestCriticalCallsComeFirstWithinTheRate(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, wayNodes, false)
+	var calls sync.WaitGroup
+	var refused, others atomic.Int64
+	for i := range 1500 {
+		b := f.borrowers[i%wayNodes]
+		calls.Go(func() {
+			if f.call(b, fleet.ClassNormal) != nil {
+				others.Add(1)
+			}
+		})
+		if i%50 == 0 {
+			calls.Go(func() {
+				if f.call(b, fleet.ClassCritical) != nil {
+					refused.Add(1)
+				}
+			})
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+	calls.Wait()
+	is.True(others.Load() > 900)
+	is.Equal(refused.Load(), int64(0))
+}
+
 // BenchmarkRateWays weighs the ways of docs/design/rate.md: an organisation of
 // 100/s with burst 20 over 13 nodes, offered 70/s, or a burst of 20 every 0.5 s.
 func BenchmarkRateWays(b *testing.B) {
