--- a/pkg/rate/ways_test.go
+++ b/pkg/rate/ways_test.go
@@ -35,8 +35,11 @@
 	wayMessage = 300 * time.Microsecond
 )
 
-// errDead stands for a connection that is refused.
-var errDead = fmt.Errorf("dead")
+// deadError stands for a connection that is refused.
+type deadError struct{}
+
+// Error implements error.
+func (deadError) Error() string { return "connection refused" }
 
 // pattern is a demand and what fails under it.
 type pattern struct {
@@ -127,14 +130,14 @@
 		}
 		time.Sleep(wayMessage)
 		if dead := f.dead.Load(); dead != nil && *dead == holder {
-			return nil, errDead
+			return nil, deadError{}
 		}
 		for _, l := range f.lenders {
 			if l.Self == holder {
 				return l.Borrow(req), nil
 			}
 		}
-		return nil, errDead
+		return nil, deadError{}
 	}
 }
 
