--- /dev/null
+++ b/Makefile
@@ -0,0 +1,25 @@
+# Targets for people; .ci/run calls `make check`.
+GO ?= go
+PROTO_OPT = module=github.com/plantainramp/plantainramp
+.PHONY: build demo test lint check generate
+
+build:
+	$(GO) build -o bin/ ./cmd/...
+
+# demo starts a small mesh as separate processes and prints what was seen.
+demo: build
+	bash scripts/demo.sh
+
+test:
+	$(GO) test -count=1 -timeout 20m ./...
+
+lint:
+	@test -z "$$($(GO) tool gofumpt -l cmd pkg internal acceptance)" || { $(GO) tool gofumpt -l cmd pkg internal acceptance; echo 'not formatted by gofumpt'; exit 1; }
+	$(GO) vet ./...
+	$(GO) tool revive -set_exit_status -exclude ./rpc/... ./...
+
+check: lint test
+
+# generate needs protoc, protoc-gen-go and protoc-gen-twirp; the build does not.
+generate:
+	protoc -I rpc/peerrpc --go_out=. --go_opt=$(PROTO_OPT) --twirp_out=. --twirp_opt=$(PROTO_OPT) rpc/peerrpc/peer.proto
--- /dev/null
+++ b/internal/standin/upstream/upstream.go
@@ -0,0 +1,301 @@
+// Package upstream stands in for an upstream instance in tests and the demo: it
+// has slots, a service time, a cold start, its own shedding, calls to deeper
+// services, and a log of all it received and ran.
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/plantainramp/plantainramp/pkg/call"
+	"github.com/plantainramp/plantainramp/pkg/clock"
+	"github.com/plantainramp/plantainramp/pkg/fleet"
+	"github.com/plantainramp/plantainramp/pkg/node"
+)
+
+const (
+	announceEvery   = time.Second
+	announceTimeout = time.Second
+	callTimeout     = 30 * time.Second
+	// maxReceived bounds the log of requests.
+	maxReceived = 200_000
+)
+
+// DeeperCall is a call that serving a path entails.
+type DeeperCall struct {
+	Prefix string `json:"prefix"`
+	Method string `json:"method"`
+	Target string `json:"target"`
+}
+
+// Behaviour can be changed while the stand-in runs.
+type Behaviour struct {
+	ServiceTime time.Duration `json:"serviceTime"`
+	// Slots is how many calls run at once; more wait.
+	Slots int `json:"slots"`
+	// ShedAbove refuses calls when that many wait; 0 never refuses.
+	ShedAbove int `json:"shedAbove"`
+	// FailStatus answers every call with this status; 0 means success.
+	FailStatus int `json:"failStatus"`
+	// ColdFor is how long after the start calls take ColdFactor times as long.
+	ColdFor    time.Duration `json:"coldFor"`
+	ColdFactor float64       `json:"coldFactor"`
+	// Lie makes health and load endpoints claim health and no load.
+	Lie     bool         `json:"lie"`
+	Leaving bool         `json:"leaving"`
+	Deeper  []DeeperCall `json:"deeper"`
+}
+
+// Received is one request that reached the stand-in.
+type Received struct {
+	At             time.Time   `json:"at"`
+	RequestID      string      `json:"requestId"`
+	Organisation   string      `json:"organisation"`
+	Method         string      `json:"method"`
+	URI            string      `json:"uri"`
+	IdempotencyKey string      `json:"idempotencyKey,omitempty"`
+	Header         http.Header `json:"header,omitempty"`
+	// Ran is true once the work was done to its end.
+	Ran bool `json:"ran"`
+}
+
+// Answer is the body of every success.
+type Answer struct {
+	Instance     string `json:"instance"`
+	RequestID    string `json:"requestId"`
+	Organisation string `json:"organisation"`
+	URI          string `json:"uri"`
+	Body         string `json:"body,omitempty"`
+	Padding      string `json:"padding,omitempty"`
+}
+
+// Instance is the stand-in. Name, Clock and Node must be set.
+type Instance struct {
+	Name string
+	// Node is the base address of the calls-out face of the node beside it.
+	Node  string
+	Clock clock.Clock
+	// KeepHeaders keeps the headers of all requests in the log.
+	KeepHeaders bool
+
+	behaviour atomic.Pointer[Behaviour]
+	started   time.Time
+	client    http.Client
+
+	mu       sync.Mutex
+	received []*Received
+	places   chan struct{}
+	waiting  atomic.Int64
+	running  atomic.Int64
+	ran      atomic.Int64
+	shed     atomic.Int64
+	total    atomic.Int64
+}
+
+// Start sets the behaviour and announces the instance until ctx ends.
+func (u *Instance) Start(ctx context.Context, b Behaviour) {
+	u.started = u.Clock.Now()
+	u.client.Timeout = callTimeout
+	u.client.Transport = &http.Transport{MaxIdleConnsPerHost: 256}
+	u.set(b)
+	go clock.Every(ctx, u.Clock, clock.Fixed(announceEvery), u.announce)
+	u.announce(ctx)
+}
+
+func (u *Instance) set(b Behaviour) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	b.Slots = max(b.Slots, 1)
+	if old := u.behaviour.Load(); old == nil || old.Slots != b.Slots {
+		u.places = make(chan struct{}, b.Slots)
+	}
+	u.behaviour.Store(&b)
+}
+
+func (u *Instance) announce(ctx context.Context) {
+	b := u.behaviour.Load()
+	a := node.Announcement{State: node.UpstreamServing, Slots: b.Slots, Started: u.started.Format(time.RFC3339Nano)}
+	if b.Leaving {
+		a.State = node.UpstreamLeaving
+	}
+	raw, _ := json.Marshal(a)
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, u.Node+node.AnnouncePath, bytes.NewReader(raw))
+	if err != nil {
+		return
+	}
+	if resp, err := u.client.Do(req); err == nil {
+		_ = resp.Body.Close()
+	}
+}
+
+// Handler returns the HTTP face of the instance.
+func (u *Instance) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT /-/behaviour", u.putBehaviour)
+	mux.HandleFunc("GET /-/behaviour", u.getBehaviour)
+	mux.HandleFunc("GET /-/received", u.getReceived)
+	mux.HandleFunc("GET /-/stats", u.getStats)
+	mux.HandleFunc("GET /-/health", u.health)
+	mux.HandleFunc("/", u.serve)
+	return mux
+}
+
+func (u *Instance) putBehaviour(w http.ResponseWriter, r *http.Request) {
+	b := *u.behaviour.Load()
+	if err := json.NewDecoder(r.Body).Decode(&b); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	u.set(b)
+	u.announce(r.Context())
+}
+
+func (u *Instance) getBehaviour(w http.ResponseWriter, _ *http.Request) {
+	_ = json.NewEncoder(w).Encode(u.behaviour.Load())
+}
+
+func (u *Instance) getReceived(w http.ResponseWriter, _ *http.Request) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(u.received)
+}
+
+func (u *Instance) getStats(w http.ResponseWriter, _ *http.Request) {
+	_ = json.NewEncoder(w).Encode(map[string]int64{"received": u.total.Load(), "ran": u.ran.Load(), "shed": u.shed.Load(), "running": u.running.Load()})
+}
+
+func (u *Instance) health(w http.ResponseWriter, _ *http.Request) {
+	load := u.running.Load() + u.waiting.Load()
+	if u.behaviour.Load().Lie {
+		load = 0
+	}
+	_ = json.NewEncoder(w).Encode(map[string]int64{"load": load})
+}
+
+func (u *Instance) note(r *http.Request) *Received {
+	entry := &Received{
+		At: u.Clock.Now(), RequestID: r.Header.Get(call.HeaderRequestID), Organisation: r.Header.Get(call.HeaderOrganisation),
+		Method: r.Method, URI: r.RequestURI, IdempotencyKey: r.Header.Get(call.HeaderIdempotencyKey),
+	}
+	if u.KeepHeaders {
+		entry.Header = r.Header.Clone()
+	}
+	u.total.Add(1)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if len(u.received) < maxReceived {
+		u.received = append(u.received, entry)
+	}
+	return entry
+}
+
+func (u *Instance) serve(w http.ResponseWriter, r *http.Request) {
+	entry := u.note(r)
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	b := u.behaviour.Load()
+	if b.ShedAbove > 0 && u.waiting.Load() >= int64(b.ShedAbove) {
+		u.shed.Add(1)
+		http.Error(w, "shed", http.StatusServiceUnavailable)
+		return
+	}
+	if !u.enter(r.Context()) {
+		return
+	}
+	status := u.work(r, b)
+	u.leave()
+	if r.Context().Err() != nil {
+		return
+	}
+	u.ran.Add(1)
+	u.mu.Lock()
+	entry.Ran = true
+	u.mu.Unlock()
+	if status != http.StatusOK {
+		http.Error(w, "failed", status)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	padding, _ := strconv.Atoi(r.URL.Query().Get("size"))
+	_ = json.NewEncoder(w).Encode(Answer{
+		Instance: u.Name, RequestID: entry.RequestID, Organisation: entry.Organisation, URI: r.RequestURI,
+		Body: string(body), Padding: strings.Repeat("x", min(max(padding, 0), 4<<20)),
+	})
+}
+
+func (u *Instance) enter(ctx context.Context) bool {
+	u.mu.Lock()
+	places := u.places
+	u.mu.Unlock()
+	u.waiting.Add(1)
+	defer u.waiting.Add(-1)
+	select {
+	case places <- struct{}{}:
+		u.running.Add(1)
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (u *Instance) leave() {
+	u.mu.Lock()
+	places := u.places
+	u.mu.Unlock()
+	u.running.Add(-1)
+	select {
+	case <-places:
+	default:
+	}
+}
+
+// work takes the service time and makes the deeper calls of the path.
+func (u *Instance) work(r *http.Request, b *Behaviour) int {
+	took := b.ServiceTime
+	if u.Clock.Now().Sub(u.started) < b.ColdFor && b.ColdFactor > 1 {
+		took = time.Duration(float64(took) * b.ColdFactor)
+	}
+	_ = clock.Sleep(r.Context(), u.Clock, took)
+	if b.FailStatus != 0 {
+		return b.FailStatus
+	}
+	for _, d := range b.Deeper {
+		if !strings.HasPrefix(r.URL.Path, d.Prefix) {
+			continue
+		}
+		if status := u.deeper(r, d); status >= http.StatusBadRequest {
+			return max(status, http.StatusBadGateway)
+		}
+	}
+	return http.StatusOK
+}
+
+func (u *Instance) deeper(r *http.Request, d DeeperCall) int {
+	req, err := http.NewRequestWithContext(r.Context(), d.Method, u.Node+d.Target, nil)
+	if err != nil {
+		return http.StatusInternalServerError
+	}
+	req.Header.Set(call.HeaderContext, r.Header.Get(call.HeaderContext))
+	if d.Method != http.MethodGet {
+		req.Header.Set(call.HeaderIdempotencyKey, `"`+fleet.NewID()+`"`)
+	}
+	resp, err := u.client.Do(req)
+	if err != nil {
+		return http.StatusBadGateway
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, _ = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode
+}
--- /dev/null
+++ b/internal/standincmd/standincmd.go
@@ -0,0 +1,101 @@
+// Package standincmd is the command line of the stand-ins.
+package standincmd
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/plantainramp/plantainramp/internal/standin/logservice"
+	"github.com/plantainramp/plantainramp/internal/standin/upstream"
+	"github.com/plantainramp/plantainramp/pkg/clock"
+)
+
+const closeTimeout = 10 * time.Second
+
+// DeeperError reports a deeper call that cannot be read.
+type DeeperError struct {
+	Text string
+}
+
+// Error implements error.
+func (e *DeeperError) Error() string {
+	return fmt.Sprintf("deeper call %q is not of the form PREFIX=METHOD:/SERVICE/PATH", e.Text)
+}
+
+// Main runs a stand-in until SIGTERM and returns its exit code.
+func Main(args []string, out, errOut io.Writer) int {
+	app := kingpin.New("standin", "Stand-ins for the platform's log and for upstream instances.")
+	app.UsageWriter(out).ErrorWriter(errOut).Terminate(nil)
+	listen := app.Flag("listen", "Address to listen on.").Required().String()
+	logCommand := app.Command("log", "The platform's append-only log.")
+	upstreamCommand := app.Command("upstream", "An upstream instance.")
+	name := upstreamCommand.Flag("name", "Name of the instance.").Required().String()
+	beside := upstreamCommand.Flag("node", "Base address of the node's calls-out face.").Required().String()
+	slots := upstreamCommand.Flag("slots", "Calls that run at once.").Default("45").Int()
+	serviceTime := upstreamCommand.Flag("service-time", "Time that a call takes.").Default("5ms").Duration()
+	shedAbove := upstreamCommand.Flag("shed-above", "Refuse calls when that many wait.").Default("0").Int()
+	headers := upstreamCommand.Flag("keep-headers", "Keep the headers of all requests.").Bool()
+	deeper := upstreamCommand.Flag("deeper", "A call that serving PREFIX entails: PREFIX=METHOD:/SERVICE/PATH.").Strings()
+	command, err := app.Parse(args)
+	if err != nil {
+		_, _ = fmt.Fprintf(errOut, "standin: %s\n", err)
+		return 2
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	var handler http.Handler
+	switch command {
+	case logCommand.FullCommand():
+		handler = (&logservice.Service{Clock: clock.System{}}).Handler()
+	case upstreamCommand.FullCommand():
+		calls, err := parseDeeper(*deeper)
+		if err != nil {
+			_, _ = fmt.Fprintf(errOut, "standin: %s\n", err)
+			return 2
+		}
+		u := &upstream.Instance{Name: *name, Node: *beside, Clock: clock.System{}, KeepHeaders: *headers}
+		u.Start(ctx, upstream.Behaviour{ServiceTime: *serviceTime, Slots: *slots, ShedAbove: *shedAbove, Deeper: calls})
+		handler = u.Handler()
+	}
+	if err := serve(ctx, *listen, handler); err != nil {
+		_, _ = fmt.Fprintf(errOut, "standin: %s\n", err)
+		return 1
+	}
+	return 0
+}
+
+func parseDeeper(texts []string) ([]upstream.DeeperCall, error) {
+	var calls []upstream.DeeperCall
+	for _, text := range texts {
+		prefix, rest, ok := strings.Cut(text, "=")
+		method, target, ok2 := strings.Cut(rest, ":")
+		if !ok || !ok2 {
+			return nil, &DeeperError{Text: text}
+		}
+		calls = append(calls, upstream.DeeperCall{Prefix: prefix, Method: method, Target: target})
+	}
+	return calls, nil
+}
+
+func serve(ctx context.Context, address string, handler http.Handler) error {
+	server := &http.Server{Addr: address, Handler: handler, ReadHeaderTimeout: closeTimeout}
+	failed := make(chan error, 1)
+	go func() { failed <- server.ListenAndServe() }()
+	select {
+	case err := <-failed:
+		return eris.Wrap(err, "listen")
+	case <-ctx.Done():
+	}
+	closing, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	return eris.Wrap(server.Shutdown(closing), "shut down")
+}
--- /dev/null
+++ b/pkg/admin/admin.go
@@ -0,0 +1,140 @@
+// Package admin is the operators' face of a node: it reads out what is in force
+// and never changes it. Its OpenAPI description is served at /openapi.json.
+package admin
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"net/http"
+	"slices"
+
+	"github.com/danielgtaylor/huma/v2"
+	"github.com/danielgtaylor/huma/v2/adapters/humago"
+
+	"github.com/plantainramp/plantainramp/pkg/config"
+	"github.com/plantainramp/plantainramp/pkg/fleet"
+	"github.com/plantainramp/plantainramp/pkg/platformlog"
+	"github.com/plantainramp/plantainramp/pkg/state"
+	"github.com/plantainramp/plantainramp/pkg/ticket"
+)
+
+type (
+	// Status is how one node stands.
+	Status struct {
+		Member     fleet.MemberID     `json:"member"`
+		Instance   fleet.InstanceName `json:"instance"`
+		Service    fleet.ServiceName  `json:"service"`
+		DataCentre fleet.DataCentre   `json:"dataCentre"`
+		// Next is the offset up to which the node knows the config stream.
+		Next          platformlog.Offset `json:"next"`
+		Digest        string             `json:"digest" doc:"digest of the folded state; equal on nodes with equal next"`
+		LogSeenMs     int64              `json:"logSeenMs" doc:"age of the last read of the log, -1 for never"`
+		InFlight      int                `json:"inFlight"`
+		Limit         int                `json:"limit"`
+		Queued        int                `json:"queued"`
+		Shed          int64              `json:"shed"`
+		RateSlots     int                `json:"rateSlots"`
+		Leaving       bool               `json:"leaving"`
+		UpstreamReady bool               `json:"upstreamReady"`
+	}
+	// Objects is what is in force, with the ticket that set each object and the
+	// one it replaced.
+	Objects struct {
+		Organisations []state.InForce[ticket.Organisation] `json:"organisations"`
+		Keys          []state.InForce[ticket.Key]          `json:"keys"`
+		Services      []state.InForce[ticket.Service]      `json:"services"`
+		Upstreams     []state.InForce[ticket.Upstream]     `json:"upstreams"`
+	}
+
+	statusOutput  struct{ Body Status }
+	objectsOutput struct{ Body Objects }
+	membersOutput struct{ Body []state.Member }
+	ticketsOutput struct{ Body []state.Verdict }
+	slotsOutput   struct{ Body []state.Slot }
+	verdictOutput struct{ Body state.Verdict }
+	verdictInput  struct {
+		Number uint64 `path:"number"`
+		Digest string `query:"digest" doc:"digest of the ticket's content; without it, the first ticket of the number"`
+	}
+)
+
+// Face serves operators.
+type Face struct {
+	Follower *config.Follower
+	// Status returns how the node stands.
+	Status func() Status
+	// Metrics serves metrics as text.
+	Metrics http.Handler
+	Version string
+}
+
+// Handler returns the HTTP face.
+func (f *Face) Handler() http.Handler {
+	mux := http.NewServeMux()
+	api := humago.New(mux, huma.DefaultConfig("plantainramp node", f.Version))
+	huma.Get(api, "/status", f.status)
+	huma.Get(api, "/objects", f.objects)
+	huma.Get(api, "/members", f.members)
+	huma.Get(api, "/slots", f.slots)
+	huma.Get(api, "/tickets", f.tickets)
+	huma.Get(api, "/tickets/{number}", f.ticket)
+	mux.Handle("GET /metrics", f.Metrics)
+	mux.HandleFunc("GET /ready", f.ready)
+	return mux
+}
+
+func (f *Face) ready(w http.ResponseWriter, _ *http.Request) {
+	if !f.Follower.View().Ready() {
+		http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
+	}
+}
+
+func (f *Face) status(context.Context, *struct{}) (*statusOutput, error) {
+	return &statusOutput{Body: f.Status()}, nil
+}
+
+func (f *Face) objects(context.Context, *struct{}) (*objectsOutput, error) {
+	s := f.Follower.View().State
+	return &objectsOutput{Body: Objects{
+		Organisations: sorted(s.Organisations), Keys: sorted(s.Keys),
+		Services: sorted(s.Services), Upstreams: sorted(s.Upstreams),
+	}}, nil
+}
+
+func sorted[K cmp.Ordered, V any](values map[K]V) []V {
+	list := make([]V, 0, len(values))
+	for _, k := range slices.Sorted(maps.Keys(values)) {
+		list = append(list, values[k])
+	}
+	return list
+}
+
+func (f *Face) members(context.Context, *struct{}) (*membersOutput, error) {
+	out := &membersOutput{Body: []state.Member{}}
+	for _, m := range f.Follower.View().All {
+		out.Body = append(out.Body, *m)
+	}
+	return out, nil
+}
+
+func (f *Face) slots(context.Context, *struct{}) (*slotsOutput, error) {
+	return &slotsOutput{Body: f.Follower.View().State.Slots}, nil
+}
+
+func (f *Face) tickets(context.Context, *struct{}) (*ticketsOutput, error) {
+	return &ticketsOutput{Body: sorted(f.Follower.View().State.Verdicts)}, nil
+}
+
+func (f *Face) ticket(_ context.Context, in *verdictInput) (*verdictOutput, error) {
+	s := f.Follower.View().State
+	number := fleet.TicketNumber(in.Number)
+	v, known := s.Verdicts[number]
+	if in.Digest != "" {
+		v, known = s.VerdictOn(number, ticket.Digest(in.Digest))
+	}
+	if !known {
+		return nil, huma.Error404NotFound("this node has read no such ticket from the log")
+	}
+	return &verdictOutput{Body: v}, nil
+}
--- /dev/null
+++ b/pkg/call/call.go
@@ -0,0 +1,128 @@
+// Package call defines one call as it passes through a node, its answer, and
+// the filter chain that handles it.
+package call
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/plantainramp/plantainramp/pkg/fleet"
+	"github.com/plantainramp/plantainramp/pkg/retry"
+	"github.com/plantainramp/plantainramp/pkg/ticket"
+)
+
+// Headers of the caller interface and towards upstreams.
+const (
+	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderDeadline       = "Plantainramp-Deadline-Ms"
+	HeaderRequestID      = "Plantainramp-Request-Id"
+	HeaderContext        = "Plantainramp-Context"
+	HeaderOrganisation   = "Plantainramp-Organisation"
+	// HeaderPrefix starts every header that callers may not set.
+	HeaderPrefix = "Plantainramp-"
+)
+
+// Buckets is the number of hash buckets that requests fall into.
+const Buckets = 1024
+
+// Call is one call on its way to an instance of a service.
+type Call struct {
+	Request      fleet.RequestID
+	Organisation fleet.OrganisationID
+	// Weight is the organisation's fair share, above 0.
+	Weight  float64
+	Service fleet.ServiceName
+	Route   *ticket.Route
+	Method  string
+	// Path is the escaped path with its query, as the upstream sees it.
+	Path   string
+	Header http.Header
+	Body   []byte
+	// Deadline is on this node's clock and never zero.
+	Deadline time.Time
+	// StartBy ends the lease under which the call may start; zero means that
+	// only the deadline bounds the start.
+	StartBy time.Time
+	// Depth is 0 at the root.
+	Depth int
+	// Retries is what is left of the root's allowance for this part of the chain.
+	Retries *retry.Account
+	// IdempotencyKey is empty where the caller gave none.
+	IdempotencyKey string
+	// Below follows the calls that the upstream makes for this one.
+	Below Below
+}
+
+// Lent returns a copy of the call with its own account of n retries, as the
+// instance that runs it gets it.
+func (c *Call) Lent(n int) *Call {
+	return &Call{
+		Request: c.Request, Organisation: c.Organisation, Weight: c.Weight, Service: c.Service, Route: c.Route,
+		Method: c.Method, Path: c.Path, Header: c.Header, Body: c.Body, Deadline: c.Deadline, StartBy: c.StartBy,
+		Depth: c.Depth, Retries: retry.NewAccount(n), IdempotencyKey: c.IdempotencyKey,
+	}
+}
+
+// Below follows the calls made for one call. The zero value works.
+type Below struct {
+	waited atomic.Int64
+	shed   atomic.Bool
+}
+
+// AddWait adds time spent waiting for a deeper call.
+func (b *Below) AddWait(d time.Duration) { b.waited.Add(int64(d)) }
+
+// Waited returns the time spent waiting for deeper calls.
+func (b *Below) Waited() time.Duration { return time.Duration(b.waited.Load()) }
+
+// NoteShed notes that a deeper call was shed.
+func (b *Below) NoteShed() { b.shed.Store(true) }
+
+// Shed tells whether a deeper call was shed.
+func (b *Below) Shed() bool { return b.shed.Load() }
+
+// Action tells whether the call may run at most once.
+func (c *Call) Action() bool { return !c.Route.Idempotent }
+
+// Bucket returns the request's hash bucket, the same at every hop.
+func (c *Call) Bucket() int {
+	return int(xxhash.Sum64String(string(c.Request)) % Buckets)
+}
+
+// Remaining returns what is left until the deadline.
+func (c *Call) Remaining(now time.Time) time.Duration { return c.Deadline.Sub(now) }
+
+// StartLimit returns the time after which the call must not start.
+func (c *Call) StartLimit() time.Time {
+	if c.StartBy.IsZero() || c.StartBy.After(c.Deadline) {
+		return c.Deadline
+	}
+	return c.StartBy
+}
+
+// Answer is a whole answer of an upstream.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	// Shed tells that a deeper service shed a call made for this one.
+	Shed bool
+}
+
+// Handler handles a call. Its error is *problem.Error.
+type Handler func(ctx context.Context, c *Call) (*Answer, error)
+
+// Filter wraps a handler with one step of the chain.
+type Filter func(next Handler) Handler
+
+// Chain puts filters before a handler; the first filter sees the call first.
+func Chain(last Handler, filters ...Filter) Handler {
+	for i := len(filters) - 1; i >= 0; i-- {
+		last = filters[i](last)
+	}
+	return last
+}
--- /dev/null
+++ b/pkg/caller/read.go
@@ -0,0 +1,174 @@
+// Package caller is the public face of a node: it reads callers' requests,
+// checks keys, and writes answers. The calls that upstreams make pass through
+// it too, with a context in place of a key.
+package caller
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"net/url"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/plantainramp/plantainramp/pkg/call"
+	"github.com/plantainramp/plantainramp/pkg/fleet"
+	"github.com/plantainramp/plantainramp/pkg/problem"
+	"github.com/plantainramp/plantainramp/pkg/upstream"
+)
+
+const (
+	// maxDeadline bounds what a caller may ask for.
+	maxDeadline = 10 * time.Minute
+	// maxIdempotencyKey bounds an idempotency key in characters.
+	maxIdempotencyKey = 255
+	bearer            = "Bearer "
+)
+
+// keyPattern matches anything that looks like a caller's key.
+var keyPattern = regexp.MustCompile(`(?i)prk_[a-z0-9.-]+_[0-9a-f]{16,}`)
+
+// target is where a request goes, as its path or Host says.
+type target struct {
+	service fleet.ServiceName
+	// path is the escaped rest of the path, without the query.
+	path string
+}
+
+func malformed(detail string) error { return problem.New(problem.KindMalformed, detail) }
+
+// readTarget splits the path of a request. hostService maps a Host header.
+func readTarget(r *http.Request, hostService func(string) (fleet.ServiceName, bool)) (target, error) {
+	if !strings.HasPrefix(r.RequestURI, "/") {
+		return target{}, malformed("the request target must be a path")
+	}
+	escaped, _, _ := strings.Cut(r.RequestURI, "?")
+	if err := checkPath(escaped); err != nil {
+		return target{}, err
+	}
+	if service, known := hostService(r.Host); known {
+		return target{service: service, path: escaped}, nil
+	}
+	first, rest, _ := strings.Cut(escaped[1:], "/")
+	return target{service: fleet.ServiceName(first), path: "/" + rest}, nil
+}
+
+// checkPath refuses paths that two programs could read differently.
+func checkPath(escaped string) error {
+	decoded, err := url.PathUnescape(escaped)
+	if err != nil {
+		return malformed("the path is not escaped rightly")
+	}
+	if strings.ContainsAny(decoded, "\\\x00\r\n\t") || strings.Contains(strings.ToLower(escaped), "%2f") {
+		return malformed("the path holds a character that is not allowed")
+	}
+	for _, part := range strings.Split(decoded, "/") {
+		if part == "." || part == ".." {
+			return malformed("the path holds a dot segment")
+		}
+	}
+	if strings.Contains(decoded, "//") {
+		return malformed("the path holds an empty segment")
+	}
+	return nil
+}
+
+// readKey returns the presented key; empty where there is none.
+func readKey(h http.Header) (string, error) {
+	values := h.Values("Authorization")
+	if len(values) == 0 {
+		return "", nil
+	}
+	if len(values) > 1 {
+		return "", malformed("the Authorization header stands more than once")
+	}
+	scheme, key, _ := strings.Cut(values[0], " ")
+	if !strings.EqualFold(scheme, strings.TrimSpace(bearer)) || key == "" {
+		return "", problem.New(problem.KindKey, "the Authorization header must be Bearer and a key")
+	}
+	return strings.TrimSpace(key), nil
+}
+
+// readDeadline returns the patience of the caller.
+func readDeadline(h http.Header, fallback time.Duration) (time.Duration, error) {
+	values := h.Values(call.HeaderDeadline)
+	if len(values) == 0 {
+		return fallback, nil
+	}
+	ms, err := strconv.ParseInt(values[0], 10, 64)
+	if len(values) > 1 || err != nil || ms <= 0 || ms > maxDeadline.Milliseconds() {
+		return 0, malformed(call.HeaderDeadline + " must be one whole number of milliseconds from 1 to 600000")
+	}
+	return time.Duration(ms) * time.Millisecond, nil
+}
+
+// readIdempotencyKey returns the key between its quotation marks; empty where
+// there is none.
+func readIdempotencyKey(h http.Header) (string, error) {
+	values := h.Values(call.HeaderIdempotencyKey)
+	if len(values) == 0 {
+		return "", nil
+	}
+	key := values[0]
+	if len(values) > 1 || len(key) < 3 || len(key) > maxIdempotencyKey+2 || key[0] != '"' || key[len(key)-1] != '"' {
+		return "", malformed(call.HeaderIdempotencyKey + " must be one string of 1 to 255 characters in quotation marks")
+	}
+	key = key[1 : len(key)-1]
+	for _, b := range []byte(key) {
+		if b < 0x21 || b > 0x7e || b == '"' || b == '\\' {
+			return "", malformed(call.HeaderIdempotencyKey + " may hold visible ASCII only, without quotation marks and backslashes")
+		}
+	}
+	return key, nil
+}
+
+// readBody reads a whole body of at most limit bytes.
+func readBody(r *http.Request, limit int64) ([]byte, error) {
+	if r.ContentLength > limit {
+		return nil, tooLarge(limit)
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	if err != nil {
+		return nil, malformed("the body was cut short")
+	}
+	if int64(len(body)) > limit {
+		return nil, tooLarge(limit)
+	}
+	return body, nil
+}
+
+func tooLarge(limit int64) error {
+	return problem.New(problem.KindTooLarge, "the body is larger than "+strconv.FormatInt(limit, 10)+" bytes")
+}
+
+// cleanHeaders returns the headers that an upstream may see. Values that hold
+// something like a key are left out.
+func cleanHeaders(h http.Header) http.Header {
+	clean := h.Clone()
+	upstream.Strip(clean)
+	clean.Del("Authorization")
+	clean.Del(call.HeaderIdempotencyKey)
+	for name, values := range clean {
+		for _, value := range values {
+			if keyPattern.MatchString(value) || keyPattern.MatchString(name) {
+				clean.Del(name)
+			}
+		}
+	}
+	return clean
+}
+
+// leaksKey tells whether path, query or body hold something like a key, which
+// would reach the upstream.
+func leaksKey(requestURI string, body []byte, key string) bool {
+	plain, err := url.QueryUnescape(requestURI)
+	if err != nil {
+		plain = requestURI
+	}
+	if keyPattern.MatchString(requestURI) || keyPattern.MatchString(plain) {
+		return true
+	}
+	return key != "" && bytes.Contains(body, []byte(key))
+}
--- /dev/null
+++ b/pkg/cmd/root/root.go
@@ -0,0 +1,60 @@
+// Package root assembles the command line of operators.
+package root
+
+import (
+	"fmt"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/plantainramp/plantainramp/internal/iostreams"
+	"github.com/plantainramp/plantainramp/pkg/clock"
+	"github.com/plantainramp/plantainramp/pkg/cmd/factory"
+	"github.com/plantainramp/plantainramp/pkg/cmd/key/newkey"
+	memberlist "github.com/plantainramp/plantainramp/pkg/cmd/member/list"
+	"github.com/plantainramp/plantainramp/pkg/cmd/settings/check"
+	stateshow "github.com/plantainramp/plantainramp/pkg/cmd/state/show"
+	"github.com/plantainramp/plantainramp/pkg/cmd/ticket/file"
+	ticketlist "github.com/plantainramp/plantainramp/pkg/cmd/ticket/list"
+	ticketshow "github.com/plantainramp/plantainramp/pkg/cmd/ticket/show"
+	"github.com/plantainramp/plantainramp/pkg/cmd/version"
+)
+
+const help = `Operate plantainramp: file change tickets and read what is in force.
+
+Exit codes: 0 done, 1 failed, 2 bad command line or input file, 3 ticket refused, 4 undecided: repeat the command.`
+
+// Main runs the command line and returns its exit code.
+func Main(args []string, streams *iostreams.IOStreams) int {
+	f := &factory.Factory{Streams: streams, Clock: clock.System{}}
+	app := New(f)
+	stopped := false
+	app.Terminate(func(int) { stopped = true })
+	_, err := app.Parse(args)
+	if stopped || err == nil {
+		return factory.ExitOK
+	}
+	_, _ = fmt.Fprintf(streams.ErrOut, "plantainramp: %s\n", err)
+	code := factory.ExitCode(err)
+	if code == factory.ExitUsage {
+		_, _ = fmt.Fprintln(streams.ErrOut, "See plantainramp --help.")
+	}
+	return code
+}
+
+// New returns the application with all commands.
+func New(f *factory.Factory) *kingpin.Application {
+	app := kingpin.New("plantainramp", help)
+	app.UsageWriter(f.Streams.Out).ErrorWriter(f.Streams.ErrOut)
+	app.Flag("node", "Admin face of any node.").Envar("PLANTAINRAMP_NODE").Default("http://127.0.0.1:7003").StringVar(&f.NodeURL)
+	app.Flag("log", "The platform's log.").Envar("PLANTAINRAMP_LOG").Default("http://127.0.0.1:6000").StringVar(&f.LogURL)
+	ticket := app.Command("ticket", "File and read change tickets.")
+	file.NewCmdFile(f, ticket, nil)
+	ticketlist.NewCmdList(f, ticket, nil)
+	ticketshow.NewCmdShow(f, ticket, nil)
+	stateshow.NewCmdShow(f, app.Command("state", "Read what is in force."), nil)
+	memberlist.NewCmdList(f, app.Command("member", "Read the list of members."), nil)
+	check.NewCmdCheck(f, app.Command("settings", "Check settings."), nil)
+	newkey.NewCmdNew(f, app.Command("key", "Make callers' keys."), nil)
+	version.NewCmdVersion(f, app)
+	return app
+}
--- /dev/null
+++ b/pkg/cmd/ticket/file/file.go
@@ -0,0 +1,159 @@
+// Package file implements plantainramp ticket file.
+package file
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/plantainramp/plantainramp/internal/iostreams"
+	"github.com/plantainramp/plantainramp/internal/tableprinter"
+	"github.com/plantainramp/plantainramp/pkg/adminclient"
+	"github.com/plantainramp/plantainramp/pkg/clock"
+	"github.com/plantainramp/plantainramp/pkg/cmd/factory"
+	"github.com/plantainramp/plantainramp/pkg/fleet"
+	"github.com/plantainramp/plantainramp/pkg/platformlog"
+	"github.com/plantainramp/plantainramp/pkg/settings"
+	"github.com/plantainramp/plantainramp/pkg/state"
+	"github.com/plantainramp/plantainramp/pkg/ticket"
+)
+
+const (
+	// pollEvery is the period in which the verdict is asked for.
+	pollEvery = 100 * time.Millisecond
+	// appendEvery is the wait before an append without an answer is repeated.
+	appendEvery = 500 * time.Millisecond
+)
+
+// Options of the command.
+type Options struct {
+	Streams *iostreams.IOStreams
+	Clock   clock.Clock
+	Log     func() *platformlog.Client
+	Node    func() *adminclient.Client
+
+	Path    string
+	Timeout time.Duration
+	JSON    bool
+}
+
+// RefusedError reports a refused ticket.
+type RefusedError struct {
+	Number fleet.TicketNumber
+	Why    string
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("ticket %d was refused: %s", e.Number, e.Why)
+}
+
+// ExitCode implements factory.Coder.
+func (e *RefusedError) ExitCode() int { return factory.ExitRefused }
+
+// UndecidedError reports that no verdict could be read in time.
+type UndecidedError struct {
+	Number fleet.TicketNumber
+	Cause  error
+}
+
+// Error implements error.
+func (e *UndecidedError) Error() string {
+	return fmt.Sprintf("ticket %d is not decided yet: %s; it may still take effect, run the same command again", e.Number, e.Cause)
+}
+
+// ExitCode implements factory.Coder.
+func (e *UndecidedError) ExitCode() int { return factory.ExitUndecided }
+
+// NewCmdFile adds the command to its parent.
+func NewCmdFile(f *factory.Factory, parent *kingpin.CmdClause, runF func(*Options) error) {
+	opts := &Options{Streams: f.Streams, Clock: f.Clock, Log: f.Log, Node: f.Node}
+	cmd := parent.Command("file", "File a change ticket and read back the verdict.\n\nExamples:\n  plantainramp ticket file 12.ticket\n  plantainramp ticket file - < 12.ticket")
+	cmd.Arg("file", "Ticket to file; - reads it from standard input.").Required().StringVar(&opts.Path)
+	cmd.Flag("timeout", "How long to wait for the verdict.").Default("30s").DurationVar(&opts.Timeout)
+	cmd.Flag("json", "Print the verdict as JSON.").BoolVar(&opts.JSON)
+	cmd.Action(factory.Run(opts, runF, fileRun))
+}
+
+func fileRun(opts *Options) error {
+	text, err := readInput(opts)
+	if err != nil {
+		return err
+	}
+	t, err := ticket.Parse(opts.Path, text)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), opts.Timeout)
+	defer cancel()
+	if err := appendTicket(ctx, opts, t); err != nil {
+		return err
+	}
+	verdict, err := awaitVerdict(ctx, opts, t)
+	if err != nil {
+		return err
+	}
+	return report(opts, verdict)
+}
+
+func readInput(opts *Options) ([]byte, error) {
+	if opts.Path == "-" {
+		text, err := io.ReadAll(opts.Streams.In)
+		return text, eris.Wrap(err, "read standard input")
+	}
+	text, err := os.ReadFile(opts.Path)
+	if err != nil {
+		return nil, &settings.FileError{Path: opts.Path, Cause: err}
+	}
+	return text, nil
+}
+
+// appendTicket appends until the log confirms. Repeats are safe: the record is
+// the same each time.
+func appendTicket(ctx context.Context, opts *Options, t *ticket.Ticket) error {
+	record, err := t.Record()
+	if err != nil {
+		return err
+	}
+	for {
+		_, err := opts.Log().Append(ctx, platformlog.StreamConfig, record)
+		if err == nil {
+			return nil
+		}
+		if clock.Sleep(ctx, opts.Clock, appendEvery) != nil {
+			return &UndecidedError{Number: t.Number, Cause: err}
+		}
+	}
+}
+
+func awaitVerdict(ctx context.Context, opts *Options, t *ticket.Ticket) (state.Verdict, error) {
+	for {
+		verdict, err := opts.Node().Ticket(ctx, t.Number, t.Digest())
+		if err == nil {
+			return verdict, nil
+		}
+		if clock.Sleep(ctx, opts.Clock, pollEvery) != nil {
+			return verdict, &UndecidedError{Number: t.Number, Cause: err}
+		}
+	}
+}
+
+func report(opts *Options, v state.Verdict) error {
+	if opts.JSON {
+		if err := tableprinter.JSON(opts.Streams, v); err != nil {
+			return err
+		}
+	}
+	if !v.Accepted {
+		return &RefusedError{Number: v.Number, Why: v.Why}
+	}
+	if !opts.JSON {
+		_, _ = fmt.Fprintf(opts.Streams.Out, "ticket %d accepted at offset %d\n", v.Number, v.Offset)
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/config/follower.go
@@ -0,0 +1,229 @@
+// Package config follows the config stream: it folds records from the log or
+// from peers into a state and publishes each state as an immutable view.
+package config
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/plantainramp/plantainramp/pkg/clock"
+	"github.com/plantainramp/plantainramp/pkg/fleet"
+	"github.com/plantainramp/plantainramp/pkg/logs"
+	"github.com/plantainramp/plantainramp/pkg/platformlog"
+	"github.com/plantainramp/plantainramp/pkg/state"
+)
+
+const (
+	// RecordSnapshot marks snapshots in their stream.
+	RecordSnapshot platformlog.Kind = "snapshot"
+	// readBatch is the number of records asked for at once.
+	readBatch = 512
+	// keptRecords bounds the records kept for peers that lag.
+	keptRecords = 4096
+)
+
+// Snapshot is the body of a snapshot record.
+type Snapshot struct {
+	Next   platformlog.Offset `json:"next"`
+	Digest string             `json:"digest"`
+	State  []byte             `json:"state"`
+}
+
+// Follower holds the folded state. It needs Log, Clock and Logger.
+type Follower struct {
+	Log    *platformlog.Client
+	Clock  clock.Clock
+	Logger *logs.Logger
+	// Changed, where set, is called after each new view.
+	Changed func(*View)
+
+	view atomic.Pointer[View]
+	// logSeen is when the last successful read of the log began.
+	logSeen atomic.Pointer[time.Time]
+	// mu orders folds; readers of the view take no lock.
+	mu     sync.Mutex
+	recent []platformlog.Record
+	// recentFrom is the offset of recent[0]; recent ends at the view's Next.
+	recentFrom platformlog.Offset
+	snapshots  atomic.Int64
+}
+
+// View returns the current view, never nil.
+func (f *Follower) View() *View {
+	if v := f.view.Load(); v != nil {
+		return v
+	}
+	f.view.CompareAndSwap(nil, newView(state.New()))
+	return f.view.Load()
+}
+
+// LogSeen returns when the last successful read of the log began; zero for
+// never.
+func (f *Follower) LogSeen() time.Time {
+	if t := f.logSeen.Load(); t != nil {
+		return *t
+	}
+	return time.Time{}
+}
+
+// Offer folds records that start at offset from and returns the offset that is
+// wanted next. Records that are already folded are skipped; a gap folds none.
+func (f *Follower) Offer(from platformlog.Offset, records []platformlog.Record) platformlog.Offset {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	old := f.View().State
+	skip := old.Next - from
+	if skip < 0 || int(skip) >= len(records) {
+		return old.Next
+	}
+	fresh := records[skip:]
+	s := old.Clone()
+	for _, record := range fresh {
+		if err := s.Apply(s.Next, record); err != nil {
+			f.Logger.WithError(err).Error("record not folded")
+			return old.Next
+		}
+	}
+	f.keep(old.Next, fresh)
+	f.publish(s)
+	return s.Next
+}
+
+func (f *Follower) keep(from platformlog.Offset, records []platformlog.Record) {
+	if f.recentFrom+platformlog.Offset(len(f.recent)) != from {
+		f.recent, f.recentFrom = nil, from
+	}
+	f.recent = append(f.recent, records...)
+	if extra := len(f.recent) - keptRecords; extra > 0 {
+		f.recent = append([]platformlog.Record(nil), f.recent[extra:]...)
+		f.recentFrom += platformlog.Offset(extra)
+	}
+}
+
+func (f *Follower) publish(s *state.State) {
+	v := newView(s)
+	f.view.Store(v)
+	if f.Changed != nil {
+		f.Changed(v)
+	}
+}
+
+// Install takes over a whole state if it is newer than the current one.
+func (f *Follower) Install(s *state.State) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s.Next <= f.View().State.Next {
+		return false
+	}
+	f.recent, f.recentFrom = nil, s.Next
+	f.publish(s)
+	return true
+}
+
+// RecordsFrom returns kept records from an offset on, at most limit bytes of
+// bodies but at least one record; none where the offset is not kept.
+func (f *Follower) RecordsFrom(from platformlog.Offset, limit int) []platformlog.Record {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	start := from - f.recentFrom
+	if start < 0 || int(start) >= len(f.recent) {
+		return nil
+	}
+	end, size := int(start), 0
+	for end < len(f.recent) && (size == 0 || size+len(f.recent[end].Body) <= limit) {
+		size += len(f.recent[end].Body)
+		end++
+	}
+	return f.recent[start:end:end]
+}
+
+// ReadLog reads the log once, waiting up to wait for news, and folds what it
+// finds. Where records have expired it loads a snapshot instead of skipping.
+func (f *Follower) ReadLog(ctx context.Context, wait time.Duration) error {
+	began := f.Clock.Now()
+	from := f.View().State.Next
+	batch, err := f.Log.Read(ctx, platformlog.StreamConfig, from, readBatch, wait)
+	var gap *platformlog.GapError
+	if eris.As(err, &gap) {
+		f.logSeen.Store(&began)
+		return f.LoadSnapshot(ctx, gap.First)
+	}
+	if err != nil {
+		return err
+	}
+	f.Offer(batch.From, batch.Records)
+	if f.View().State.Next >= batch.Next {
+		f.logSeen.Store(&began)
+	}
+	return nil
+}
+
+// NoSnapshotError reports that the log holds no snapshot that covers a gap.
+type NoSnapshotError struct {
+	Needed platformlog.Offset
+}
+
+// Error implements error.
+func (e *NoSnapshotError) Error() string {
+	return "the log holds no snapshot that closes the gap of expired records"
+}
+
+// LoadSnapshot installs the newest snapshot of the log that reaches at least
+// to the offset needed. It returns *NoSnapshotError where there is none.
+func (f *Follower) LoadSnapshot(ctx context.Context, needed platformlog.Offset) error {
+	bounds, err := f.Log.Tail(ctx, platformlog.StreamSnapshots)
+	if err != nil {
+		return err
+	}
+	for at := bounds.Next - 1; at >= bounds.First; at-- {
+		s, err := f.snapshotAt(ctx, at)
+		if err != nil {
+			f.Logger.WithError(err).Warn("snapshot not usable")
+			continue
+		}
+		if s.Next >= needed && f.Install(s) {
+			f.Logger.WithField("next", s.Next).Info("snapshot loaded")
+			return nil
+		}
+	}
+	return &NoSnapshotError{Needed: needed}
+}
+
+func (f *Follower) snapshotAt(ctx context.Context, at platformlog.Offset) (*state.State, error) {
+	batch, err := f.Log.Read(ctx, platformlog.StreamSnapshots, at, 1, 0)
+	if err != nil {
+		return nil, err
+	}
+	if len(batch.Records) == 0 {
+		return nil, &NoSnapshotError{Needed: at}
+	}
+	var body Snapshot
+	if err := json.Unmarshal(batch.Records[0].Body, &body); err != nil {
+		return nil, eris.Wrap(err, "decode snapshot record")
+	}
+	return state.Unmarshal(body.State, body.Digest)
+}
+
+// WriteSnapshot appends the current state to the snapshot stream.
+func (f *Follower) WriteSnapshot(ctx context.Context) error {
+	s := f.View().State
+	raw, sum, err := s.Marshal()
+	if err != nil {
+		return err
+	}
+	record, err := platformlog.NewRecord(platformlog.RecordID(fleet.NewID()), RecordSnapshot, Snapshot{Next: s.Next, Digest: sum, State: raw})
+	if err != nil {
+		return err
+	}
+	if _, err := f.Log.Append(ctx, platformlog.StreamSnapshots, record); err != nil {
+		return err
+	}
+	f.snapshots.Add(1)
+	f.Logger.WithField("next", s.Next).Info("snapshot written")
+	return nil
+}
--- /dev/null
+++ b/pkg/config/view.go
@@ -0,0 +1,102 @@
+package config
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/plantainramp/plantainramp/pkg/fleet"
+	"github.com/plantainramp/plantainramp/pkg/state"
+	"github.com/plantainramp/plantainramp/pkg/ticket"
+)
+
+// View is an immutable state with the indexes that requests need.
+type View struct {
+	State *state.State
+	// ByService lists the members of a service, in the order of their ids.
+	ByService map[fleet.ServiceName][]*state.Member
+	// ByDataCentre lists the members of a data centre, in the order of their ids.
+	ByDataCentre map[fleet.DataCentre][]*state.Member
+	// All lists every member in the order of data centre and id.
+	All   []*state.Member
+	hosts map[string]fleet.ServiceName
+}
+
+func newView(s *state.State) *View {
+	v := &View{
+		State:        s,
+		ByService:    map[fleet.ServiceName][]*state.Member{},
+		ByDataCentre: map[fleet.DataCentre][]*state.Member{},
+		hosts:        map[string]fleet.ServiceName{},
+	}
+	for _, m := range s.Members {
+		v.All = append(v.All, &m)
+	}
+	slices.SortFunc(v.All, func(a, b *state.Member) int {
+		return cmp.Or(cmp.Compare(a.DataCentre, b.DataCentre), cmp.Compare(a.ID, b.ID))
+	})
+	for _, m := range v.All {
+		v.ByService[m.Service] = append(v.ByService[m.Service], m)
+		v.ByDataCentre[m.DataCentre] = append(v.ByDataCentre[m.DataCentre], m)
+	}
+	for name, service := range s.Services {
+		if service.Value.Host != "" {
+			v.hosts[service.Value.Host] = name
+		}
+	}
+	return v
+}
+
+// Ready tells whether the view holds any configuration.
+func (v *View) Ready() bool { return v.State.Next > 0 }
+
+// Member returns a member by id, or nil.
+func (v *View) Member(id fleet.MemberID) *state.Member {
+	m, known := v.State.Members[id]
+	if !known {
+		return nil
+	}
+	return &m
+}
+
+// Service returns a service by name, or nil.
+func (v *View) Service(name fleet.ServiceName) *ticket.Service {
+	s, known := v.State.Services[name]
+	if !known {
+		return nil
+	}
+	return &s.Value
+}
+
+// ServiceOfHost returns the service that a ticket maps to a host.
+func (v *View) ServiceOfHost(host string) (fleet.ServiceName, bool) {
+	name, known := v.hosts[host]
+	return name, known
+}
+
+// Organisation returns an organisation by id, or nil.
+func (v *View) Organisation(id fleet.OrganisationID) *ticket.Organisation {
+	o, known := v.State.Organisations[id]
+	if !known {
+		return nil
+	}
+	return &o.Value
+}
+
+// Authenticate returns the organisation of a presented key, if the key is in
+// force in this view.
+func (v *View) Authenticate(presented string) (fleet.OrganisationID, bool) {
+	id, secret, ok := ticket.SplitKey(presented)
+	if !ok {
+		return "", false
+	}
+	key, known := v.State.Keys[id]
+	if !known || key.Value.State != ticket.KeyInForce || !key.Value.Digest.Matches(secret) {
+		return "", false
+	}
+	return key.Value.Organisation, true
+}
+
+// Leaving tells whether a ticket takes the instance out of service.
+func (v *View) Leaving(instance fleet.InstanceName) bool {
+	return v.State.Upstreams[instance].Value.State == ticket.UpstreamLeaving
+}
--- /dev/null
+++ b/pkg/logs/logs.go
@@ -0,0 +1,72 @@
+// Package logs makes the structured logger of every program. Each part of a
+// program logs under a fixed prefix, in the field "part".
+package logs
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Prefixes of the parts.
+const (
+	PartNode      = "node"
+	PartCaller    = "caller"
+	PartPeer      = "peer"
+	PartAdmin     = "admin"
+	PartConfig    = "config"
+	PartMember    = "member"
+	PartRate      = "rate"
+	PartAction    = "action"
+	PartAdmission = "admission"
+)
+
+// Formats of log lines.
+const (
+	FormatJSON = "json"
+	FormatText = "text"
+)
+
+// Logger writes structured log lines.
+type Logger = logrus.Entry
+
+// LevelError reports an unknown log level.
+type LevelError struct {
+	Level string
+}
+
+// Error implements error.
+func (e *LevelError) Error() string {
+	return fmt.Sprintf("log level %q is not one of debug, info, warning, error", e.Level)
+}
+
+// New returns a logger that writes to out in the given format, with the
+// instance in every line. It returns *LevelError for an unknown level.
+func New(out io.Writer, level, format, instance string) (*Logger, error) {
+	l := logrus.New()
+	l.SetOutput(out)
+	parsed, err := logrus.ParseLevel(level)
+	if err != nil {
+		return nil, &LevelError{Level: level}
+	}
+	l.SetLevel(parsed)
+	if format == FormatJSON {
+		l.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
+	} else {
+		l.SetFormatter(&logrus.TextFormatter{FullTimestamp: true, DisableColors: true})
+	}
+	return l.WithField("instance", instance), nil
+}
+
+// Discard returns a logger that writes nothing.
+func Discard() *Logger {
+	l := logrus.New()
+	l.SetOutput(io.Discard)
+	return logrus.NewEntry(l)
+}
+
+// Part returns l with the fixed prefix of a part.
+func Part(l *Logger, part string) *Logger {
+	return l.WithField("part", part)
+}
--- /dev/null
+++ b/pkg/node/node.go
@@ -0,0 +1,198 @@
+// Package node assembles one node: its faces, its filter chain for requests and
+// its controllers for state.
+package node
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/samber/do/v2"
+
+	"github.com/plantainramp/plantainramp/pkg/action"
+	"github.com/plantainramp/plantainramp/pkg/admin"
+	"github.com/plantainramp/plantainramp/pkg/admission"
+	"github.com/plantainramp/plantainramp/pkg/call"
+	"github.com/plantainramp/plantainramp/pkg/caller"
+	"github.com/plantainramp/plantainramp/pkg/clock"
+	"github.com/plantainramp/plantainramp/pkg/config"
+	"github.com/plantainramp/plantainramp/pkg/fleet"
+	"github.com/plantainramp/plantainramp/pkg/logs"
+	"github.com/plantainramp/plantainramp/pkg/member"
+	"github.com/plantainramp/plantainramp/pkg/meter"
+	"github.com/plantainramp/plantainramp/pkg/outcome"
+	"github.com/plantainramp/plantainramp/pkg/peer"
+	"github.com/plantainramp/plantainramp/pkg/platformlog"
+	"github.com/plantainramp/plantainramp/pkg/rate"
+	"github.com/plantainramp/plantainramp/pkg/route"
+	"github.com/plantainramp/plantainramp/pkg/settings"
+	"github.com/plantainramp/plantainramp/pkg/state"
+	"github.com/plantainramp/plantainramp/pkg/upstream"
+)
+
+// Node is one node. Make it with New.
+type Node struct {
+	settings *settings.Settings
+	clock    clock.Clock
+	logger   *logs.Logger
+	version  string
+	self     fleet.MemberID
+	start    time.Time
+
+	// upstreamState is what the upstream last announced.
+	upstreamState atomic.Pointer[Announcement]
+	stopping      atomic.Bool
+
+	log         *platformlog.Client
+	meter       *meter.Meter
+	follower    *config.Follower
+	pool        *peer.Pool
+	links       *route.Links
+	upstream    *upstream.Client
+	admission   *admission.Controller
+	outcomes    *outcome.Store
+	spread      *member.Spread
+	announcer   *member.Announcer
+	lender      *rate.Lender
+	borrower    *rate.Borrower
+	claimer     *rate.Claimer
+	recorder    *action.Recorder
+	writer      *action.Writer
+	router      *route.Router
+	peers       *Peers
+	callers     *caller.Face
+	callsOut    *caller.Face
+	admin       *admin.Face
+	snapshotter *config.Snapshotter
+	watch       *member.Watch
+}
+
+// New makes a node from what the injector provides: *settings.Settings,
+// clock.Clock, *logs.Logger and the version under the name "version".
+func New(i do.Injector) (*Node, error) {
+	n := &Node{self: fleet.MemberID(fleet.NewID())}
+	var err error
+	if n.settings, err = do.Invoke[*settings.Settings](i); err != nil {
+		return nil, err
+	}
+	if n.clock, err = do.Invoke[clock.Clock](i); err != nil {
+		return nil, err
+	}
+	if n.logger, err = do.Invoke[*logs.Logger](i); err != nil {
+		return nil, err
+	}
+	if n.version, err = do.InvokeNamed[string](i, "version"); err != nil {
+		return nil, err
+	}
+	n.start = n.clock.Now()
+	n.logger = n.logger.WithField("member", n.self)
+	n.makeState()
+	n.makeRates()
+	n.makeActions()
+	n.makeRequests()
+	n.makeFaces()
+	return n, nil
+}
+
+func (n *Node) part(name string) *logs.Logger { return logs.Part(n.logger, name) }
+
+func (n *Node) makeState() {
+	n.meter = meter.New()
+	n.log = &platformlog.Client{URL: n.settings.LogURL}
+	n.links = &route.Links{Clock: n.clock}
+	n.follower = &config.Follower{Log: n.log, Clock: n.clock, Logger: n.part(logs.PartConfig)}
+	n.follower.Changed = n.onChange
+	n.pool = &peer.Pool{Secret: n.settings.Secret, Clock: n.clock}
+	n.spread = &member.Spread{
+		Self: n.self, DataCentre: n.settings.DataCentre, Seeds: n.settings.Seeds, Follower: n.follower,
+		Pool: n.pool, Clock: n.clock, Start: n.start, Logger: n.part(logs.PartMember),
+	}
+	n.announcer = &member.Announcer{Spread: n.spread, Member: n.member()}
+	n.watch = &member.Watch{Spread: n.spread, SilentElsewhere: n.settings.RateLease}
+	n.snapshotter = &config.Snapshotter{Self: n.self, Follower: n.follower, Retention: n.settings.Retention}
+}
+
+func (n *Node) member() state.Member {
+	return state.Member{
+		ID: n.self, Instance: n.settings.Instance, Service: n.settings.Service, DataCentre: n.settings.DataCentre,
+		Region: n.settings.Region, PeerAddress: n.settings.Peers, AdminAddress: n.settings.Admin,
+	}
+}
+
+func (n *Node) makeRates() {
+	n.lender = &rate.Lender{Self: n.self, Follower: n.follower, Clock: n.clock, Lease: n.settings.RateLease}
+	n.borrower = &rate.Borrower{Self: n.self, Follower: n.follower, Clock: n.clock, Ask: n.borrow, Off: !n.settings.Overload}
+	n.claimer = &rate.Claimer{Lender: n.lender, Log: n.log, Logger: n.part(logs.PartRate)}
+}
+
+func (n *Node) makeActions() {
+	n.recorder = &action.Recorder{Log: n.log, Clock: n.clock, Logger: n.part(logs.PartAction)}
+	n.writer = &action.Writer{
+		Self: n.self, Follower: n.follower, Clock: n.clock, Logger: n.part(logs.PartAction),
+		Intend: n.intend, Recall: n.recall,
+	}
+}
+
+func (n *Node) makeRequests() {
+	n.upstream = &upstream.Client{Address: n.settings.Upstream, Clock: n.clock, MaxAnswer: n.settings.MaxAnswer}
+	n.admission = &admission.Controller{Clock: n.clock, Off: !n.settings.Overload}
+	n.upstream.Down = n.admission.Cold
+	n.outcomes = &outcome.Store{Clock: n.clock}
+	n.peers = &Peers{
+		Self: n.self, Clock: n.clock, Start: n.start, Follower: n.follower, Spread: n.spread, Outcomes: n.outcomes,
+		Admitted: call.Chain(n.upstream.Handle, n.admission.Filter()), Load: n.admission.Load,
+		Lender: n.lender, Recorder: n.recorder, Writer: n.writer, Leaving: n.leaving,
+	}
+	n.router = &route.Router{
+		Self: n.self, DataCentre: n.settings.DataCentre, Follower: n.follower, Pool: n.pool, Clock: n.clock,
+		Links: n.links, Throttle: &route.Throttle{Clock: n.clock}, Logger: n.part(logs.PartNode),
+		Local: n.peers.RunLocal, Off: !n.settings.Overload,
+	}
+}
+
+func (n *Node) makeFaces() {
+	entrance := call.Chain(n.router.Handle, n.writer.Filter(), n.borrower.Filter())
+	n.callers = &caller.Face{
+		Follower: n.follower, Clock: n.clock, Logger: n.part(logs.PartCaller), Meter: n.meter, Handler: entrance,
+		Ready: n.ready, MaxBody: n.settings.MaxBody, Deadline: n.settings.Deadline,
+	}
+	deeper := call.Chain(n.router.Handle, n.writer.Filter())
+	n.callsOut = &caller.Face{
+		Follower: n.follower, Clock: n.clock, Logger: n.part(logs.PartCaller), Meter: n.meter, Handler: deeper,
+		Parents: n.upstream.Running,
+		Ready:   n.ready, MaxBody: n.settings.MaxBody, Deadline: n.settings.Deadline,
+	}
+	n.admin = &admin.Face{Follower: n.follower, Status: n.status, Metrics: n.meter.Handler(), Version: n.version}
+}
+
+func (n *Node) ready() bool { return n.follower.View().Ready() }
+
+// leaving tells whether the instance takes no new work: the node stops, the
+// upstream drains or is not there, or a ticket says so.
+func (n *Node) leaving() bool {
+	announced := n.upstreamState.Load()
+	return n.stopping.Load() || announced == nil || announced.State != UpstreamServing ||
+		n.follower.View().Leaving(n.settings.Instance)
+}
+
+// onChange brings the controllers up to a new view.
+func (n *Node) onChange(v *config.View) {
+	n.links.Update(v)
+	n.lender.Update(v)
+}
+
+func (n *Node) status() admin.Status {
+	s := n.follower.View().State
+	_, digest, _ := s.Marshal()
+	load := n.admission.Load()
+	seen := int64(-1)
+	if at := n.follower.LogSeen(); !at.IsZero() {
+		seen = n.clock.Now().Sub(at).Milliseconds()
+	}
+	announced := n.upstreamState.Load()
+	return admin.Status{
+		Member: n.self, Instance: n.settings.Instance, Service: n.settings.Service, DataCentre: n.settings.DataCentre,
+		Next: s.Next, Digest: digest, LogSeenMs: seen, InFlight: load.InFlight, Limit: load.Limit, Queued: load.Queued,
+		Shed: n.admission.Shed(), RateSlots: n.lender.Held(), Leaving: n.leaving(),
+		UpstreamReady: announced != nil && announced.State == UpstreamServing,
+	}
+}
--- /dev/null
+++ b/pkg/peer/auth.go
@@ -0,0 +1,70 @@
+// Package peer carries messages between nodes: Twirp over HTTP with a message
+// authentication code on every request, and calls that survive connections
+// which go silent.
+package peer
+
+import (
+	"bytes"
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"net/http"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// headerMAC carries the authentication code of a peer request.
+	headerMAC = "Plantainramp-Peer-Mac"
+	// maxMessage bounds a peer message in bytes.
+	maxMessage = 32 << 20
+)
+
+// Secret is shared by all nodes of a fleet.
+type Secret []byte
+
+func (s Secret) code(path string, body []byte) string {
+	mac := hmac.New(sha256.New, s)
+	_, _ = mac.Write([]byte(path))
+	_, _ = mac.Write([]byte{0})
+	_, _ = mac.Write(body)
+	return hex.EncodeToString(mac.Sum(nil))
+}
+
+// signer adds the code to each request.
+type signer struct {
+	secret Secret
+	next   *http.Client
+}
+
+// Do implements the HTTP client that Twirp asks for.
+func (s *signer) Do(req *http.Request) (*http.Response, error) {
+	body, err := io.ReadAll(req.Body)
+	if err != nil {
+		return nil, eris.Wrap(err, "read peer request")
+	}
+	req.Body = io.NopCloser(bytes.NewReader(body))
+	req.ContentLength = int64(len(body))
+	req.GetBody = nil
+	req.Header.Set(headerMAC, s.secret.code(req.URL.Path, body))
+	return s.next.Do(req)
+}
+
+// Verify lets only requests with a right code through to next.
+func Verify(secret Secret, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxMessage))
+		if err != nil {
+			http.Error(w, "message too large or cut short", http.StatusBadRequest)
+			return
+		}
+		want := secret.code(r.URL.Path, body)
+		if !hmac.Equal([]byte(want), []byte(r.Header.Get(headerMAC))) {
+			http.Error(w, "not a node of this fleet", http.StatusForbidden)
+			return
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		next.ServeHTTP(w, r)
+	})
+}
--- /dev/null
+++ b/pkg/problem/problem.go
@@ -0,0 +1,132 @@
+// Package problem holds the refusals that callers see, in the form of RFC 9457
+// problem details with the extra member "run".
+package problem
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Run tells whether the refused call ran.
+type Run string
+
+// Fates of a refused call.
+const (
+	// RunNo means the call did not run and never will.
+	RunNo Run = "no"
+	// RunYes means the call ran.
+	RunYes Run = "yes"
+	// RunUnknown means the call may have run, or may still.
+	RunUnknown Run = "unknown"
+)
+
+// ContentType is the media type of a problem answer.
+const ContentType = "application/problem+json"
+
+// Kind is the stable last part of a problem's type.
+type Kind string
+
+// Kinds of problems.
+const (
+	KindMalformed   Kind = "malformed"
+	KindKey         Kind = "key"
+	KindForbidden   Kind = "forbidden"
+	KindNotFound    Kind = "notFound"
+	KindTooLarge    Kind = "tooLarge"
+	KindConflict    Kind = "keyReused"
+	KindRate        Kind = "rate"
+	KindShed        Kind = "shed"
+	KindLeaving     Kind = "leaving"
+	KindNotReady    Kind = "notReady"
+	KindDeadline    Kind = "deadline"
+	KindUnreachable Kind = "unreachable"
+	KindUncertain   Kind = "uncertain"
+	KindActionLog   Kind = "actionLog"
+)
+
+type shape struct {
+	status int
+	title  string
+}
+
+var shapes = map[Kind]shape{
+	KindMalformed:   {http.StatusBadRequest, "The request is malformed."},
+	KindKey:         {http.StatusUnauthorized, "No key, an unknown key or a withdrawn key."},
+	KindForbidden:   {http.StatusForbidden, "The key's organisation may not do this."},
+	KindNotFound:    {http.StatusNotFound, "No such service or route."},
+	KindTooLarge:    {http.StatusRequestEntityTooLarge, "The request is too large."},
+	KindConflict:    {http.StatusUnprocessableEntity, "The idempotency key was used for another request."},
+	KindRate:        {http.StatusTooManyRequests, "The organisation is over its rate."},
+	KindShed:        {http.StatusServiceUnavailable, "The call was shed under overload."},
+	KindLeaving:     {http.StatusServiceUnavailable, "The instance is leaving."},
+	KindNotReady:    {http.StatusServiceUnavailable, "The node holds no configuration yet."},
+	KindDeadline:    {http.StatusGatewayTimeout, "The deadline passed."},
+	KindUnreachable: {http.StatusServiceUnavailable, "No instance of the service could be reached."},
+	KindUncertain:   {http.StatusBadGateway, "The answer was lost; the call may have run."},
+	KindActionLog:   {http.StatusServiceUnavailable, "The action could not be recorded before running."},
+}
+
+// Error is a refusal. It is the only error that reaches a caller.
+type Error struct {
+	Kind   Kind
+	Detail string
+	Run    Run
+	// RetryAfter is zero where a retry has no known time.
+	RetryAfter time.Duration
+	// Full is true where every instance that may run the call refused for
+	// load, so that retrying elsewhere cannot help.
+	Full bool
+}
+
+// New returns a refusal of a call that certainly did not run.
+func New(kind Kind, detail string) *Error {
+	return &Error{Kind: kind, Detail: detail, Run: RunNo}
+}
+
+// Uncertain returns a refusal of a call whose fate is not known.
+func Uncertain(kind Kind, detail string) *Error {
+	return &Error{Kind: kind, Detail: detail, Run: RunUnknown}
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s (run %s): %s", e.Kind, e.Run, e.Detail)
+}
+
+// Status returns the HTTP status of the refusal.
+func (e *Error) Status() int {
+	if s, known := shapes[e.Kind]; known {
+		return s.status
+	}
+	return http.StatusInternalServerError
+}
+
+// Document is the JSON form of a refusal.
+type Document struct {
+	Type   string `json:"type"`
+	Title  string `json:"title"`
+	Status int    `json:"status"`
+	Detail string `json:"detail"`
+	Run    Run    `json:"run"`
+}
+
+// Write sends the refusal as an HTTP answer.
+func (e *Error) Write(w http.ResponseWriter) {
+	w.Header().Set("Content-Type", ContentType)
+	if e.RetryAfter > 0 {
+		seconds := int(math.Ceil(e.RetryAfter.Seconds()))
+		w.Header().Set("Retry-After", strconv.Itoa(seconds))
+	}
+	w.WriteHeader(e.Status())
+	_ = json.NewEncoder(w).Encode(Document{
+		Type:   "urn:plantainramp:problem:" + string(e.Kind),
+		Title:  shapes[e.Kind].title,
+		Status: e.Status(),
+		Detail: e.Detail,
+		Run:    e.Run,
+	})
+}
--- /dev/null
+++ b/pkg/rate/claimer.go
@@ -0,0 +1,127 @@
+package rate
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/plantainramp/plantainramp/pkg/clock"
+	"github.com/plantainramp/plantainramp/pkg/config"
+	"github.com/plantainramp/plantainramp/pkg/fleet"
+	"github.com/plantainramp/plantainramp/pkg/logs"
+	"github.com/plantainramp/plantainramp/pkg/platformlog"
+	"github.com/plantainramp/plantainramp/pkg/state"
+)
+
+const (
+	// claimEvery is the period in which vacant slots are looked for.
+	claimEvery = 500 * time.Millisecond
+	// claimRank is how long each next-ranked member holds back its claim.
+	claimRank = time.Second
+	// balanceRounds is the number of rounds between two slots given away.
+	balanceRounds = 4
+)
+
+// Claimer takes vacant rate slots for this node and gives away slots that
+// another member should hold. All fields must be set.
+type Claimer struct {
+	Lender *Lender
+	Log    *platformlog.Client
+	Logger *logs.Logger
+
+	vacant map[int]time.Time
+	rounds int
+}
+
+// Run claims and balances until ctx ends.
+func (c *Claimer) Run(ctx context.Context) {
+	c.vacant = map[int]time.Time{}
+	period := func() time.Duration { return claimEvery/2 + rand.N(claimEvery) }
+	clock.Every(ctx, c.Lender.Clock, period, c.round)
+}
+
+// rankOf returns how many members come before this one for a slot.
+func rankOf(v *config.View, slot int, self fleet.MemberID) int {
+	owner := "slot." + strconv.Itoa(slot)
+	own := fleet.Score(owner, self)
+	rank := 0
+	for _, m := range v.All {
+		if m.ID != self && fleet.Score(owner, m.ID) > own {
+			rank++
+		}
+	}
+	return rank
+}
+
+func (c *Claimer) round(ctx context.Context) {
+	v := c.Lender.Follower.View()
+	if v.Member(c.Lender.Self) == nil {
+		return
+	}
+	records := c.claims(v)
+	c.rounds++
+	if c.rounds%balanceRounds == 0 {
+		records = append(records, c.giveAway(v)...)
+	}
+	if len(records) == 0 {
+		return
+	}
+	if _, err := c.Log.Append(ctx, platformlog.StreamConfig, records...); err != nil {
+		c.Logger.WithError(err).Warn("slots not claimed yet")
+		return
+	}
+	_ = c.Lender.Follower.ReadLog(ctx, 0)
+}
+
+// claims returns claims for slots that have been vacant for as long as this
+// node's rank asks for.
+func (c *Claimer) claims(v *config.View) []platformlog.Record {
+	var records []platformlog.Record
+	now := c.Lender.Clock.Now()
+	for i, slot := range v.State.Slots {
+		if slot.Holder != "" {
+			delete(c.vacant, i)
+			continue
+		}
+		since, seen := c.vacant[i]
+		if !seen {
+			since = now
+			c.vacant[i] = now
+		}
+		if now.Sub(since) < time.Duration(rankOf(v, i, c.Lender.Self))*claimRank {
+			continue
+		}
+		claim := state.SlotClaim{Slot: i, Member: c.Lender.Self, After: slot.Epoch}
+		records = c.add(records, state.RecordSlotClaim, claim)
+	}
+	return records
+}
+
+// giveAway releases one slot whose first-ranked member is another, if this
+// node holds more than an even share.
+func (c *Claimer) giveAway(v *config.View) []platformlog.Record {
+	even := (state.SlotCount + len(v.All) - 1) / len(v.All)
+	if c.Lender.Held() <= even {
+		return nil
+	}
+	for i, slot := range v.State.Slots {
+		if slot.Holder != c.Lender.Self || rankOf(v, i, c.Lender.Self) == 0 {
+			continue
+		}
+		if release, held := c.Lender.Drop(i); held {
+			c.Logger.WithField("slot", i).Info("rate slot given away")
+			return c.add(nil, state.RecordSlotRelease, release)
+		}
+	}
+	return nil
+}
+
+func (c *Claimer) add(records []platformlog.Record, kind platformlog.Kind, body any) []platformlog.Record {
+	record, err := platformlog.NewRecord(platformlog.RecordID(fleet.NewID()), kind, body)
+	if err != nil {
+		c.Logger.WithError(err).Error("slot record not written")
+		return records
+	}
+	return append(records, record)
+}
--- /dev/null
+++ b/pkg/rate/slots.go
@@ -0,0 +1,78 @@
+// Package rate keeps every organisation within its rate and burst over the
+// whole fleet. Rate slots, held by members through the log, each carry an equal
+// part of an organisation's rate and burst; the holder of a slot lends whole
+// tokens for a short term to the nodes where calls enter. An amount is in one
+// place at a time: a lender deducts before it answers, and what is lost on the
+// way is lost until the loan's term has surely passed.
+package rate
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/plantainramp/plantainramp/pkg/fleet"
+	"github.com/plantainramp/plantainramp/pkg/state"
+	"github.com/plantainramp/plantainramp/pkg/ticket"
+)
+
+const (
+	// burstPerSlot is the least burst, in tokens, that a slot carries, unless
+	// the organisation has less in all.
+	burstPerSlot = 8
+	// loanTerm is how long a borrower may use a loan, from before it asked.
+	loanTerm = 2 * time.Second
+	// clockMargin covers clocks that run at different speeds.
+	clockMargin = 200 * time.Millisecond
+	// startWindow is how long after its token was taken a call may start.
+	startWindow = 250 * time.Millisecond
+	// DefaultLease is how long a slot's holder may lend without having read
+	// the log, and how long a successor waits after a silent end.
+	DefaultLease = time.Hour
+)
+
+// slotsOf returns the slots that carry an organisation, ordered by the node
+// that asks, so that different nodes prefer different ones.
+func slotsOf(o *ticket.Organisation, asker fleet.MemberID) []int {
+	slots := carriers(o)
+	slices.SortFunc(slots, func(a, b int) int {
+		return cmp.Compare(fleet.Score(strconv.Itoa(b), asker), fleet.Score(strconv.Itoa(a), asker))
+	})
+	return slots
+}
+
+// carriers returns the slots that carry an organisation: as many as keep
+// burstPerSlot in each, chosen by rendezvous hashing.
+func carriers(o *ticket.Organisation) []int {
+	count := min(max(int(o.Burst/burstPerSlot), 1), state.SlotCount)
+	all := make([]int, state.SlotCount)
+	for i := range all {
+		all[i] = i
+	}
+	slices.SortFunc(all, func(a, b int) int {
+		return cmp.Compare(slotScore(o.ID, b), slotScore(o.ID, a))
+	})
+	return all[:count]
+}
+
+func slotScore(o fleet.OrganisationID, slot int) uint64 {
+	return fleet.Score(strconv.Itoa(slot), fleet.MemberID(o))
+}
+
+// part is what one slot carries of an organisation.
+type part struct {
+	rate  fleet.Rate
+	burst fleet.Tokens
+}
+
+// partOf returns what a slot carries of an organisation; nothing where the slot
+// is none of its carriers.
+func partOf(o *ticket.Organisation, slot int) part {
+	slots := carriers(o)
+	if !slices.Contains(slots, slot) {
+		return part{}
+	}
+	n := len(slots)
+	return part{rate: o.Rate / fleet.Rate(n), burst: o.Burst / fleet.Tokens(n)}
+}
--- /dev/null
+++ b/pkg/settings/settings.go
@@ -0,0 +1,203 @@
+// Package settings reads the INI settings of a node.
+package settings
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/plantainramp/plantainramp/pkg/fleet"
+	"github.com/plantainramp/plantainramp/pkg/inifile"
+	"github.com/plantainramp/plantainramp/pkg/logs"
+	"github.com/plantainramp/plantainramp/pkg/rate"
+)
+
+// Example is a commented settings file that passes its own check.
+const Example = `# Settings of plantainnode. Durations need a unit.
+
+[node]
+# Name of the upstream instance that this node stands beside.
+instance = calendar-1
+# Service that the upstream instance belongs to.
+service = calendar
+dataCentre = cap-vert-1
+region = senegal
+
+[listen]
+# Callers of the organisations.
+callers = 127.0.0.1:7000
+# The upstream's own calls to other services; loopback only.
+callsOut = 127.0.0.1:7001
+# Other nodes; this address is announced to them.
+peers = 127.0.0.1:7002
+# Operators.
+admin = 127.0.0.1:7003
+
+[upstream]
+address = 127.0.0.1:8000
+
+[log]
+url = http://127.0.0.1:6000
+# How long the log keeps records; snapshots are written well inside it.
+retention = 24h
+
+[peers]
+# File with the secret that all nodes of the fleet share, at least 16 bytes.
+secretFile = /etc/plantainramp/peer.secret
+# Peer faces to ask for the state while the log is out, separated by commas.
+seeds =
+
+[limits]
+maxBody = 1048576
+maxAnswer = 8388608
+maxHeader = 32768
+# Deadline of calls that name none.
+deadline = 5s
+
+[policy]
+# false runs every call at once, retries blindly and sheds nothing.
+overload = true
+# How long a holder of rate slots lends without reading the log.
+rateLease = 1h
+# How long callers are answered after a stop was asked for.
+drain = 1s
+
+[logs]
+level = info
+format = json
+`
+
+// Settings of one node.
+type Settings struct {
+	Instance   fleet.InstanceName
+	Service    fleet.ServiceName
+	DataCentre fleet.DataCentre
+	Region     fleet.Region
+
+	Callers, CallsOut, Peers, Admin string
+
+	Upstream string
+
+	LogURL    string
+	Retention time.Duration
+
+	Secret []byte
+	Seeds  []string
+
+	MaxBody, MaxAnswer int64
+	MaxHeader          int
+	Deadline           time.Duration
+
+	Overload  bool
+	RateLease time.Duration
+	Drain     time.Duration
+
+	LogLevel, LogFormat string
+}
+
+// FileError reports a file that cannot be read.
+type FileError struct {
+	Path  string
+	Cause error
+}
+
+// Error implements error.
+func (e *FileError) Error() string {
+	return fmt.Sprintf("cannot read %s: %s", e.Path, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *FileError) Unwrap() error { return e.Cause }
+
+// Load reads a settings file and the secret it names. It returns *FileError or
+// *inifile.InvalidError.
+func Load(path string) (*Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &FileError{Path: path, Cause: err}
+	}
+	return Parse(path, text, os.ReadFile)
+}
+
+// Parse reads settings from a text; readFile reads the secret.
+func Parse(name string, text []byte, readFile func(string) ([]byte, error)) (*Settings, error) {
+	f, err := inifile.Parse(name, text)
+	if err != nil {
+		return nil, eris.Wrap(err, "settings")
+	}
+	s := &Settings{}
+	s.readNode(f.Section("node"))
+	s.readListen(f.Section("listen"))
+	s.Upstream = f.Section("upstream").Address("address")
+	log := f.Section("log")
+	s.LogURL = log.URL("url")
+	s.Retention = log.Duration("retention", 24*time.Hour, time.Second)
+	s.readPeers(f.Section("peers"), readFile)
+	s.readLimits(f.Section("limits"))
+	s.readPolicy(f.Section("policy"))
+	logging := f.Section("logs")
+	s.LogLevel = logging.OneOf("level", "info", "debug", "info", "warning", "error")
+	s.LogFormat = logging.OneOf("format", logs.FormatJSON, logs.FormatJSON, logs.FormatText)
+	if err := f.Finish(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Settings) readNode(n *inifile.Section) {
+	s.Instance = fleet.InstanceName(n.Required("instance", "the name of the upstream instance"))
+	s.Service = fleet.ServiceName(n.Required("service", "the service of the upstream instance"))
+	s.DataCentre = fleet.DataCentre(n.Required("dataCentre", "the data centre of the instance"))
+	s.Region = fleet.Region(n.String("region", ""))
+}
+
+func (s *Settings) readListen(l *inifile.Section) {
+	taken := map[string]string{}
+	read := func(key string) string {
+		address := l.Address(key)
+		if other, clash := taken[address]; clash && address != "" {
+			l.Problem(key, fmt.Sprintf("%s = %s clashes with %s", key, address, other), "an address and port of its own")
+		}
+		taken[address] = key
+		return address
+	}
+	s.Callers = read("callers")
+	s.CallsOut = read("callsOut")
+	s.Peers = read("peers")
+	s.Admin = read("admin")
+}
+
+// minSecret is the least length of the peer secret in bytes.
+const minSecret = 16
+
+func (s *Settings) readPeers(p *inifile.Section, readFile func(string) ([]byte, error)) {
+	path := p.Required("secretFile", "a file with the secret that all nodes share")
+	if path != "" {
+		secret, err := readFile(path)
+		if err != nil || len(secret) < minSecret {
+			p.Problem("secretFile", fmt.Sprintf("secretFile = %q cannot be used", path), fmt.Sprintf("a readable file of at least %d bytes", minSecret))
+		}
+		s.Secret = secret
+	}
+	for _, seed := range strings.Split(p.String("seeds", ""), ",") {
+		if seed = strings.TrimSpace(seed); seed != "" {
+			s.Seeds = append(s.Seeds, seed)
+		}
+	}
+}
+
+func (s *Settings) readLimits(l *inifile.Section) {
+	s.MaxBody = int64(l.Int("maxBody", 1<<20, 1, 16<<20))
+	s.MaxAnswer = int64(l.Int("maxAnswer", 8<<20, 1, 16<<20))
+	s.MaxHeader = l.Int("maxHeader", 32<<10, 1<<10, 1<<20)
+	s.Deadline = l.Duration("deadline", 5*time.Second, time.Millisecond)
+}
+
+func (s *Settings) readPolicy(p *inifile.Section) {
+	s.Overload = p.Bool("overload", true)
+	s.RateLease = p.Duration("rateLease", rate.DefaultLease, time.Second)
+	s.Drain = p.Duration("drain", time.Second, 0)
+}
--- /dev/null
+++ b/pkg/state/records.go
@@ -0,0 +1,68 @@
+package state
+
+import (
+	"github.com/plantainramp/plantainramp/pkg/fleet"
+	"github.com/plantainramp/plantainramp/pkg/platformlog"
+)
+
+// Kinds of records in the config stream, besides tickets.
+const (
+	RecordMemberJoin  platformlog.Kind = "memberJoin"
+	RecordMemberEnd   platformlog.Kind = "memberEnd"
+	RecordSlotClaim   platformlog.Kind = "slotClaim"
+	RecordSlotRelease platformlog.Kind = "slotRelease"
+)
+
+// Evidence tells how the end of a member is known. It decides how long a
+// successor to its rate slots must wait.
+type Evidence string
+
+// Kinds of evidence.
+const (
+	// EvidenceLeft: the member said so itself, after it stopped lending.
+	EvidenceLeft Evidence = "left"
+	// EvidenceRefused: its address refuses connections; no process listens.
+	EvidenceRefused Evidence = "refused"
+	// EvidenceReplaced: another member listens on its address.
+	EvidenceReplaced Evidence = "replaced"
+	// EvidenceSilent: it does not answer; it may be paused or cut off.
+	EvidenceSilent Evidence = "silent"
+)
+
+// Certain tells whether the evidence proves that the process has stopped.
+func (e Evidence) Certain() bool { return e != EvidenceSilent }
+
+// Member is one incarnation of a node, as it announced itself.
+type Member struct {
+	ID         fleet.MemberID     `json:"id"`
+	Instance   fleet.InstanceName `json:"instance"`
+	Service    fleet.ServiceName  `json:"service"`
+	DataCentre fleet.DataCentre   `json:"dataCentre"`
+	Region     fleet.Region       `json:"region"`
+	// PeerAddress is the IP and port of the peer face, unique among members.
+	PeerAddress  string `json:"peerAddress"`
+	AdminAddress string `json:"adminAddress"`
+	// Slots is the upstream's own word for how many calls it runs at once.
+	Slots int `json:"slots"`
+}
+
+// MemberEnd takes a member off the list.
+type MemberEnd struct {
+	Member   fleet.MemberID `json:"member"`
+	Evidence Evidence       `json:"evidence"`
+	Witness  fleet.MemberID `json:"witness"`
+}
+
+// SlotClaim takes a rate slot. It names the epoch it follows.
+type SlotClaim struct {
+	Slot   int            `json:"slot"`
+	Member fleet.MemberID `json:"member"`
+	After  Epoch          `json:"after"`
+}
+
+// SlotRelease gives a rate slot back after the holder stopped lending from it.
+type SlotRelease struct {
+	Slot   int            `json:"slot"`
+	Member fleet.MemberID `json:"member"`
+	Epoch  Epoch          `json:"epoch"`
+}
--- /dev/null
+++ b/pkg/state/tickets.go
@@ -0,0 +1,191 @@
+package state
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/plantainramp/plantainramp/pkg/fleet"
+	"github.com/plantainramp/plantainramp/pkg/platformlog"
+	"github.com/plantainramp/plantainramp/pkg/ticket"
+)
+
+// keptConflicts bounds the refusals of taken numbers that are remembered.
+const keptConflicts = 1000
+
+// applyTicket decides on a ticket, all or nothing. The first ticket with a
+// number decides what the number means for good.
+func (s *State) applyTicket(offset platformlog.Offset, t *ticket.Ticket) {
+	v := Verdict{
+		Number: t.Number, Digest: t.Digest(), Author: t.Author, Reason: t.Reason,
+		Offset: offset, Objects: touched(t),
+	}
+	first, used := s.Verdicts[t.Number]
+	if used && first.Digest == v.Digest {
+		return
+	}
+	if used || t.Number <= s.Floor {
+		v.Why = fmt.Sprintf("number %d is taken by another ticket; file under a new number", t.Number)
+		s.addConflict(v)
+		return
+	}
+	v.Why = s.objection(t)
+	v.Accepted = v.Why == ""
+	if v.Accepted {
+		s.put(offset, t)
+	}
+	s.Verdicts[t.Number] = v
+	s.forgetOldVerdicts()
+}
+
+func touched(t *ticket.Ticket) []ticket.Ref {
+	refs := slices.Collect(maps.Keys(t.Against))
+	slices.SortFunc(refs, func(a, b ticket.Ref) int { return cmp.Compare(a.String(), b.String()) })
+	return refs
+}
+
+func (s *State) addConflict(v Verdict) {
+	if len(s.Conflicts) >= keptConflicts {
+		oldest := slices.MinFunc(slices.Collect(maps.Values(s.Conflicts)), func(a, b Verdict) int {
+			return cmp.Compare(a.Offset, b.Offset)
+		})
+		delete(s.Conflicts, oldest.Digest)
+	}
+	if _, known := s.Conflicts[v.Digest]; !known {
+		s.Conflicts[v.Digest] = v
+	}
+}
+
+func (s *State) forgetOldVerdicts() {
+	if len(s.Verdicts) <= keptVerdicts {
+		return
+	}
+	lowest := slices.Min(slices.Collect(maps.Keys(s.Verdicts)))
+	delete(s.Verdicts, lowest)
+	s.Floor = max(s.Floor, lowest)
+}
+
+// VerdictOn returns the verdict on a ticket by number and content.
+func (s *State) VerdictOn(number fleet.TicketNumber, digest ticket.Digest) (Verdict, bool) {
+	if v, known := s.Verdicts[number]; known && v.Digest == digest {
+		return v, true
+	}
+	v, known := s.Conflicts[digest]
+	return v, known
+}
+
+// objection returns why the ticket must be refused, or nothing.
+func (s *State) objection(t *ticket.Ticket) string {
+	if listed(t) != len(t.Against) || len(t.Against) == 0 {
+		return "the ticket must name, for each object, the ticket it was written against"
+	}
+	for _, ref := range touched(t) {
+		inForce := s.InForceNumber(ref)
+		if t.Against[ref] != inForce {
+			return fmt.Sprintf("%s is at ticket %d, but this was written against %d; read what is in force and file anew", ref, inForce, t.Against[ref])
+		}
+		if t.Number <= inForce {
+			return fmt.Sprintf("%s is at ticket %d, which is not below %d; file under a higher number", ref, inForce, t.Number)
+		}
+	}
+	return s.invalidObject(t)
+}
+
+// listed counts the objects of the ticket that Against names, and returns -1
+// where one is missing there.
+func listed(t *ticket.Ticket) int {
+	seen := map[ticket.Ref]bool{}
+	for ref := range objects(t) {
+		if _, named := t.Against[ref]; !named || seen[ref] {
+			return -1
+		}
+		seen[ref] = true
+	}
+	return len(seen)
+}
+
+func objects(t *ticket.Ticket) func(yield func(ticket.Ref) bool) {
+	return func(yield func(ticket.Ref) bool) {
+		for _, o := range t.Organisations {
+			if !yield(ticket.Ref{Kind: ticket.KindOrganisation, Name: string(o.ID)}) {
+				return
+			}
+		}
+		for _, k := range t.Keys {
+			if !yield(ticket.Ref{Kind: ticket.KindKey, Name: string(k.ID)}) {
+				return
+			}
+		}
+		for _, v := range t.Services {
+			if !yield(ticket.Ref{Kind: ticket.KindService, Name: string(v.Name)}) {
+				return
+			}
+		}
+		for _, u := range t.Upstreams {
+			if !yield(ticket.Ref{Kind: ticket.KindUpstream, Name: string(u.Instance)}) {
+				return
+			}
+		}
+	}
+}
+
+func (s *State) invalidObject(t *ticket.Ticket) string {
+	for _, o := range t.Organisations {
+		if o.Rate < 0 || o.Rate > ticket.MaxRate || o.Burst < 1 || o.Burst > ticket.MaxBurst || o.Weight <= 0 {
+			return fmt.Sprintf("organisation %s has a rate, burst or weight out of range", o.ID)
+		}
+	}
+	for _, k := range t.Keys {
+		_, exists := s.Organisations[k.Organisation]
+		added := slices.ContainsFunc(t.Organisations, func(o ticket.Organisation) bool { return o.ID == k.Organisation })
+		if !exists && !added {
+			return fmt.Sprintf("key %s is for organisation %s, which no ticket has made", k.ID, k.Organisation)
+		}
+		if !k.Digest.Valid() {
+			return fmt.Sprintf("key %s has no valid digest", k.ID)
+		}
+	}
+	for _, v := range t.Services {
+		for _, r := range v.Routes {
+			if _, err := ticket.ParseRoute(r.String()); err != nil {
+				return fmt.Sprintf("service %s has a bad route: %s", v.Name, err)
+			}
+		}
+	}
+	return ""
+}
+
+// InForceNumber returns the ticket that set an object, 0 for none.
+func (s *State) InForceNumber(ref ticket.Ref) fleet.TicketNumber {
+	switch ref.Kind {
+	case ticket.KindOrganisation:
+		return s.Organisations[fleet.OrganisationID(ref.Name)].Ticket
+	case ticket.KindKey:
+		return s.Keys[fleet.KeyID(ref.Name)].Ticket
+	case ticket.KindService:
+		return s.Services[fleet.ServiceName(ref.Name)].Ticket
+	case ticket.KindUpstream:
+		return s.Upstreams[fleet.InstanceName(ref.Name)].Ticket
+	}
+	return 0
+}
+
+func (s *State) put(offset platformlog.Offset, t *ticket.Ticket) {
+	for _, o := range t.Organisations {
+		s.Organisations[o.ID] = next(s.Organisations[o.ID], o, t.Number, offset)
+	}
+	for _, k := range t.Keys {
+		s.Keys[k.ID] = next(s.Keys[k.ID], k, t.Number, offset)
+	}
+	for _, v := range t.Services {
+		s.Services[v.Name] = next(s.Services[v.Name], v, t.Number, offset)
+	}
+	for _, u := range t.Upstreams {
+		s.Upstreams[u.Instance] = next(s.Upstreams[u.Instance], u, t.Number, offset)
+	}
+}
+
+func next[T any](old InForce[T], value T, number fleet.TicketNumber, offset platformlog.Offset) InForce[T] {
+	return InForce[T]{Value: value, Ticket: number, Replaced: old.Ticket, Offset: offset}
+}
--- /dev/null
+++ b/pkg/upstream/upstream.go
@@ -0,0 +1,157 @@
+// Package upstream hands calls to the node's own upstream instance and follows
+// the calls that the upstream makes in turn.
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/plantainramp/plantainramp/pkg/call"
+	"github.com/plantainramp/plantainramp/pkg/clock"
+	"github.com/plantainramp/plantainramp/pkg/fleet"
+	"github.com/plantainramp/plantainramp/pkg/problem"
+)
+
+const (
+	// idleConnections bounds the kept connections to the upstream.
+	idleConnections = 512
+	dialTimeout     = time.Second
+)
+
+// hopHeaders belong to one connection and are never passed on.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// Token stands for a call that runs; the upstream passes it on with the calls
+// that it makes for it.
+type Token string
+
+// Client hands calls to the upstream. It needs Address, Clock and MaxAnswer.
+type Client struct {
+	Address string
+	Clock   clock.Clock
+	// MaxAnswer bounds an answer in bytes.
+	MaxAnswer int64
+	// Down, where set, is called when the upstream refuses connections.
+	Down func()
+
+	once    sync.Once
+	http    *http.Client
+	running sync.Map
+}
+
+func (u *Client) init() {
+	u.once.Do(func() {
+		dialer := &net.Dialer{Timeout: dialTimeout}
+		u.http = &http.Client{
+			Transport: &http.Transport{
+				DialContext: dialer.DialContext, MaxIdleConnsPerHost: idleConnections, DisableCompression: true,
+			},
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		}
+	})
+}
+
+// Running returns the call that a token stands for, or nil.
+func (u *Client) Running(token Token) *call.Call {
+	if found, ok := u.running.Load(token); ok {
+		return found.(*call.Call)
+	}
+	return nil
+}
+
+// Handle implements call.Handler: it runs the call on the upstream. The start
+// limit of the call is judged immediately before the hand-over.
+func (u *Client) Handle(ctx context.Context, c *call.Call) (*call.Answer, error) {
+	u.init()
+	ctx, cancel := context.WithTimeout(ctx, c.Remaining(u.Clock.Now()))
+	defer cancel()
+	token := Token(fleet.NewID())
+	u.running.Store(token, c)
+	defer u.running.Delete(token)
+	req, err := u.request(ctx, c, token)
+	if err != nil {
+		return nil, problem.New(problem.KindMalformed, "the call cannot be written as an HTTP request")
+	}
+	if u.Clock.Now().After(c.StartLimit()) {
+		return nil, problem.New(problem.KindDeadline, "the time to start the call had passed")
+	}
+	resp, err := u.http.Do(req)
+	if err != nil {
+		return nil, u.refusal(ctx, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, u.MaxAnswer+1))
+	if err != nil {
+		return nil, u.refusal(ctx, err)
+	}
+	if int64(len(body)) > u.MaxAnswer {
+		return nil, &problem.Error{Kind: problem.KindTooLarge, Detail: "the answer is larger than the node passes on", Run: problem.RunYes}
+	}
+	header := resp.Header.Clone()
+	Strip(header)
+	return &call.Answer{Status: resp.StatusCode, Header: header, Body: body, Shed: c.Below.Shed()}, nil
+}
+
+func (u *Client) request(ctx context.Context, c *call.Call, token Token) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, c.Method, "http://"+u.Address+c.Path, bytes.NewReader(c.Body))
+	if err != nil {
+		return nil, eris.Wrap(err, "make upstream request")
+	}
+	// Without GetBody the transport cannot send a request a second time.
+	req.GetBody = nil
+	req.Header = c.Header.Clone()
+	if req.Header == nil {
+		req.Header = http.Header{}
+	}
+	req.Header.Set(call.HeaderRequestID, string(c.Request))
+	req.Header.Set(call.HeaderOrganisation, string(c.Organisation))
+	req.Header.Set(call.HeaderContext, string(token))
+	req.Header.Set(call.HeaderDeadline, strconv.FormatInt(c.Remaining(u.Clock.Now()).Milliseconds(), 10))
+	if c.IdempotencyKey != "" {
+		req.Header.Set(call.HeaderIdempotencyKey, c.IdempotencyKey)
+	}
+	return req, nil
+}
+
+func (u *Client) refusal(ctx context.Context, err error) error {
+	var op *net.OpError
+	if eris.As(err, &op) && op.Op == "dial" {
+		if u.Down != nil {
+			u.Down()
+		}
+		return problem.New(problem.KindUnreachable, "the upstream of this instance does not accept connections")
+	}
+	if ctx.Err() != nil {
+		return problem.Uncertain(problem.KindDeadline, "the call was cancelled while it ran")
+	}
+	return problem.Uncertain(problem.KindUncertain, "the connection to the upstream broke before its whole answer came")
+}
+
+// Strip removes headers that belong to one connection or to the nodes.
+func Strip(h http.Header) {
+	for _, named := range h.Values("Connection") {
+		for _, name := range strings.Split(named, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		h.Del(name)
+	}
+	for name := range h {
+		if strings.HasPrefix(name, call.HeaderPrefix) {
+			h.Del(name)
+		}
+	}
+}
