--- /dev/null
+++ b/pkg/cmd/load/compare/compare.go
@@ -0,0 +1,94 @@
+// Package compare implements plantainramp load compare.
+package compare
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/plantainramp/plantainramp/internal/iostreams"
+	"github.com/plantainramp/plantainramp/internal/tableprinter"
+	"github.com/plantainramp/plantainramp/pkg/cmd/factory"
+	"github.com/plantainramp/plantainramp/pkg/load"
+	"github.com/plantainramp/plantainramp/pkg/settings"
+)
+
+// Options of the command.
+type Options struct {
+	Streams *iostreams.IOStreams
+
+	Paths []string
+	Chart string
+}
+
+// NewCmdCompare adds the command to its parent.
+func NewCmdCompare(f *factory.Factory, parent *kingpin.CmdClause, runF func(*Options) error) {
+	opts := &Options{Streams: f.Streams}
+	cmd := parent.Command("compare", "Compare runs of one scenario by policy: medians and spread.\n\nExamples:\n  plantainramp load compare out/*.json --chart out/goodput.svg")
+	cmd.Arg("file", "Outputs of load run --json.").Required().StringsVar(&opts.Paths)
+	cmd.Flag("chart", "Write the goodput over time as SVG.").PlaceHolder("FILE").StringVar(&opts.Chart)
+	cmd.Action(factory.Run(opts, runF, compareRun))
+}
+
+func compareRun(opts *Options) error {
+	byPolicy, title, err := readAll(opts.Paths)
+	if err != nil {
+		return err
+	}
+	policies := slices.Sorted(maps.Keys(byPolicy))
+	_, _ = fmt.Fprintln(opts.Streams.Out, title)
+	header := []string{"MEASURE"}
+	counts := []any{"runs"}
+	for _, policy := range policies {
+		header = append(header, "POLICY "+policy)
+		counts = append(counts, fmt.Sprintf("policy %s: %d", policy, len(byPolicy[policy])))
+	}
+	table := tableprinter.New(opts.Streams, header...)
+	table.Add(counts...)
+	for _, f := range load.Figures {
+		row := []any{f.Name}
+		for _, policy := range policies {
+			row = append(row, load.SpreadOf(byPolicy[policy], f.Of))
+		}
+		table.Add(row...)
+	}
+	if err := table.Render(); err != nil {
+		return err
+	}
+	return writeChart(opts.Chart, title, byPolicy)
+}
+
+func readAll(paths []string) (map[string][]*load.Measures, string, error) {
+	byPolicy := map[string][]*load.Measures{}
+	title := ""
+	for _, path := range paths {
+		raw, err := os.ReadFile(path)
+		if err != nil {
+			return nil, "", &settings.FileError{Path: path, Cause: err}
+		}
+		m := new(load.Measures)
+		if err := json.Unmarshal(raw, m); err != nil {
+			return nil, "", eris.Wrapf(err, "read %s; name outputs of load run --json", path)
+		}
+		byPolicy[m.Policy] = append(byPolicy[m.Policy], m)
+		title = fmt.Sprintf("%s, scale %s", m.Scenario, m.Scale)
+	}
+	return byPolicy, title, nil
+}
+
+func writeChart(path, title string, byPolicy map[string][]*load.Measures) error {
+	if path == "" {
+		return nil
+	}
+	out, err := os.Create(path)
+	if err != nil {
+		return &settings.FileError{Path: path, Cause: err}
+	}
+	defer func() { _ = out.Close() }()
+	return load.WriteTimeline(out, title, byPolicy)
+}
--- a/pkg/cmd/root/root.go
+++ b/pkg/cmd/root/root.go
@@ -10,6 +10,8 @@
 	"github.com/plantainramp/plantainramp/pkg/clock"
 	"github.com/plantainramp/plantainramp/pkg/cmd/factory"
 	"github.com/plantainramp/plantainramp/pkg/cmd/key/newkey"
+	"github.com/plantainramp/plantainramp/pkg/cmd/load/compare"
+	"github.com/plantainramp/plantainramp/pkg/cmd/load/run"
 	memberlist "github.com/plantainramp/plantainramp/pkg/cmd/member/list"
 	"github.com/plantainramp/plantainramp/pkg/cmd/settings/check"
 	stateshow "github.com/plantainramp/plantainramp/pkg/cmd/state/show"
@@ -55,6 +57,9 @@
 	memberlist.NewCmdList(f, app.Command("member", "Read the list of members."), nil)
 	check.NewCmdCheck(f, app.Command("settings", "Check settings."), nil)
 	newkey.NewCmdNew(f, app.Command("key", "Make callers' keys."), nil)
+	load := app.Command("load", "Run and compare experiments.")
+	run.NewCmdRun(f, load, nil)
+	compare.NewCmdCompare(f, load, nil)
 	version.NewCmdVersion(f, app)
 	return app
 }
--- /dev/null
+++ b/pkg/config/slope_test.go
@@ -0,0 +1,132 @@
+package config_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"github.com/plantainramp/plantainramp/pkg/clock"
+	"github.com/plantainramp/plantainramp/pkg/config"
+	"github.com/plantainramp/plantainramp/pkg/fleet"
+	"github.com/plantainramp/plantainramp/pkg/logs"
+	"github.com/plantainramp/plantainramp/pkg/platformlog"
+	"github.com/plantainramp/plantainramp/pkg/route"
+	"github.com/plantainramp/plantainramp/pkg/state"
+	"github.com/plantainramp/plantainramp/pkg/ticket"
+)
+
+const (
+	slopeServices      = 77
+	slopeOrganisations = 500
+	slopeVerdicts      = 10_000
+)
+
+// sizes are the numbers of members for which slopes are measured.
+var sizes = []int{100, 1400, 10_000}
+
+func record(b testing.TB, kind platformlog.Kind, body any) platformlog.Record {
+	r, err := platformlog.NewRecord(platformlog.RecordID(fleet.NewID()), kind, body)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return r
+}
+
+func memberRecord(b testing.TB, i int) platformlog.Record {
+	return record(b, state.RecordMemberJoin, state.Member{
+		ID: fleet.MemberID(fleet.NewID()), Instance: fleet.InstanceName(fmt.Sprintf("calendar-%d", i)),
+		Service:     fleet.ServiceName(fmt.Sprintf("service-%d", i%slopeServices)),
+		DataCentre:  fleet.DataCentre(fmt.Sprintf("dc-%d", i%12)),
+		PeerAddress: fmt.Sprintf("10.%d.%d.%d:7002", i>>16, i>>8&255, i&255), AdminAddress: "10.0.0.1:7003", Slots: 45,
+	})
+}
+
+func organisationTicket(number, against fleet.TicketNumber, id string) ticket.Ticket {
+	return ticket.Ticket{
+		Number: number, Author: "awa", Reason: "a reason of ordinary length for a change",
+		Against:       map[ticket.Ref]fleet.TicketNumber{{Kind: ticket.KindOrganisation, Name: id}: against},
+		Organisations: []ticket.Organisation{{ID: fleet.OrganisationID(id), Rate: 100, Burst: 50, Weight: 1}},
+	}
+}
+
+// bigFollower holds a state of the given number of members.
+func bigFollower(b testing.TB, members int) *config.Follower {
+	f := &config.Follower{Clock: clock.System{}, Logger: logs.Discard()}
+	var records []platformlog.Record
+	for i := range members {
+		records = append(records, memberRecord(b, i))
+	}
+	last := map[string]fleet.TicketNumber{}
+	for i := range slopeVerdicts {
+		id := fmt.Sprintf("organisation-%d", i%slopeOrganisations)
+		number := fleet.TicketNumber(i + 1)
+		records = append(records, record(b, ticket.RecordKind, organisationTicket(number, last[id], id)))
+		last[id] = number
+	}
+	f.Offer(0, records)
+	return f
+}
+
+// BenchmarkSlopeChange is the cost of one changed record: fold, copy and view.
+func BenchmarkSlopeChange(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
+			f := bigFollower(b, n)
+			links := &route.Links{Clock: clock.System{}}
+			f.Changed = links.Update
+			b.ResetTimer()
+			for i := range b.N {
+				f.Offer(f.View().State.Next, []platformlog.Record{memberRecord(b, n+i%1000)})
+			}
+		})
+	}
+}
+
+// BenchmarkSlopeSnapshot is the cost and size of one snapshot.
+func BenchmarkSlopeSnapshot(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
+			s := bigFollower(b, n).View().State
+			var size int
+			for b.Loop() {
+				raw, _, err := s.Marshal()
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(raw)
+			}
+			b.ReportMetric(float64(size)/1024, "KB")
+		})
+	}
+}
+
+// BenchmarkSlopeMemory is the memory that the folded state and its view hold.
+func BenchmarkSlopeMemory(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			f := bigFollower(b, n)
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/1024, "KB-held")
+			b.ReportMetric(0, "ns/op")
+			runtime.KeepAlive(f)
+		})
+	}
+}
+
+// BenchmarkSlopePick is the cost of choosing an instance of one service.
+func BenchmarkSlopePick(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
+			f := bigFollower(b, n)
+			links := &route.Links{Clock: clock.System{}}
+			links.Update(f.View())
+			for b.Loop() {
+				links.Pick(f.View(), "service-1", "dc-1", nil)
+			}
+		})
+	}
+}
--- a/pkg/rate/borrower.go
+++ b/pkg/rate/borrower.go
@@ -30,7 +30,7 @@
 	// avoidFailed is how long a holder that did not answer is not asked again.
 	avoidFailed = 300 * time.Millisecond
 	// holderPatience bounds the wait of a call while no holder answers.
-	holderPatience = time.Second
+	holderPatience = 400 * time.Millisecond
 	// holderPause is the wait before holders are looked for again.
 	holderPause = 20 * time.Millisecond
 	// demandMemory is the time constant of the demand estimate.
@@ -147,9 +147,13 @@
 	defer a.mu.Unlock()
 	a.noteDemand(b.Clock.Now())
 	giveUp := b.Clock.Now().Add(holderPatience)
+	window := startWindow
+	if c.Action() {
+		window = actionStartWindow
+	}
 	for {
 		now := b.Clock.Now()
-		if t := a.takeHeld(now); t != nil {
+		if t := a.takeHeld(now, window); t != nil {
 			b.prefetch(c.Organisation, a)
 			return t, nil
 		}
@@ -158,18 +162,23 @@
 			return nil, problem.New(problem.KindDeadline, "the deadline passed before a token of the organisation's rate was had")
 		case b.ask(c.Organisation, a):
 			a.await(ctx)
-		case a.empty(now):
+		case a.empty(b.Follower.View(), now):
 			return nil, overRate(c, o.Rate)
 		case now.After(giveUp):
 			return nil, noHolder()
 		default:
-			a.mu.Unlock()
-			_ = clock.Sleep(ctx, b.Clock, holderPause)
-			a.mu.Lock()
+			b.sleep(ctx, a)
 		}
 	}
 }
 
+// sleep waits a moment without the lock.
+func (b *Borrower) sleep(ctx context.Context, a *account) {
+	a.mu.Unlock()
+	defer a.mu.Lock()
+	_ = clock.Sleep(ctx, b.Clock, holderPause)
+}
+
 // noHolder refuses a call because nobody who could lend a token answers.
 func noHolder() error {
 	e := problem.New(problem.KindNotReady, "no holder of the organisation's rate slots answers")
@@ -196,24 +205,28 @@
 	a.waiting--
 }
 
-// empty tells whether a holder said lately that it has no token left.
-func (a *account) empty(now time.Time) bool {
-	for _, v := range a.avoid {
-		if v.empty && now.Before(v.until) {
-			return true
+// empty tells whether every holder said lately that it has no token left. While
+// one of them is unknown, silent or not open yet, nobody can say that the
+// organisation is over its rate.
+func (a *account) empty(v *config.View, now time.Time) bool {
+	for _, slot := range a.slots {
+		shunned := a.avoid[v.State.Slots[slot].Holder]
+		if !shunned.empty || !now.Before(shunned.until) {
+			return false
 		}
 	}
-	return false
+	return true
 }
 
-func (a *account) takeHeld(now time.Time) *token {
+// takeHeld takes a token that is at hand, for a call that starts within window.
+func (a *account) takeHeld(now time.Time, window time.Duration) *token {
 	for _, h := range a.loans {
-		if h.left < 1 || h.ends.Sub(now) < startWindow {
+		if h.left < 1 || h.ends.Sub(now) < window {
 			continue
 		}
 		h.left--
 		h.lastUse = now
-		return &token{account: a, held: h, startBy: now.Add(startWindow)}
+		return &token{account: a, held: h, startBy: now.Add(window)}
 	}
 	return nil
 }
--- a/pkg/rate/bucket.go
+++ b/pkg/rate/bucket.go
@@ -30,18 +30,16 @@
 		outstanding fleet.Tokens
 		updated     time.Time
 		loans       map[LoanID]*loan
+		// lent lists loans in the order in which they expire; settled ones are
+		// dropped when their turn comes.
+		lent []LoanID
 	}
 )
 
 // refill adds what the rate has yielded since the last time, and counts loans
 // that have expired as spent.
 func (b *bucket) refill(now time.Time) {
-	for id, l := range b.loans {
-		if !now.Before(l.expires) {
-			b.outstanding -= l.tokens - l.settled
-			delete(b.loans, id)
-		}
-	}
+	b.expire(now)
 	if elapsed := now.Sub(b.updated); elapsed > 0 {
 		b.level += b.part.rate.Over(elapsed)
 		b.updated = now
@@ -49,6 +47,20 @@
 	b.clip()
 }
 
+func (b *bucket) expire(now time.Time) {
+	for len(b.lent) > 0 {
+		l := b.loans[b.lent[0]]
+		if l != nil && now.Before(l.expires) {
+			return
+		}
+		if l != nil {
+			b.outstanding -= l.tokens - l.settled
+			delete(b.loans, b.lent[0])
+		}
+		b.lent = b.lent[1:]
+	}
+}
+
 func (b *bucket) clip() {
 	b.level = min(b.level, b.part.burst-b.outstanding)
 	b.level = max(b.level, 0)
@@ -74,6 +86,7 @@
 		b.loans = map[LoanID]*loan{}
 	}
 	b.loans[id] = &loan{tokens: amount, expires: now.Add(loanTerm + clockMargin)}
+	b.lent = append(b.lent, id)
 	return amount
 }
 
--- a/pkg/rate/slots.go
+++ b/pkg/rate/slots.go
@@ -27,6 +27,9 @@
 	clockMargin = 200 * time.Millisecond
 	// startWindow is how long after its token was taken a call may start.
 	startWindow = 250 * time.Millisecond
+	// actionStartWindow is the same for actions, which may wait longer for a
+	// place than other calls.
+	actionStartWindow = time.Second
 	// DefaultLease is how long a slot's holder may lend without having read
 	// the log, and how long a successor waits after a silent end.
 	DefaultLease = time.Hour
--- a/scripts/mesh.sh
+++ b/scripts/mesh.sh
@@ -1,14 +1,14 @@
 # Functions that start a small mesh as separate processes on loopback. Sourced by
 # the demo and by experiments; they set: out (work folder), bin (programs).
 # Node i listens on BASE+10*i: callers +0, calls out +1, peers +2, admin +3; its
-# upstream listens on +4. The log listens on BASE+900.
+# upstream listens on +4. The log listens on BASE+5.
 
 : "${BASE:=17000}" "${bin:=bin}" "${out:=out/mesh}"
 declare -A pids=()
 declare -A instances=()
 
 port() { echo "127.0.0.1:$((BASE + 10 * $1 + $2))"; }
-log_address() { echo "127.0.0.1:$((BASE + 900))"; }
+log_address() { echo "127.0.0.1:$((BASE + 5))"; }
 
 mesh_log() {
   mkdir -p "$out"
@@ -91,7 +91,8 @@
 }
 
 mesh_kill_all() {
+  disown -a
   local pid
   for pid in "${pids[@]}"; do kill -KILL "$pid" 2>/dev/null; done
-  wait 2>/dev/null
+  sleep 0.3
 }
