--- /dev/null
+++ b/cmd/plantainmesh/cgo.go
@@ -0,0 +1,4 @@
+package main
+
+// #include <stdlib.h>
+import "C"
--- /dev/null
+++ b/cmd/plantainmesh/main.go
@@ -0,0 +1,11 @@
+// Command plantainmesh is the node daemon on machines whose platform keeps a
+// store and sends heartbeats.
+package main
+
+import (
+	"os"
+
+	"github.com/plantainramp/plantainramp/internal/meshcmd"
+)
+
+func main() { os.Exit(meshcmd.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/internal/meshcmd/meshcmd.go
@@ -0,0 +1,100 @@
+// Package meshcmd is the command line of the node daemon on a platform with a
+// store and heartbeats.
+package meshcmd
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/plantainramp/plantainramp/internal/build"
+	"github.com/plantainramp/plantainramp/pkg/clock"
+	"github.com/plantainramp/plantainramp/pkg/logs"
+	"github.com/plantainramp/plantainramp/pkg/mesh"
+	"github.com/plantainramp/plantainramp/pkg/uptime"
+	"github.com/plantainramp/plantainramp/platform"
+)
+
+// Exit codes.
+const (
+	ExitOK       = 0
+	ExitFailed   = 1
+	ExitSettings = 2
+)
+
+const (
+	// collectPercent lets the heap grow between collections: a node holds little.
+	collectPercent = 400
+	// memoryLimit is the heap, in bytes, from which collections come sooner.
+	memoryLimit = 96 << 20
+)
+
+// Main runs the daemon until SIGTERM or SIGINT and returns its exit code.
+func Main(args []string, out, errOut io.Writer) int {
+	app := kingpin.New("plantainmesh", "The node of plantainramp on a platform with a store and heartbeats.")
+	app.UsageWriter(out).ErrorWriter(errOut).Terminate(nil)
+	app.Version(build.Version)
+	path := app.Flag("settings", "Settings file.").PlaceHolder("FILE").Envar("PLANTAINRAMP_CONFIG").String()
+	if _, err := app.Parse(args); err != nil {
+		_, _ = fmt.Fprintf(errOut, "plantainmesh: %s; see plantainmesh --help\n", err)
+		return ExitSettings
+	}
+	s, err := mesh.LoadSettings(*path)
+	if err != nil {
+		_, _ = fmt.Fprintln(errOut, err)
+		return ExitSettings
+	}
+	debug.SetGCPercent(collectPercent)
+	debug.SetMemoryLimit(memoryLimit)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := serve(ctx, *path, s, out); err != nil {
+		_, _ = fmt.Fprintf(errOut, "plantainmesh: %s\n", err)
+		return ExitFailed
+	}
+	return ExitOK
+}
+
+func serve(ctx context.Context, path string, s *mesh.Settings, out io.Writer) error {
+	queue := logs.NewQueue(out)
+	defer queue.Close()
+	logger, err := logs.New(queue, s.LogLevel, s.LogFormat, s.Node)
+	if err != nil {
+		return err
+	}
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	go reload(ctx, hangups, path, logger)
+	n := mesh.New(s, adapter(s), clock.System{}, uptime.Boot, logger)
+	return n.Run(ctx)
+}
+
+// adapter connects the node to the platform.
+func adapter(s *mesh.Settings) *mesh.Platform {
+	store := platform.NewStore(s.Store)
+	return platform.New(store)
+}
+
+// reload reads the settings anew at each hang-up. What is listened on stays as
+// it was until a restart; a file that cannot be used changes nothing.
+func reload(ctx context.Context, hangups <-chan os.Signal, path string, logger *logs.Logger) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		}
+		if _, err := mesh.LoadSettings(path); err != nil {
+			logger.WithError(err).Warn("settings not reloaded; the former ones stay in force")
+			continue
+		}
+		logger.Info("settings read again; addresses change with the next start")
+	}
+}
--- /dev/null
+++ b/pkg/entrance/place.go
@@ -0,0 +1,186 @@
+package entrance
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/plantainramp/plantainramp/pkg/clock"
+	"github.com/plantainramp/plantainramp/pkg/gate"
+	"github.com/plantainramp/plantainramp/pkg/link"
+	"github.com/plantainramp/plantainramp/pkg/peering"
+	"github.com/plantainramp/plantainramp/pkg/problem"
+	"github.com/plantainramp/plantainramp/rpc/linkrpc"
+)
+
+const (
+	// maxPlacements bounds the gates that one request is handed to.
+	maxPlacements = 6
+	// patiencePart is the part of its target latency that a request waits for a slot.
+	patiencePart = 8
+	// innerPatience is how long a call of an admitted request waits for a slot.
+	innerPatience = 400 * time.Millisecond
+	// leastPatience is the shortest wait for a slot.
+	leastPatience = 20 * time.Millisecond
+	// askPause is the wait between two questions after a lost call.
+	askPause = 100 * time.Millisecond
+	// askIdempotent bounds the questions after a lost call that may run again.
+	askIdempotent = 700 * time.Millisecond
+	// retryAfterLeast and retryAfterSpread make the hint in a refusal for load.
+	retryAfterLeast  = 200 * time.Millisecond
+	retryAfterSpread = 800 * time.Millisecond
+)
+
+// place has the request run by an instance of its service.
+func (e *Entrance) place(ctx context.Context, r *Request) (*linkrpc.Outcome, *problem.Error) {
+	service := r.Route.Pick()
+	r.run.Service = string(service)
+	e.budget.requested(service)
+	tried := map[*peering.Peer]bool{}
+	full := false
+	for r.Placements < maxPlacements {
+		place := e.Peers.Choose(service, tried)
+		if place == nil {
+			break
+		}
+		tried[place.Peer] = true
+		r.Placements++
+		outcome, refused := e.send(ctx, r, place)
+		if refused != nil {
+			return nil, refused
+		}
+		switch outcome.Fate {
+		case linkrpc.Fate_FATE_ANSWERED:
+			if r.Route.Idempotent && failed(outcome) && e.again(r) {
+				continue
+			}
+			return outcome, nil
+		case linkrpc.Fate_FATE_NOT_RUN:
+			if p := e.notRun(r, place, outcome); p != nil {
+				return nil, p
+			}
+			full = full || outcome.Reason == linkrpc.Reason_REASON_FULL
+		default:
+			if !r.Route.Idempotent || !e.again(r) {
+				return nil, lost(outcome)
+			}
+		}
+	}
+	if full {
+		return nil, shed("every instance of the service is full")
+	}
+	return nil, refuseLater(problem.KindUnreachable, "no instance of the service takes the request", time.Second)
+}
+
+// send hands the request to one gate and finds out what became of it.
+func (e *Entrance) send(ctx context.Context, r *Request, place *peering.Place) (*linkrpc.Outcome, *problem.Error) {
+	m := &r.run
+	m.Attempt = e.Incarnation ^ e.attempts.Add(1)
+	m.Instance = string(place.Entry.Instance)
+	left := r.Deadline.Sub(e.Clock.Now())
+	m.RemainingUs, m.PatienceUs = left.Microseconds(), patience(r, left).Microseconds()
+	outcome, incarnation, err := place.Peer.Run(ctx, m)
+	var unsent *link.NotSentError
+	var broken *link.LostError
+	switch {
+	case err == nil:
+		return outcome, nil
+	case ctx.Err() != nil:
+		return nil, gaveUp(ctx)
+	case errors.As(err, &unsent):
+		return gate.NotRun(linkrpc.Reason_REASON_BROKEN), nil
+	case errors.As(err, &broken):
+		return e.resolve(ctx, r, place.Peer, incarnation)
+	}
+	return gate.Lost(linkrpc.Reason_REASON_BROKEN), nil
+}
+
+// resolve asks the gate over a new connection what became of an attempt. A gate
+// that was restarted cannot tell.
+func (e *Entrance) resolve(ctx context.Context, r *Request, peer *peering.Peer, incarnation uint64) (*linkrpc.Outcome, *problem.Error) {
+	ask := &linkrpc.Ask{Attempt: r.run.Attempt}
+	asking := ctx
+	if r.Route.Idempotent {
+		var cancel context.CancelFunc
+		asking, cancel = context.WithTimeout(ctx, askIdempotent)
+		defer cancel()
+	}
+	for {
+		outcome, now, err := peer.Ask(asking, ask)
+		if ctx.Err() != nil {
+			return nil, gaveUp(ctx)
+		}
+		if now != 0 && now != incarnation || asking.Err() != nil {
+			return gate.Lost(linkrpc.Reason_REASON_BROKEN), nil
+		}
+		if err == nil {
+			return outcome, nil
+		}
+		if clock.Sleep(asking, e.Clock, askPause) != nil && ctx.Err() != nil {
+			return nil, gaveUp(ctx)
+		}
+	}
+}
+
+// notRun returns the refusal that ends the request, or nil where it may be
+// placed elsewhere.
+func (e *Entrance) notRun(r *Request, place *peering.Place, outcome *linkrpc.Outcome) *problem.Error {
+	switch outcome.Reason {
+	case linkrpc.Reason_REASON_CLOSED, linkrpc.Reason_REASON_NOT_HERE:
+		place.Peer.Closed(e.Clock.Now())
+	case linkrpc.Reason_REASON_STALE:
+		return refuseLater(problem.KindNotReady, "the configuration changed while the request was under way", retryAfterLeast)
+	case linkrpc.Reason_REASON_EXPIRED:
+		return problem.New(problem.KindDeadline, "the time for the request passed before it ran")
+	case linkrpc.Reason_REASON_REJECTED:
+		r.Arrivals++
+		if !e.again(r) {
+			return shed("the instance rejected the request")
+		}
+	}
+	return nil
+}
+
+// again tells whether a request may be sent to a further instance.
+func (e *Entrance) again(r *Request) bool {
+	r.Arrivals = max(r.Arrivals, 1)
+	if r.Arrivals >= max(r.Route.MaxAttempts, 1) || e.Clock.Now().After(r.Deadline) {
+		return false
+	}
+	if !e.budget.take(fleetService(r)) {
+		return false
+	}
+	r.Arrivals++
+	return true
+}
+
+// failed tells whether an instance's answer is a failure that another may not have.
+func failed(o *linkrpc.Outcome) bool { return o.Status >= http.StatusInternalServerError }
+
+func patience(r *Request, left time.Duration) time.Duration {
+	if r.Inner {
+		return min(innerPatience, left)
+	}
+	return min(max(r.Route.TargetLatency/patiencePart, leastPatience), left)
+}
+
+// gaveUp is the end of a request whose caller left or whose time passed.
+func gaveUp(ctx context.Context) *problem.Error {
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		return problem.Uncertain(problem.KindDeadline, "no answer came in time; the request may have run")
+	}
+	return problem.Uncertain(problem.KindUncertain, "the caller left")
+}
+
+func lost(o *linkrpc.Outcome) *problem.Error {
+	if o.Reason == linkrpc.Reason_REASON_EXPIRED {
+		return problem.Uncertain(problem.KindDeadline, "no answer came in time; the request may have run")
+	}
+	return problem.Uncertain(problem.KindUncertain, "the answer was lost; the request may have run")
+}
+
+func shed(detail string) *problem.Error {
+	return refuseLater(problem.KindShed, detail, retryAfterLeast+rand.N(retryAfterSpread))
+}
--- /dev/null
+++ b/pkg/mesh/events.go
@@ -0,0 +1,104 @@
+package mesh
+
+import (
+	"errors"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/plantainramp/plantainramp/pkg/entrance"
+	"github.com/plantainramp/plantainramp/pkg/fleet"
+	"github.com/plantainramp/plantainramp/pkg/logs"
+	"github.com/plantainramp/plantainramp/pkg/problem"
+	"github.com/plantainramp/plantainramp/rpc/linkrpc"
+)
+
+// Kinds of events that touch a request.
+const (
+	eventServed  logs.Kind = "request answered"
+	eventFailed  logs.Kind = "request failed at the instance"
+	eventRefused logs.Kind = "request refused"
+	eventLost    logs.Kind = "request lost"
+	eventNotRun  logs.Kind = "call handed back"
+	eventBroken  logs.Kind = "call lost at the instance"
+)
+
+// finished logs and counts the end of a request at its entrance.
+func (n *Node) finished(r *entrance.Request, status int, o *linkrpc.Outcome, refused *problem.Error) {
+	kind := eventServed
+	switch {
+	case refused != nil && refused.Run == problem.RunNo:
+		kind = eventRefused
+	case refused != nil:
+		kind = eventLost
+	case status >= 500:
+		kind = eventFailed
+	}
+	now := n.clock.Now()
+	n.events.Event(kind, func() logrus.Fields {
+		f := logrus.Fields{"request": r.ID, "status": status, "tookMs": ms(now.Sub(r.Arrived)), "placements": r.Placements, "inner": r.Inner}
+		if r.View != nil {
+			f["configVersion"] = r.View.Version
+		}
+		if r.Route != nil {
+			f["route"] = r.Route.Name
+			f["leftMs"] = ms(r.Deadline.Sub(now))
+		}
+		if r.Organisation != nil {
+			f["organisation"] = r.Organisation.ID
+		}
+		if refused != nil {
+			f["reason"], f["detail"], f["run"] = refused.Kind, refused.Detail, refused.Run
+			f["retryAfterMs"] = ms(refused.RetryAfter)
+		}
+		if age, known := n.config.Age(); known {
+			f["configAgeMs"] = ms(age)
+		}
+		return f
+	})
+	n.count(r, status, refused, now)
+}
+
+func (n *Node) count(r *entrance.Request, status int, refused *problem.Error, now time.Time) {
+	var organisation fleet.OrganisationID
+	if r.Organisation != nil {
+		organisation = r.Organisation.ID
+	}
+	class := fleet.ClassNormal
+	if r.Inner {
+		class = fleet.ClassHigh
+	}
+	if refused != nil {
+		n.meter.Refused(organisation, class, refused.Kind)
+		return
+	}
+	n.meter.Served(organisation, class, status, now.Sub(r.Arrived))
+}
+
+// decided logs what the gate did with a call that it did not get answered.
+func (n *Node) decided(run *linkrpc.Run, o *linkrpc.Outcome, waited, ran time.Duration, cause error) {
+	if errors.Is(cause, syscall.ECONNREFUSED) {
+		n.presence.Silent()
+	}
+	if o.Fate == linkrpc.Fate_FATE_ANSWERED {
+		return
+	}
+	kind := eventNotRun
+	if o.Fate == linkrpc.Fate_FATE_LOST {
+		kind = eventBroken
+	}
+	n.events.Event(kind, func() logrus.Fields {
+		load := n.gate.Slots.Load()
+		f := logrus.Fields{
+			"request": run.Request, "route": run.Route, "inner": run.Inner, "reason": o.Reason.String(), "waitedMs": ms(waited),
+			"ranMs": ms(ran), "inFlight": load.InFlight, "limit": load.Limit, "queued": load.Queued, "runMs": ms(load.Run),
+		}
+		if cause != nil {
+			f["cause"] = cause.Error()
+		}
+		return f
+	})
+}
+
+func ms(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
--- /dev/null
+++ b/pkg/mesh/node.go
@@ -0,0 +1,255 @@
+// Package mesh assembles a node that stands on a platform with a store and
+// heartbeats of its own.
+package mesh
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/plantainramp/plantainramp/pkg/clock"
+	"github.com/plantainramp/plantainramp/pkg/directory"
+	"github.com/plantainramp/plantainramp/pkg/entrance"
+	"github.com/plantainramp/plantainramp/pkg/fleet"
+	"github.com/plantainramp/plantainramp/pkg/gate"
+	"github.com/plantainramp/plantainramp/pkg/instance"
+	"github.com/plantainramp/plantainramp/pkg/keyed"
+	"github.com/plantainramp/plantainramp/pkg/link"
+	"github.com/plantainramp/plantainramp/pkg/logs"
+	"github.com/plantainramp/plantainramp/pkg/meter"
+	"github.com/plantainramp/plantainramp/pkg/peering"
+	"github.com/plantainramp/plantainramp/pkg/quota"
+	"github.com/plantainramp/plantainramp/pkg/routing"
+	"github.com/plantainramp/plantainramp/pkg/uptime"
+	"github.com/plantainramp/plantainramp/rpc/linkrpc"
+)
+
+const (
+	// configWait is how long one read of the configuration waits for a change.
+	configWait = 1500 * time.Millisecond
+	// directoryWait is the same for the directory.
+	directoryWait = 2 * time.Second
+	// readSlack is what a read of the store may take beyond its wait.
+	readSlack = 1200 * time.Millisecond
+	// freshMargin is how much earlier than the bound keys are no longer trusted.
+	freshMargin = 400 * time.Millisecond
+	// maxAnswer bounds an instance's answer in bytes.
+	maxAnswer = 32 << 20
+	// linesPerSecond bounds the log lines of each kind of event.
+	linesPerSecond = 10
+)
+
+// Platform is what the node needs of the platform it stands on. Platform
+// adapters fill it in.
+type Platform struct {
+	GateHeaders     gate.Headers
+	InstanceHeaders instance.Headers
+	EntranceHeaders entrance.Headers
+	// Config and Directory are the topics to follow.
+	Config, Directory keyed.Source
+	// ConfigKey is the key of the configuration in its topic.
+	ConfigKey string
+	// PutEntry writes a record of the directory.
+	PutEntry func(ctx context.Context, r keyed.Record) error
+	// DecodeConfig reads a configuration.
+	DecodeConfig func(body []byte) (*routing.View, error)
+	// Heartbeats and Readiness make the faces that the platform calls.
+	Heartbeats func(announced func(Heartbeat), left func(fleet.InstanceName), malformed func(id string, err error)) http.Handler
+	Readiness  func(ready func() bool) http.Handler
+}
+
+// Node is one node. Make it with New.
+type Node struct {
+	settings    *Settings
+	platform    *Platform
+	clock       clock.Clock
+	uptime      uptime.Source
+	logger      *logs.Logger
+	events      *logs.Sampler
+	meter       *meter.Meter
+	incarnation uint64
+
+	view     atomic.Pointer[routing.View]
+	stopping atomic.Bool
+
+	config       *keyed.Follower
+	configLog    *logs.Logger
+	directory    *directory.Directory
+	directoryLog *keyed.Follower
+	presence     *Presence
+	instance     *instance.Client
+	gate         *gate.Gate
+	peers        *peering.Peers
+	shares       *quota.Shares
+	entrance     *entrance.Entrance
+	links        *link.Server
+}
+
+// New makes a node.
+func New(s *Settings, p *Platform, c clock.Clock, up uptime.Source, logger *logs.Logger) *Node {
+	n := &Node{settings: s, platform: p, clock: c, uptime: up, logger: logger, incarnation: randomNumber(), meter: meter.New()}
+	n.events = &logs.Sampler{Clock: c, Logger: logger, PerSecond: linesPerSecond}
+	n.makeGate()
+	n.makeDirectory()
+	n.makeEntrance()
+	n.makeConfig()
+	return n
+}
+
+func randomNumber() uint64 {
+	var raw [8]byte
+	_, _ = rand.Read(raw[:])
+	return binary.BigEndian.Uint64(raw[:]) | 1
+}
+
+func (n *Node) makeGate() {
+	n.instance = &instance.Client{Address: n.settings.Instance, Clock: n.clock, Headers: n.platform.InstanceHeaders, MaxAnswer: maxAnswer}
+	n.gate = &gate.Gate{Clock: n.clock, Headers: n.platform.GateHeaders, Instance: n.instance, View: n.view.Load, Decided: n.decided}
+	n.gate.Init()
+	n.presence = &Presence{Clock: n.clock, Service: n.settings.Service, Period: n.settings.Heartbeat, Announce: n.announce}
+}
+
+func (n *Node) makeDirectory() {
+	self := directory.NodeAddress(n.settings.Peers)
+	n.peers = &peering.Peers{
+		Self: self, DataCentre: n.settings.DataCentre, Clock: n.clock, Logger: logs.Part(n.logger, logs.PartPeer), Gate: n.gate, Hello: n.hello,
+	}
+	n.directory = &directory.Directory{
+		Self: self, Clock: n.clock, Logger: logs.Part(n.logger, logs.PartMember), Put: n.platform.PutEntry, Changed: n.onDirectory,
+	}
+	n.directory.Init()
+	n.directoryLog = &keyed.Follower{
+		Source: n.platform.Directory, Clock: n.clock, Uptime: n.uptime, Logger: logs.Part(n.logger, logs.PartMember),
+		Wait: directoryWait, Slack: readSlack, Apply: n.directory.Apply,
+	}
+	n.links = &link.Server{Hello: n.hello, Handle: n.handle}
+}
+
+func (n *Node) makeEntrance() {
+	n.shares = &quota.Shares{Clock: n.clock, Full: n.settings.FirstStart}
+	n.entrance = &entrance.Entrance{
+		Clock: n.clock, Headers: n.platform.EntranceHeaders, Service: n.settings.Service, Peers: n.peers, Shares: n.shares,
+		View: n.view.Load, Fresh: n.fresh, Stopping: n.stopping.Load, Finished: n.finished, Incarnation: n.incarnation,
+	}
+	n.entrance.Init()
+}
+
+func (n *Node) makeConfig() {
+	n.configLog = logs.Part(n.logger, logs.PartConfig)
+	n.config = &keyed.Follower{
+		Source: n.platform.Config, Clock: n.clock, Uptime: n.uptime, Logger: n.configLog,
+		Wait: configWait, Slack: readSlack, Apply: n.applyConfig,
+	}
+}
+
+func (n *Node) hello() *linkrpc.Hello {
+	h := &linkrpc.Hello{Incarnation: n.incarnation}
+	if v := n.view.Load(); v != nil {
+		h.ConfigVersion = uint64(v.Version)
+	}
+	return h
+}
+
+// fresh tells whether the knowledge of keys is young enough.
+func (n *Node) fresh() bool {
+	age, known := n.config.Age()
+	return known && age < n.settings.Revoke-freshMargin
+}
+
+// ready tells whether the node takes callers.
+func (n *Node) ready() bool { return n.view.Load() != nil && !n.stopping.Load() }
+
+// applyConfig puts newer configurations in force, in order.
+func (n *Node) applyConfig(records []keyed.Record, _ bool) {
+	for _, r := range records {
+		if r.Key != n.platform.ConfigKey || len(r.Value) == 0 {
+			continue
+		}
+		v, err := n.platform.DecodeConfig(r.Value)
+		if err != nil {
+			n.configLog.WithError(err).Warn("configuration left out")
+			continue
+		}
+		if old := n.view.Load(); old != nil && v.Version <= old.Version {
+			if v.Version < old.Version {
+				n.configLog.WithField("version", v.Version).WithField("inForce", old.Version).Info("older configuration left out")
+			}
+			continue
+		}
+		n.view.Store(v)
+		n.updateShares()
+		n.configLog.WithField("version", v.Version).WithField("organisations", len(v.Organisations)).Info("configuration in force")
+	}
+}
+
+func (n *Node) updateShares() {
+	v := n.view.Load()
+	if v == nil {
+		return
+	}
+	bounds := map[fleet.OrganisationID]quota.Bound{}
+	for _, o := range v.Organisations {
+		if o.Rate > 0 {
+			bounds[o.ID] = quota.Bound{Rate: o.Rate, Burst: o.Burst}
+		}
+	}
+	n.shares.Update(bounds, n.peers.Count())
+}
+
+func (n *Node) onDirectory(s *directory.Snapshot) {
+	n.peers.Update(s)
+	n.updateShares()
+}
+
+// announce takes a change of the instance: the gate first, then everyone else.
+func (n *Node) announce(s *gate.Self) {
+	n.gate.Announce(s)
+	logs.Part(n.logger, logs.PartMember).WithField("id", s.ID).WithField("open", s.Open).WithField("slots", s.Slots).Info("instance announced")
+	n.publish()
+}
+
+// publish writes the own entry as it is now.
+func (n *Node) publish() {
+	e := directory.Entry{
+		Node: directory.NodeAddress(n.settings.Peers), Incarnation: n.incarnation, Service: n.settings.Service, DataCentre: n.settings.DataCentre,
+	}
+	if s := n.gate.Self(); s != nil {
+		e.Instance, e.Slots = s.ID, s.Slots
+	}
+	e.Open = n.gate.Open()
+	n.directory.SetOwn(e)
+}
+
+// handle answers a message of a peer.
+func (n *Node) handle(ctx context.Context, r link.Request) proto.Message {
+	switch r.Kind {
+	case link.KindRun:
+		run := &linkrpc.Run{}
+		if err := proto.Unmarshal(r.Payload, run); err != nil {
+			n.logger.WithError(err).Warn("a peer's call cannot be read")
+			return gate.NotRun(linkrpc.Reason_REASON_BROKEN)
+		}
+		return n.gate.Run(ctx, run)
+	case link.KindAsk:
+		ask := &linkrpc.Ask{}
+		if err := proto.Unmarshal(r.Payload, ask); err != nil {
+			return nil
+		}
+		if o := n.gate.Ask(ctx, ask); o != nil {
+			return o
+		}
+		return nil
+	case link.KindTokens:
+		request := &linkrpc.TokenRequest{}
+		if err := proto.Unmarshal(r.Payload, request); err != nil {
+			return nil
+		}
+		return &linkrpc.TokenGrant{Granted: n.shares.Lend(fleet.OrganisationID(request.Organisation), request.Wanted)}
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/mesh/run.go
@@ -0,0 +1,163 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/plantainramp/plantainramp/pkg/clock"
+	"github.com/plantainramp/plantainramp/pkg/fleet"
+	"github.com/plantainramp/plantainramp/pkg/logs"
+)
+
+const (
+	// headerTimeout bounds how long a caller may take for its headers.
+	headerTimeout = 10 * time.Second
+	// idleTimeout is how long an idle connection of a caller is kept.
+	idleTimeout = 2 * time.Minute
+	// maxHeader bounds the headers of a request in bytes.
+	maxHeader = 64 << 10
+	// checkEvery is the period of the upkeep.
+	checkEvery = 250 * time.Millisecond
+	// drainPoll is how often a stop looks for work in flight.
+	drainPoll = 20 * time.Millisecond
+	// quietFor is how long nothing must be in flight before a stopping node ends.
+	quietFor = 300 * time.Millisecond
+	// leastStop is how long a stopping node goes on at least: callers learn only
+	// with the next check of readiness that it takes no more.
+	leastStop = 2500 * time.Millisecond
+	// graceMargin is kept of the grace for the end itself.
+	graceMargin = 500 * time.Millisecond
+)
+
+// ListenError reports an address that cannot be listened on.
+type ListenError struct {
+	Face, Address string
+	Cause         error
+}
+
+// Error implements error.
+func (e *ListenError) Error() string {
+	return fmt.Sprintf("cannot listen on %s for %s: %s; change [listen] %s or end what uses the port", e.Address, e.Face, e.Cause, e.Face)
+}
+
+// Unwrap returns the cause.
+func (e *ListenError) Unwrap() error { return e.Cause }
+
+type face struct {
+	name, address string
+	handler       http.Handler
+	listener      net.Listener
+	server        *http.Server
+}
+
+func (n *Node) faces() []*face {
+	malformed := func(id string, err error) {
+		logs.Part(n.logger, logs.PartMember).WithField("id", id).WithError(err).Warn("heartbeat cannot be read")
+	}
+	heard := func(h Heartbeat) {
+		if !n.presence.Heard(h) {
+			logs.Part(n.logger, logs.PartMember).WithField("id", h.Instance).WithField("sequence", h.Sequence).Info("late or foreign heartbeat passed over")
+		}
+	}
+	left := func(id fleet.InstanceName) { n.presence.Left(id) }
+	list := []*face{
+		{name: "callers", address: n.settings.Callers, handler: n.entrance},
+		{name: "heartbeats", address: n.settings.Heartbeats, handler: n.platform.Heartbeats(heard, left, malformed)},
+		{name: "readiness", address: n.settings.Readiness, handler: n.platform.Readiness(n.ready)},
+	}
+	if n.settings.Metrics != "" {
+		list = append(list, &face{name: "metrics", address: n.settings.Metrics, handler: n.meter.Handler()})
+	}
+	return list
+}
+
+func (n *Node) listen(faces []*face) error {
+	for _, f := range faces {
+		l, err := net.Listen("tcp", f.address)
+		if err != nil {
+			return &ListenError{Face: f.name, Address: f.address, Cause: err}
+		}
+		f.listener = l
+		f.server = &http.Server{Handler: f.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
+	}
+	return nil
+}
+
+// Run serves until ctx ends, then leaves, finishes the work in flight and
+// returns nil. It returns *ListenError where a face cannot be opened.
+func (n *Node) Run(ctx context.Context) error {
+	faces := n.faces()
+	peers, err := net.Listen("tcp", n.settings.Peers)
+	if err != nil {
+		return &ListenError{Face: "peers", Address: n.settings.Peers, Cause: err}
+	}
+	if err := n.listen(faces); err != nil {
+		return err
+	}
+	failed := make(chan error, len(faces)+1)
+	for _, f := range faces {
+		go func() { failed <- f.server.Serve(f.listener) }()
+	}
+	go func() { failed <- n.links.Serve(peers) }()
+	n.logger.WithField("service", n.settings.Service).WithField("incarnation", n.incarnation).Info("node started")
+	work, stopWork := context.WithCancel(context.Background())
+	var controllers sync.WaitGroup
+	for _, c := range []func(context.Context){n.config.Run, n.directoryLog.Run, n.directory.Run, n.upkeep} {
+		controllers.Go(func() { c(work) })
+	}
+	n.publish()
+	select {
+	case <-ctx.Done():
+	case err = <-failed:
+		if errors.Is(err, net.ErrClosed) {
+			err = nil
+		}
+	}
+	n.leave(work)
+	stopWork()
+	controllers.Wait()
+	for _, f := range faces {
+		_ = f.server.Close()
+	}
+	_ = peers.Close()
+	n.links.Close()
+	_ = n.meter.Close()
+	n.logger.Info("node stopped")
+	return err
+}
+
+// upkeep looks after what has no event of its own.
+func (n *Node) upkeep(ctx context.Context) {
+	clock.Every(ctx, n.clock, clock.Fixed(checkEvery), func(context.Context) {
+		n.presence.Check()
+		n.instance.CloseIdle(false)
+	})
+}
+
+// leave closes the gate, tells everyone, and lets what is in flight end. Callers
+// with open connections are served until the end.
+func (n *Node) leave(ctx context.Context) {
+	begun := n.clock.Now()
+	n.logger.Info("node stops")
+	n.stopping.Store(true)
+	n.gate.Leave()
+	n.publish()
+	quiet := begun
+	for {
+		now := n.clock.Now()
+		if n.entrance.Busy()+int64(n.gate.Slots.Load().InFlight) > 0 {
+			quiet = now
+		}
+		if now.Sub(begun) > n.settings.Grace-graceMargin || now.Sub(begun) > leastStop && now.Sub(quiet) > quietFor {
+			return
+		}
+		if clock.Sleep(ctx, n.clock, drainPoll) != nil {
+			return
+		}
+	}
+}
--- a/pkg/problem/problem.go
+++ b/pkg/problem/problem.go
@@ -116,12 +116,20 @@
 	Run    Run    `json:"run"`
 }
 
-// Write sends the refusal as an HTTP answer.
+// Write sends the refusal as an HTTP answer, with the hint in whole seconds.
 func (e *Error) Write(w http.ResponseWriter) {
+	e.write(w, strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
+}
+
+// WriteExact sends the refusal to a caller that reads fractions of a second.
+func (e *Error) WriteExact(w http.ResponseWriter) {
+	e.write(w, strconv.FormatFloat(e.RetryAfter.Seconds(), 'f', 3, 64))
+}
+
+func (e *Error) write(w http.ResponseWriter, hint string) {
 	w.Header().Set("Content-Type", ContentType)
 	if e.RetryAfter > 0 {
-		seconds := int(math.Ceil(e.RetryAfter.Seconds()))
-		w.Header().Set("Retry-After", strconv.Itoa(seconds))
+		w.Header().Set("Retry-After", hint)
 	}
 	w.WriteHeader(e.Status())
 	_ = json.NewEncoder(w).Encode(Document{
