--- a/pkg/entrance/budget.go
+++ b/pkg/entrance/budget.go
@@ -10,7 +10,7 @@
 
 const (
 	// repeatShare is the part of a service's requests that may be sent once more.
-	repeatShare = 0.1
+	repeatShare = 0.08
 	// repeatCap bounds saved repeats.
 	repeatCap = 10.0
 	// borrowFrom is how many peers are asked for tokens at once.
@@ -38,6 +38,13 @@
 	b.saved[service] = min(b.saved[service]+repeatShare, repeatCap)
 }
 
+// spent counts calls that repeat others because the run that makes them does.
+func (b *budget) spent(service fleet.ServiceName, calls float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.saved[service] = max(b.saved[service]-calls, -repeatCap)
+}
+
 func (b *budget) take(service fleet.ServiceName) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/pkg/entrance/entrance.go
+++ b/pkg/entrance/entrance.go
@@ -53,6 +53,14 @@
 	Fresh func() bool
 	// Stopping tells whether connections are to be closed after their answer.
 	Stopping func() bool
+	// Arrived is told of each request whose route and key are good; nil is allowed.
+	Arrived func(r *Request)
+	// Admit tells whether a request that begins here may run, and the part of its
+	// class that may; nil admits all.
+	Admit func(r *Request) (bool, float64)
+	// Repeating returns the part of the runs at the own instance that repeat
+	// others; calls that they make are repeats too.
+	Repeating func() float64
 	// Finished is told of each request's end.
 	Finished func(r *Request, status int, o *linkrpc.Outcome, refused *problem.Error)
 
@@ -73,11 +81,15 @@
 	// Inner requests are made by an instance that runs another request.
 	Inner   bool
 	Arrived time.Time
+	// Expires is when the caller gives up.
+	Expires time.Time
 	// Deadline is when the caller or the route's timeout gives up.
 	Deadline time.Time
 	// Placements counts the gates that the request was handed to, Arrivals the
 	// instances that it may have reached.
 	Placements, Arrivals int
+	// Part is the part of the request's class that was admitted when it arrived.
+	Part float64
 
 	run linkrpc.Run
 }
@@ -162,6 +174,7 @@
 	if ms, err := strconv.ParseFloat(hr.Header.Get(e.Headers.Deadline), 64); err == nil {
 		left = time.Duration(ms * float64(time.Millisecond))
 	}
+	r.Expires = r.Arrived.Add(left)
 	if r.Route.Timeout > 0 {
 		left = min(left, r.Route.Timeout)
 	}
@@ -182,6 +195,12 @@
 	if refused != nil {
 		return nil, refused
 	}
+	if e.Arrived != nil {
+		e.Arrived(r)
+	}
+	if refused := e.admit(r); refused != nil {
+		return nil, refused
+	}
 	if !e.spend(ctx, r) {
 		p := problem.New(problem.KindRate, "the organisation is over its rate")
 		p.RetryAfter = e.Shares.RetryAfter(r.Organisation.ID)
@@ -197,6 +216,21 @@
 	return outcome, refused
 }
 
+// admit turns a request away that would find no room further down.
+func (e *Entrance) admit(r *Request) *problem.Error {
+	if r.Inner || e.Admit == nil {
+		return nil
+	}
+	admitted, part := e.Admit(r)
+	r.Part = part
+	if admitted {
+		return nil
+	}
+	p := problem.New(problem.KindShed, "the services that the request needs are full")
+	p.RetryAfter = comeBack(part, r.Deadline.Sub(r.Arrived))
+	return p
+}
+
 func readBody(w http.ResponseWriter, hr *http.Request, bound int64) ([]byte, *problem.Error) {
 	if bound <= 0 {
 		bound = defaultBody
--- a/pkg/entrance/place.go
+++ b/pkg/entrance/place.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"net/http"
 	"time"
 
 	"github.com/plantainramp/plantainramp/pkg/clock"
@@ -28,6 +27,10 @@
 	askPause = 100 * time.Millisecond
 	// askIdempotent bounds the questions after a lost call that may run again.
 	askIdempotent = 700 * time.Millisecond
+	// returnPart is the part of a class that must be admitted for a return to be likely to succeed.
+	returnPart = 0.7
+	// returnSpread is the part of the time left over which returns are spread.
+	returnSpread = 6
 	// retryAfterLeast and retryAfterSpread make the hint in a refusal for load.
 	retryAfterLeast  = 200 * time.Millisecond
 	retryAfterSpread = 800 * time.Millisecond
@@ -38,6 +41,9 @@
 	service := r.Route.Pick()
 	r.run.Service = string(service)
 	e.budget.requested(service)
+	if r.Inner && e.Repeating != nil {
+		e.budget.spent(service, e.Repeating())
+	}
 	tried := map[*peering.Peer]bool{}
 	full := false
 	for r.Placements < maxPlacements {
@@ -53,9 +59,6 @@
 		}
 		switch outcome.Fate {
 		case linkrpc.Fate_FATE_ANSWERED:
-			if r.Route.Idempotent && failed(outcome) && e.again(r) {
-				continue
-			}
 			return outcome, nil
 		case linkrpc.Fate_FATE_NOT_RUN:
 			if p := e.notRun(r, place, outcome); p != nil {
@@ -153,11 +156,18 @@
 		return false
 	}
 	r.Arrivals++
+	r.run.Repeat = true
 	return true
 }
 
-// failed tells whether an instance's answer is a failure that another may not have.
-func failed(o *linkrpc.Outcome) bool { return o.Status >= http.StatusInternalServerError }
+// comeBack is the hint in a refusal for lack of room: soon where most of the
+// class is admitted, else when the caller has given up on this request.
+func comeBack(part float64, left time.Duration) time.Duration {
+	if part >= returnPart {
+		return retryAfterLeast + rand.N(max(left/returnSpread, time.Millisecond))
+	}
+	return left
+}
 
 func patience(r *Request, left time.Duration) time.Duration {
 	if r.Inner {
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -50,6 +50,9 @@
 	Instance *instance.Client
 	// View returns the configuration in force, or nil.
 	View func() *routing.View
+	// Started is told of each call that gets a slot and when it expires; what it
+	// returns is called when the call ends. Nil is allowed.
+	Started func(run *linkrpc.Run, expires time.Time) (ended func())
 	// Decided is told of each outcome; nil is allowed.
 	Decided func(run *linkrpc.Run, outcome *linkrpc.Outcome, waited, ran time.Duration, cause error)
 
@@ -262,6 +265,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, left+deadlineMargin)
 	defer cancel()
+	if g.Started != nil {
+		defer g.Started(run, g.Clock.Now().Add(left))()
+	}
 	s := g.self.Load()
 	call := &instance.Call{
 		Method: run.Method, Target: run.Target, Host: run.Host, Body: run.Body,
--- a/pkg/mesh/events.go
+++ b/pkg/mesh/events.go
@@ -11,11 +11,13 @@
 	"github.com/plantainramp/plantainramp/pkg/fleet"
 	"github.com/plantainramp/plantainramp/pkg/logs"
 	"github.com/plantainramp/plantainramp/pkg/problem"
+	"github.com/plantainramp/plantainramp/pkg/routing"
 	"github.com/plantainramp/plantainramp/rpc/linkrpc"
 )
 
 // Kinds of events that touch a request.
 const (
+	eventPlan    logs.Kind = "classes admitted in part"
 	eventServed  logs.Kind = "request answered"
 	eventFailed  logs.Kind = "request failed at the instance"
 	eventRefused logs.Kind = "request refused"
@@ -43,6 +45,7 @@
 		}
 		if r.Route != nil {
 			f["route"] = r.Route.Name
+			f["classPart"] = r.Part
 			f["leftMs"] = ms(r.Deadline.Sub(now))
 		}
 		if r.Organisation != nil {
@@ -82,6 +85,7 @@
 		n.presence.Silent()
 	}
 	if o.Fate == linkrpc.Fate_FATE_ANSWERED {
+		n.survey.Ran(routing.RouteName(run.Route), ran)
 		return
 	}
 	kind := eventNotRun
--- /dev/null
+++ b/pkg/mesh/load.go
@@ -0,0 +1,100 @@
+package mesh
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/plantainramp/plantainramp/pkg/clock"
+	"github.com/plantainramp/plantainramp/pkg/entrance"
+	"github.com/plantainramp/plantainramp/pkg/fleet"
+	"github.com/plantainramp/plantainramp/pkg/room"
+	"github.com/plantainramp/plantainramp/pkg/routing"
+	"github.com/plantainramp/plantainramp/pkg/survey"
+	"github.com/plantainramp/plantainramp/rpc/linkrpc"
+)
+
+// repeats counts the runs at the own instance, and those that repeat others.
+// Its zero value works.
+type repeats struct {
+	all, repeated atomic.Int64
+}
+
+func (r *repeats) started(run *linkrpc.Run) {
+	r.all.Add(1)
+	if run.Repeat {
+		r.repeated.Add(1)
+	}
+}
+
+func (r *repeats) ended(run *linkrpc.Run) {
+	r.all.Add(-1)
+	if run.Repeat {
+		r.repeated.Add(-1)
+	}
+}
+
+// part returns the part of the present runs that repeat others.
+func (r *repeats) part() float64 {
+	all := r.all.Load()
+	if all <= 0 {
+		return 0
+	}
+	return float64(r.repeated.Load()) / float64(all)
+}
+
+func (n *Node) started(run *linkrpc.Run, expires time.Time) func() {
+	n.repeats.started(run)
+	r := n.survey.Started(routing.RouteName(run.Route), expires)
+	return func() {
+		n.survey.Ended(r)
+		n.repeats.ended(run)
+	}
+}
+
+func (n *Node) arrived(r *entrance.Request) {
+	if r.Inner {
+		n.survey.Called(r.Route.Name, r.Expires)
+	} else {
+		n.survey.Arrived(r.Route.Name, r.Route.Priority)
+	}
+}
+
+func (n *Node) admit(r *entrance.Request) (bool, float64) { return n.survey.Admit(r.Route.Name) }
+
+// planRoom renews the plan of admission and tells peers of the own load.
+func (n *Node) planRoom(ctx context.Context) {
+	clock.Every(ctx, n.clock, clock.Fixed(survey.Period), func(context.Context) {
+		status := n.survey.Tick()
+		if status == nil {
+			return
+		}
+		for _, p := range n.peers.Others(n.peers.Count()) {
+			p.Tell(status)
+		}
+	})
+}
+
+// planned logs a plan that admits some class only in part.
+func (n *Node) planned(classes []room.Class, services map[fleet.ServiceName]room.Service, parts map[routing.RouteName]float64) {
+	thinned := false
+	for _, part := range parts {
+		thinned = thinned || part < 1
+	}
+	if !thinned {
+		return
+	}
+	n.plans.Event(eventPlan, func() logrus.Fields {
+		full := map[fleet.ServiceName]float64{}
+		for name, s := range services {
+			full[name] = s.Busy / max(s.Slots, 1)
+		}
+		rates, costs := map[routing.RouteName]float64{}, map[routing.RouteName]map[fleet.ServiceName]float64{}
+		for _, c := range classes {
+			rates[c.Route], costs[c.Route] = c.Rate, c.Cost
+		}
+		return logrus.Fields{"parts": parts, "fullness": full, "ratesPerS": rates, "costsS": costs}
+	})
+}
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -25,6 +25,7 @@
 	"github.com/plantainramp/plantainramp/pkg/peering"
 	"github.com/plantainramp/plantainramp/pkg/quota"
 	"github.com/plantainramp/plantainramp/pkg/routing"
+	"github.com/plantainramp/plantainramp/pkg/survey"
 	"github.com/plantainramp/plantainramp/pkg/uptime"
 	"github.com/plantainramp/plantainramp/rpc/linkrpc"
 )
@@ -71,6 +72,7 @@
 	uptime      uptime.Source
 	logger      *logs.Logger
 	events      *logs.Sampler
+	plans       *logs.Sampler
 	meter       *meter.Meter
 	incarnation uint64
 
@@ -88,12 +90,15 @@
 	shares       *quota.Shares
 	entrance     *entrance.Entrance
 	links        *link.Server
+	survey       *survey.Survey
+	repeats      repeats
 }
 
 // New makes a node.
 func New(s *Settings, p *Platform, c clock.Clock, up uptime.Source, logger *logs.Logger) *Node {
 	n := &Node{settings: s, platform: p, clock: c, uptime: up, logger: logger, incarnation: randomNumber(), meter: meter.New()}
 	n.events = &logs.Sampler{Clock: c, Logger: logger, PerSecond: linesPerSecond}
+	n.plans = &logs.Sampler{Clock: c, Logger: logs.Part(logger, logs.PartAdmission), PerSecond: 1}
 	n.makeGate()
 	n.makeDirectory()
 	n.makeEntrance()
@@ -109,7 +114,7 @@
 
 func (n *Node) makeGate() {
 	n.instance = &instance.Client{Address: n.settings.Instance, Clock: n.clock, Headers: n.platform.InstanceHeaders, MaxAnswer: maxAnswer}
-	n.gate = &gate.Gate{Clock: n.clock, Headers: n.platform.GateHeaders, Instance: n.instance, View: n.view.Load, Decided: n.decided}
+	n.gate = &gate.Gate{Clock: n.clock, Headers: n.platform.GateHeaders, Instance: n.instance, View: n.view.Load, Started: n.started, Decided: n.decided}
 	n.gate.Init()
 	n.presence = &Presence{Clock: n.clock, Service: n.settings.Service, Period: n.settings.Heartbeat, Announce: n.announce}
 }
@@ -127,7 +132,8 @@
 		Source: n.platform.Directory, Clock: n.clock, Uptime: n.uptime, Logger: logs.Part(n.logger, logs.PartMember),
 		Wait: directoryWait, Slack: readSlack, Apply: n.directory.Apply,
 	}
-	n.links = &link.Server{Hello: n.hello, Handle: n.handle}
+	n.survey = &survey.Survey{Clock: n.clock, Self: self, Service: n.settings.Service, Load: n.gate.Load, View: n.view.Load, Planned: n.planned}
+	n.links = &link.Server{Hello: n.hello, Handle: n.handle, Status: n.survey.Heard}
 }
 
 func (n *Node) makeEntrance() {
@@ -135,6 +141,7 @@
 	n.entrance = &entrance.Entrance{
 		Clock: n.clock, Headers: n.platform.EntranceHeaders, Service: n.settings.Service, Peers: n.peers, Shares: n.shares,
 		View: n.view.Load, Fresh: n.fresh, Stopping: n.stopping.Load, Finished: n.finished, Incarnation: n.incarnation,
+		Arrived: n.arrived, Admit: n.admit, Repeating: n.repeats.part,
 	}
 	n.entrance.Init()
 }
--- a/pkg/mesh/run.go
+++ b/pkg/mesh/run.go
@@ -107,7 +107,7 @@
 	n.logger.WithField("service", n.settings.Service).WithField("incarnation", n.incarnation).Info("node started")
 	work, stopWork := context.WithCancel(context.Background())
 	var controllers sync.WaitGroup
-	for _, c := range []func(context.Context){n.config.Run, n.directoryLog.Run, n.directory.Run, n.upkeep} {
+	for _, c := range []func(context.Context){n.config.Run, n.directoryLog.Run, n.directory.Run, n.upkeep, n.planRoom} {
 		controllers.Go(func() { c(work) })
 	}
 	n.publish()
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -72,6 +72,7 @@
 	Version       Version
 	Limits        Limits
 	Organisations []*Organisation
+	Routes        []*Route
 
 	routes map[string]map[string]*Route
 	keys   map[KeyDigest]*Organisation
@@ -101,6 +102,7 @@
 		b.view.routes[host] = map[string]*Route{}
 	}
 	b.view.routes[host][r.Prefix] = r
+	b.view.Routes = append(b.view.Routes, r)
 }
 
 // Organisation adds an organisation with the keys it holds.
--- /dev/null
+++ b/pkg/survey/survey.go
@@ -0,0 +1,346 @@
+// Package survey gathers what nodes tell each other of load, costs and demand,
+// and keeps the plan by which entrances admit requests.
+package survey
+
+import (
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/plantainramp/plantainramp/pkg/callgraph"
+	"github.com/plantainramp/plantainramp/pkg/clock"
+	"github.com/plantainramp/plantainramp/pkg/directory"
+	"github.com/plantainramp/plantainramp/pkg/fleet"
+	"github.com/plantainramp/plantainramp/pkg/room"
+	"github.com/plantainramp/plantainramp/pkg/routing"
+	"github.com/plantainramp/plantainramp/rpc/linkrpc"
+)
+
+const (
+	// Period is the time between two plans.
+	Period = 250 * time.Millisecond
+	// windowPeriods is how many plans share one window of the call graph.
+	windowPeriods = 4
+	// quietPeriods is how many plans pass between two reports of a node with little load.
+	quietPeriods = 4
+	// busyFrom is the part of its slots from which a node reports with each plan.
+	busyFrom = 0.5
+	// forgetReport is how long a node's report counts.
+	forgetReport = 4 * time.Second
+	// rateWeight is the weight of the newest period in rates of requests.
+	rateWeight = 0.15
+	// heldWeight is the weight of one run in the mean time that a slot is held.
+	heldWeight = 0.05
+	// mostCost bounds the slot time of one run at one service.
+	mostCost = 100 * time.Second
+	// fullPart is the part from which a class counts as admitted whole.
+	fullPart = 0.999
+)
+
+// Costs holds the slot time in seconds that one run of a route takes at each service.
+type Costs map[fleet.ServiceName]float64
+
+// Survey is one node's knowledge of load and demand. Set the exported fields
+// before use.
+type Survey struct {
+	Clock   clock.Clock
+	Self    directory.NodeAddress
+	Service fleet.ServiceName
+	// Load returns the load of the own gate.
+	Load func() *linkrpc.Load
+	// View returns the configuration in force, or nil.
+	View func() *routing.View
+	// Planned is told of each plan; nil is allowed.
+	Planned func(classes []room.Class, services map[fleet.ServiceName]room.Service, parts map[routing.RouteName]float64)
+
+	graph callgraph.Learner
+
+	mu      sync.Mutex
+	reports map[directory.NodeAddress]report
+	routes  map[routing.RouteName]*routeStats
+	planner room.Planner
+	periods int
+
+	plan atomic.Pointer[Plan]
+}
+
+// report is what another node said, and when.
+type report struct {
+	status *linkrpc.Status
+	at     time.Time
+}
+
+// routeStats counts one route at this node.
+type routeStats struct {
+	// priority is that of the last request seen.
+	priority int
+	// arrived counts requests that begin here, runs those that run here, in the present period.
+	arrived, runs float64
+	// offered and rate are the same per second.
+	offered, rate float64
+	// held is the mean time that a run holds a slot; 0 until the first.
+	held time.Duration
+}
+
+// Plan is the part of each class to admit. It never changes, but for the
+// credit of each class.
+type Plan struct {
+	parts map[routing.RouteName]*credit
+}
+
+type credit struct {
+	part float64
+	mu   sync.Mutex
+	left float64
+}
+
+func (s *Survey) stats(route routing.RouteName) *routeStats {
+	if s.routes == nil {
+		s.routes = map[routing.RouteName]*routeStats{}
+	}
+	r := s.routes[route]
+	if r == nil {
+		r = &routeStats{}
+		s.routes[route] = r
+	}
+	return r
+}
+
+// Arrived counts a request that begins at this node.
+func (s *Survey) Arrived(route routing.RouteName, priority int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.stats(route)
+	r.arrived++
+	r.priority = priority
+}
+
+// Called counts a call that the instance makes, and that expires at a time.
+func (s *Survey) Called(route routing.RouteName, expires time.Time) { s.graph.Called(route, expires) }
+
+// Started counts a run that the instance stops working on at a time.
+func (s *Survey) Started(route routing.RouteName, expires time.Time) *callgraph.Run {
+	return s.graph.Started(route, expires)
+}
+
+// Ended notes the end of a run.
+func (s *Survey) Ended(r *callgraph.Run) { s.graph.Ended(r) }
+
+// Ran takes the time that a run held its slot.
+func (s *Survey) Ran(route routing.RouteName, held time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.stats(route)
+	r.runs++
+	if r.held == 0 {
+		r.held = held
+	}
+	r.held += time.Duration(heldWeight * float64(held-r.held))
+}
+
+// Heard takes what another node says.
+func (s *Survey) Heard(status *linkrpc.Status) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.reports == nil {
+		s.reports = map[directory.NodeAddress]report{}
+	}
+	s.reports[directory.NodeAddress(status.Node)] = report{status: status, at: s.Clock.Now()}
+}
+
+// Admit tells whether a request of a route is admitted, and the part of its
+// class that is.
+func (s *Survey) Admit(route routing.RouteName) (bool, float64) {
+	p := s.plan.Load()
+	if p == nil {
+		return true, 1
+	}
+	c := p.parts[route]
+	if c == nil || c.part >= fullPart {
+		return true, 1
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.left += c.part
+	if c.left < 1 {
+		return false, c.part
+	}
+	c.left--
+	return true, c.part
+}
+
+// Tick renews the plan. It returns what peers should hear now, or nil.
+func (s *Survey) Tick() *linkrpc.Status {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.periods++
+	if s.periods%windowPeriods == 0 {
+		s.graph.Window()
+	}
+	s.rates()
+	own := s.status()
+	s.renew(own)
+	load := own.Load
+	if s.periods%quietPeriods != 0 && float64(load.InFlight+load.Queued) < busyFrom*float64(load.Limit) {
+		return nil
+	}
+	return own
+}
+
+func (s *Survey) rates() {
+	perSecond := float64(time.Second) / float64(Period)
+	for name, r := range s.routes {
+		r.offered += rateWeight * (r.arrived*perSecond - r.offered)
+		r.rate += rateWeight * (r.runs*perSecond - r.rate)
+		r.arrived, r.runs = 0, 0
+		if r.offered < 1e-3 && r.rate < 1e-3 {
+			delete(s.routes, name)
+		}
+	}
+}
+
+// status is what this node says of itself.
+func (s *Survey) status() *linkrpc.Status {
+	status := &linkrpc.Status{Node: string(s.Self), Service: string(s.Service), Load: s.Load()}
+	calls := s.graph.CallsPerRun()
+	costs := s.costs()
+	for name, r := range s.routes {
+		if r.offered > 0.01 {
+			status.Offers = append(status.Offers, &linkrpc.Offer{Route: string(name), Rate: float32(r.offered)})
+		}
+		if r.held == 0 || r.rate < 0.01 {
+			continue
+		}
+		whole := Costs{s.Service: r.held.Seconds()}
+		for callee, times := range calls[name] {
+			for service, cost := range costs[callee] {
+				whole[service] += times * cost
+			}
+		}
+		for service, cost := range whole {
+			status.Costs = append(status.Costs, &linkrpc.Cost{
+				Route: string(name), Service: string(service), SlotUs: uint32(min(cost, mostCost.Seconds()) * 1e6), Weight: float32(r.rate),
+			})
+		}
+	}
+	return status
+}
+
+// costs averages what nodes say of each route, by how many runs it rests on.
+func (s *Survey) costs() map[routing.RouteName]Costs {
+	sums := map[routing.RouteName]Costs{}
+	weights := map[routing.RouteName]float64{}
+	now := s.Clock.Now()
+	for _, r := range s.reports {
+		if now.Sub(r.at) > forgetReport {
+			continue
+		}
+		s.sum(r.status, sums, weights)
+	}
+	for name, c := range sums {
+		for service := range c {
+			c[service] /= weights[name]
+		}
+	}
+	return sums
+}
+
+func (s *Survey) sum(status *linkrpc.Status, sums map[routing.RouteName]Costs, weights map[routing.RouteName]float64) {
+	seen := map[routing.RouteName]bool{}
+	for _, c := range status.Costs {
+		name, w := routing.RouteName(c.Route), float64(c.Weight)
+		if sums[name] == nil {
+			sums[name] = Costs{}
+		}
+		sums[name][fleet.ServiceName(c.Service)] += w * float64(c.SlotUs) / 1e6
+		if !seen[name] {
+			seen[name] = true
+			weights[name] += w
+		}
+	}
+}
+
+// renew makes the plan from the reports of all nodes, the own one included.
+func (s *Survey) renew(own *linkrpc.Status) {
+	now := s.Clock.Now()
+	if s.reports == nil {
+		s.reports = map[directory.NodeAddress]report{}
+	}
+	s.reports[s.Self] = report{status: own, at: now}
+	services := map[fleet.ServiceName]room.Service{}
+	rates := map[routing.RouteName]float64{}
+	for node, r := range s.reports {
+		if now.Sub(r.at) > forgetReport {
+			delete(s.reports, node)
+			continue
+		}
+		for _, o := range r.status.Offers {
+			rates[routing.RouteName(o.Route)] += float64(o.Rate)
+		}
+		if load := r.status.Load; load != nil && !load.Closed {
+			service := services[fleet.ServiceName(r.status.Service)]
+			service.Slots += float64(load.Limit)
+			service.Busy += float64(load.InFlight + load.Queued)
+			services[fleet.ServiceName(r.status.Service)] = service
+		}
+	}
+	classes := s.classes(rates)
+	parts := s.planner.Plan(classes, services)
+	s.replace(parts)
+	if s.Planned != nil {
+		s.Planned(classes, services, parts)
+	}
+}
+
+func (s *Survey) classes(rates map[routing.RouteName]float64) []room.Class {
+	costs := s.costs()
+	priorities := s.priorities()
+	classes := make([]room.Class, 0, len(rates))
+	for name, rate := range rates {
+		if c := costs[name]; len(c) > 0 {
+			classes = append(classes, room.Class{Route: name, Priority: priorities[name], Rate: rate, Cost: c})
+		}
+	}
+	return classes
+}
+
+func (s *Survey) priorities() map[routing.RouteName]int {
+	list := map[routing.RouteName]int{}
+	view := s.View()
+	if view == nil {
+		return list
+	}
+	for _, r := range view.Routes {
+		list[r.Name] = r.Priority
+	}
+	return list
+}
+
+// replace puts new parts in force, keeping the credit of each class.
+func (s *Survey) replace(parts map[routing.RouteName]float64) {
+	old := s.plan.Load()
+	next := &Plan{parts: make(map[routing.RouteName]*credit, len(parts))}
+	for name, part := range parts {
+		c := &credit{part: part, left: rand.Float64()}
+		if old != nil && old.parts[name] != nil {
+			before := old.parts[name]
+			before.mu.Lock()
+			c.left = before.left
+			before.mu.Unlock()
+		}
+		next.parts[name] = c
+	}
+	s.plan.Store(next)
+}
+
+// Parts returns the part of each class that is admitted, for logs and metrics.
+func (s *Survey) Parts() map[routing.RouteName]float64 {
+	parts := map[routing.RouteName]float64{}
+	if p := s.plan.Load(); p != nil {
+		for name, c := range p.parts {
+			parts[name] = c.part
+		}
+	}
+	return parts
+}
