Plan of admission: callers found without doubt, small uses do not bind

Cause: key-issue was charged with calls of others that expired by chance with one of its runs, and its use of agenda, under 1 %, bound it to agenda's floor.

--- a/pkg/callgraph/callgraph.go
+++ b/pkg/callgraph/callgraph.go
@@ -1,6 +1,6 @@
 // Package callgraph learns what one run of each route makes its instance call.
 // Calls do not say which run made them, but they expire when that run does: a
-// call is put down to the routes whose runs expire at the same time.
+// call is put down to the one route whose runs expire at the same time.
 package callgraph
 
 import (
@@ -18,7 +18,7 @@
 	// leastRuns is how many runs an estimate needs.
 	leastRuns = 3.0
 	// leastCalls is the estimate below which a route is taken not to call another.
-	leastCalls = 0.05
+	leastCalls = 0.1
 	// leastSum is the count below which a route is forgotten.
 	leastSum = 1e-2
 )
@@ -74,21 +74,26 @@
 		return
 	}
 	l.calls[route]++
-	found := map[routing.RouteName]int{}
-	all := 0
+	if caller, found := l.caller(expires); found {
+		l.matched[route]++
+		l.made[pair{caller, route}]++
+	}
+}
+
+// caller returns the one route whose runs expire at a time.
+func (l *Learner) caller(expires time.Time) (routing.RouteName, bool) {
+	var name routing.RouteName
+	found := false
 	for r := range l.running {
-		if off := r.expires.Sub(expires); off <= slack && off >= -slack {
-			found[r.route]++
-			all++
+		if off := r.expires.Sub(expires); off > slack || off < -slack {
+			continue
 		}
+		if found && r.route != name {
+			return "", false
+		}
+		name, found = r.route, true
 	}
-	if all == 0 {
-		return
-	}
-	l.matched[route]++
-	for caller, n := range found {
-		l.made[pair{caller, route}] += float64(n) / float64(all)
-	}
+	return name, found
 }
 
 // Window lets what was learned so far fade.
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -23,6 +23,9 @@
 	orphanTime = 1500 * time.Millisecond
 	// deadlineMargin is how much longer than the instance a gate waits for an answer.
 	deadlineMargin = 150 * time.Millisecond
+	// usedSlots is the part of its slots that an instance is given: many slow down
+	// when they are nearly full.
+	usedSlots = 0.945
 	// leastTime is the least time worth starting a call for.
 	leastTime = time.Millisecond
 )
@@ -75,7 +78,7 @@
 // call that has not started, from the moment this returns.
 func (g *Gate) Announce(s *Self) {
 	g.self.Store(s)
-	g.Slots.SetLimit(s.Slots)
+	g.Slots.SetLimit(max(1, int(float64(s.Slots)*usedSlots)))
 	g.update()
 }
 
--- a/pkg/instance/errors.go
+++ b/pkg/instance/errors.go
@@ -44,7 +44,9 @@
 }
 
 // Error implements error.
-func (e *OtherAnswerError) Error() string { return fmt.Sprintf("the answer belongs to request %q", e.Got) }
+func (e *OtherAnswerError) Error() string {
+	return fmt.Sprintf("the answer belongs to request %q", e.Got)
+}
 
 // TooLargeError reports an answer beyond the bound.
 type TooLargeError struct {
@@ -52,7 +54,9 @@
 }
 
 // Error implements error.
-func (e *TooLargeError) Error() string { return fmt.Sprintf("the answer is larger than %d bytes", e.Bound) }
+func (e *TooLargeError) Error() string {
+	return fmt.Sprintf("the answer is larger than %d bytes", e.Bound)
+}
 
 // InterimError reports an instance that never sends a final answer.
 type InterimError struct{}
--- a/pkg/mesh/load.go
+++ b/pkg/mesh/load.go
@@ -91,10 +91,11 @@
 		for name, s := range services {
 			full[name] = s.Busy / max(s.Slots, 1)
 		}
+		runs, held := n.survey.Runs()
 		rates, costs := map[routing.RouteName]float64{}, map[routing.RouteName]map[fleet.ServiceName]float64{}
 		for _, c := range classes {
 			rates[c.Route], costs[c.Route] = c.Rate, c.Cost
 		}
-		return logrus.Fields{"parts": parts, "fullness": full, "ratesPerS": rates, "costsS": costs}
+		return logrus.Fields{"parts": parts, "fullness": full, "ratesPerS": rates, "costsS": costs, "ownRunsPerS": runs, "ownHeld": held}
 	})
 }
--- a/pkg/peering/peering.go
+++ b/pkg/peering/peering.go
@@ -52,8 +52,8 @@
 	gate *gate.Gate
 
 	// waiting counts calls of this entrance that are there.
-	waiting atomic.Int64
-	load    atomic.Pointer[linkrpc.Load]
+	waiting    atomic.Int64
+	load       atomic.Pointer[linkrpc.Load]
 	avoidUntil atomic.Int64
 }
 
--- a/pkg/room/room.go
+++ b/pkg/room/room.go
@@ -18,12 +18,15 @@
 	// Target is the part of a service's slots that admitted requests may fill.
 	Target = 0.92
 	// floor is the part of every class that is admitted before any class gets more.
-	floor = 0.4
+	floor = 0.2
 	// Part of the slots below which a class's use of a service is left out of account.
-	leastUse = 0.002
-	// loosen and tighten move the correction of a service per step.
-	loosen  = 1.02
-	tighten = 0.97
+	leastUse = 0.01
+	// loosen moves the correction of a service with room per step.
+	loosen = 1.03
+	// tighten is what each multiple of its slots that waits takes off the
+	// correction per step, and mostTighten the most that is taken off.
+	tighten     = 0.04
+	mostTighten = 0.1
 	// fullFrom and idleBelow are the measured fullness at which the correction moves.
 	fullFrom  = 1.0
 	idleBelow = 0.85
@@ -62,7 +65,7 @@
 func (p *Planner) Plan(classes []Class, services map[fleet.ServiceName]Service) map[routing.RouteName]float64 {
 	left := p.capacity(services)
 	parts := map[routing.RouteName]float64{}
-	p.admitFloors(classes, left, parts)
+	admitFloors(classes, services, left, parts)
 	bottleneck := fullest(classes, left)
 	order := slices.Clone(classes)
 	slices.SortFunc(order, func(a, b Class) int {
@@ -100,7 +103,7 @@
 		if s.Slots > 0 {
 			switch full := s.Busy / s.Slots; {
 			case full > fullFrom:
-				k *= tighten
+				k *= 1 - min(mostTighten, tighten*(full-fullFrom))
 			case full < idleBelow:
 				k *= loosen
 			}
@@ -114,7 +117,7 @@
 
 // admitFloors gives every class its floor, or an equal part of it where the
 // floors together do not fit.
-func (p *Planner) admitFloors(classes []Class, left map[fleet.ServiceName]float64, parts map[routing.RouteName]float64) {
+func admitFloors(classes []Class, services map[fleet.ServiceName]Service, left map[fleet.ServiceName]float64, parts map[routing.RouteName]float64) {
 	demand := map[fleet.ServiceName]float64{}
 	for _, c := range classes {
 		for s, cost := range c.Cost {
@@ -124,7 +127,7 @@
 	for _, c := range classes {
 		part := floor
 		for s, cost := range c.Cost {
-			if c.Rate*cost > 0 && demand[s] > 0 {
+			if counts(c.Rate*cost, services[s]) && demand[s] > 0 {
 				part = min(part, max(0, left[s])/demand[s])
 			}
 		}
--- a/pkg/survey/survey.go
+++ b/pkg/survey/survey.go
@@ -27,9 +27,9 @@
 	// busyFrom is the part of its slots from which a node reports with each plan.
 	busyFrom = 0.5
 	// forgetReport is how long a node's report counts.
-	forgetReport = 4 * time.Second
+	forgetReport = 2200 * time.Millisecond
 	// rateWeight is the weight of the newest period in rates of requests.
-	rateWeight = 0.15
+	rateWeight = 0.25
 	// heldWeight is the weight of one run in the mean time that a slot is held.
 	heldWeight = 0.05
 	// mostCost bounds the slot time of one run at one service.
@@ -60,11 +60,19 @@
 	reports map[directory.NodeAddress]report
 	routes  map[routing.RouteName]*routeStats
 	planner room.Planner
+	newest  planned
 	periods int
 
 	plan atomic.Pointer[Plan]
 }
 
+// planned is a plan and what it was made from.
+type planned struct {
+	classes  []room.Class
+	services map[fleet.ServiceName]room.Service
+	parts    map[routing.RouteName]float64
+}
+
 // report is what another node said, and when.
 type report struct {
 	status *linkrpc.Status
@@ -172,6 +180,14 @@
 
 // Tick renews the plan. It returns what peers should hear now, or nil.
 func (s *Survey) Tick() *linkrpc.Status {
+	status, newest := s.step()
+	if s.Planned != nil {
+		s.Planned(newest.classes, newest.services, newest.parts)
+	}
+	return status
+}
+
+func (s *Survey) step() (*linkrpc.Status, planned) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.periods++
@@ -183,9 +199,9 @@
 	s.renew(own)
 	load := own.Load
 	if s.periods%quietPeriods != 0 && float64(load.InFlight+load.Queued) < busyFrom*float64(load.Limit) {
-		return nil
+		return nil, s.newest
 	}
-	return own
+	return own, s.newest
 }
 
 func (s *Survey) rates() {
@@ -288,9 +304,7 @@
 	classes := s.classes(rates)
 	parts := s.planner.Plan(classes, services)
 	s.replace(parts)
-	if s.Planned != nil {
-		s.Planned(classes, services, parts)
-	}
+	s.newest = planned{classes, services, parts}
 }
 
 func (s *Survey) classes(rates map[routing.RouteName]float64) []room.Class {
@@ -334,6 +348,20 @@
 	s.plan.Store(next)
 }
 
+// Runs returns the runs a second of each route at the own instance, and the
+// mean time that each holds a slot.
+func (s *Survey) Runs() (map[routing.RouteName]float64, map[routing.RouteName]time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rates, held := map[routing.RouteName]float64{}, map[routing.RouteName]time.Duration{}
+	for name, r := range s.routes {
+		if r.rate > 0 {
+			rates[name], held[name] = r.rate, r.held
+		}
+	}
+	return rates, held
+}
+
 // Parts returns the part of each class that is admitted, for logs and metrics.
 func (s *Survey) Parts() map[routing.RouteName]float64 {
 	parts := map[routing.RouteName]float64{}
