--- a/pkg/entrance/budget.go
+++ b/pkg/entrance/budget.go
@@ -14,7 +14,7 @@
 	// repeatCap bounds saved repeats.
 	repeatCap = 10.0
 	// borrowFrom is how many peers are asked for tokens at once.
-	borrowFrom = 3
+	borrowFrom = 5
 	// borrowWanted is how many tokens are asked for, so that the next requests have theirs.
 	borrowWanted = 3
 	// borrowTimeout bounds the wait for a peer's tokens.
--- a/pkg/mesh/events.go
+++ b/pkg/mesh/events.go
@@ -27,7 +27,7 @@
 )
 
 // finished logs and counts the end of a request at its entrance.
-func (n *Node) finished(r *entrance.Request, status int, o *linkrpc.Outcome, refused *problem.Error) {
+func (n *Node) finished(r *entrance.Request, status int, _ *linkrpc.Outcome, refused *problem.Error) {
 	kind := eventServed
 	switch {
 	case refused != nil && refused.Run == problem.RunNo:
--- a/pkg/peering/peering.go
+++ b/pkg/peering/peering.go
@@ -115,13 +115,13 @@
 	return max(len(p.peers), 1)
 }
 
-// Others returns the links to at most n other nodes that are reached, in random order.
+// Others returns at most n other nodes that can be reached, in random order.
 func (p *Peers) Others(n int) []*Peer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var list []*Peer
 	for _, peer := range p.peers {
-		if peer.link != nil && peer.link.Up() {
+		if peer.link != nil && peer.link.Reachable() {
 			list = append(list, peer)
 		}
 	}
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -17,7 +17,7 @@
 	// borrowPause is how long an organisation whose tokens no peer could lend is
 	// refused without asking again.
 	borrowPause = 150 * time.Millisecond
-	// lendPart is the part of its tokens that a node lends at once.
+	// lendPart is the part of its whole tokens that a node lends at once.
 	lendPart = 0.5
 )
 
@@ -146,7 +146,12 @@
 		return 0
 	}
 	h.refill(s.Clock.Now())
-	granted := min(wanted, h.tokens*lendPart)
+	// Less than a whole token is of no use here, and may complete one elsewhere.
+	spare := h.tokens
+	if spare >= 1 {
+		spare *= lendPart
+	}
+	granted := min(wanted, spare)
 	if granted <= 0 {
 		return 0
 	}
