Tests of the instance client and of links between nodes

Cause: both were only exercised through the whole path. Answers that are cut, crossed, late, unframed or early, calls that did not run, closed idle connections; links that are cut, silenced, refused, left.

--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 	bash scripts/test.sh
 
 lint:
-	@test -z "$$($(GO) tool gofumpt -l cmd pkg internal acceptance)" || { $(GO) tool gofumpt -l cmd pkg internal acceptance; echo 'not formatted by gofumpt'; exit 1; }
+	@test -z "$$($(GO) tool gofumpt -l cmd pkg internal acceptance platform)" || { $(GO) tool gofumpt -l cmd pkg internal acceptance platform; echo 'not formatted by gofumpt'; exit 1; }
 	$(GO) vet ./...
 	$(GO) tool revive -set_exit_status -exclude ./rpc/... ./...
 
--- /dev/null
+++ b/pkg/instance/instance_test.go
@@ -0,0 +1,263 @@
+package instance
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/plantainramp/plantainramp/pkg/clock"
+)
+
+// scripted serves each connection with a function and counts connections.
+func scripted(t *testing.T, serve func(n int, c net.Conn, r *bufio.Reader)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for n := 1; ; n++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				serve(n, c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func newClient(address string) *Client {
+	return &Client{Address: address, Clock: clock.System{}, MaxAnswer: 1 << 20, Headers: Headers{
+		RequestID: "Id", NotExecuted: "Not-Run", InstanceID: "Instance",
+	}}
+}
+
+func callOf(id string) *Call {
+	return &Call{Method: "GET", Target: "/x", Host: "h", Headers: []string{"Id", id}, RequestID: id, Expected: "i-1"}
+}
+
+// request reads one request and returns its id.
+func request(r *bufio.Reader) string {
+	q, err := http.ReadRequest(r)
+	if err != nil {
+		return ""
+	}
+	_, _ = io.Copy(io.Discard, q.Body)
+	return q.Header.Get("Id")
+}
+
+func answer(c net.Conn, id, body string) {
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func TestAnswersOfOneConnection(t *testing.T) {
+	cases := []struct {
+		name string
+		// send writes what the instance answers to the request with an id.
+		send   func(c net.Conn, id string)
+		body   string
+		broken bool
+		// again tells that the connection may carry another call.
+		again bool
+	}{
+		{"whole", func(c net.Conn, id string) { answer(c, id, "abc") }, "abc", false, true},
+		{"interim first", func(c net.Conn, id string) {
+			_, _ = io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n")
+			answer(c, id, "abc")
+		}, "abc", false, true},
+		{"cut", func(c net.Conn, id string) {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 9\r\n\r\nabc", id)
+			_ = c.Close()
+		}, "", true, false},
+		{"cut chunk", func(c net.Conn, id string) {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabc", id)
+			_ = c.Close()
+		}, "", true, false},
+		{"without length", func(c net.Conn, id string) {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\n\r\nabc", id)
+			_ = c.Close()
+		}, "abc", false, false},
+		{"without length, reset", func(c net.Conn, id string) {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\n\r\nabc", id)
+			time.Sleep(20 * time.Millisecond)
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+		}, "", true, false},
+		{"no bytes", func(c net.Conn, _ string) { _ = c.Close() }, "", true, false},
+		{"not HTTP", func(c net.Conn, _ string) { _, _ = io.WriteString(c, "\x00\x01rubbish\r\n\r\n") }, "", true, false},
+		{"of another request", func(c net.Conn, _ string) { answer(c, "other", "abc") }, "", true, false},
+		{"without id", func(c net.Conn, _ string) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc")
+		}, "", true, false},
+		{"more than the answer", func(c net.Conn, id string) {
+			answer(c, id, "abc")
+			answer(c, id, "again")
+		}, "abc", false, false},
+		{"closing", func(c net.Conn, id string) {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nConnection: close\r\nContent-Length: 3\r\n\r\nabc", id)
+		}, "abc", false, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			last := make(chan int, 2)
+			client := newClient(scripted(t, func(n int, conn net.Conn, r *bufio.Reader) {
+				for {
+					id := request(r)
+					if id == "" {
+						return
+					}
+					last <- n
+					if id == "1" {
+						c.send(conn, id)
+					} else {
+						answer(conn, id, "next")
+					}
+				}
+			}))
+			got, err := client.Do(t.Context(), callOf("1"))
+			var broken *BrokenError
+			is.Equal(errors.As(err, &broken), c.broken)
+			if !c.broken {
+				is.NoErr(err)
+				is.Equal(string(got.Body), c.body)
+			}
+			time.Sleep(10 * time.Millisecond)
+			next, err := client.Do(t.Context(), callOf("2"))
+			is.NoErr(err)
+			is.Equal(string(next.Body), "next")
+			first, second := <-last, <-last
+			is.Equal(first == second, c.again)
+		})
+	}
+}
+
+// A second answer to an earlier call arrives only once the next call is sent.
+func TestLateSecondAnswerIsSkipped(t *testing.T) {
+	is := is.New(t)
+	client := newClient(scripted(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		answer(c, request(r), "first")
+		id := request(r)
+		answer(c, "1", "first again")
+		answer(c, id, "second")
+		_ = request(r)
+	}))
+	_, err := client.Do(t.Context(), callOf("1"))
+	is.NoErr(err)
+	got, err := client.Do(t.Context(), callOf("2"))
+	is.NoErr(err)
+	is.Equal(string(got.Body), "second")
+	is.Equal(len(client.idle), 0)
+}
+
+func TestCallsThatDidNotRun(t *testing.T) {
+	cases := []struct{ name, answer string }{
+		{"full", "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"},
+		{"another instance", "HTTP/1.1 421 Misdirected Request\r\nInstance: i-2\r\nContent-Length: 0\r\n\r\n"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			client := newClient(scripted(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+				for request(r) != "" {
+					_, _ = io.WriteString(conn, c.answer)
+				}
+			}))
+			_, err := client.Do(t.Context(), callOf("1"))
+			var rejected *RejectedError
+			is.True(errors.As(err, &rejected))
+			is.Equal(len(client.idle), 1)
+		})
+	}
+	is := is.New(t)
+	_, err := newClient("127.0.0.1:1").Do(t.Context(), callOf("1"))
+	var unsent *NotSentError
+	is.True(errors.As(err, &unsent))
+}
+
+// A connection that the instance has closed meanwhile is not used, so that a
+// call is never lost on it.
+func TestIdleConnectionThatWasClosed(t *testing.T) {
+	is := is.New(t)
+	client := newClient(scripted(t, func(n int, c net.Conn, r *bufio.Reader) {
+		answer(c, request(r), fmt.Sprint(n))
+	}))
+	for n := 1; n <= 3; n++ {
+		got, err := client.Do(t.Context(), callOf("1"))
+		is.NoErr(err)
+		is.Equal(string(got.Body), fmt.Sprint(n))
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func TestIdleTimeIsHeeded(t *testing.T) {
+	is := is.New(t)
+	opened := 0
+	client := newClient(scripted(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for id := request(r); id != ""; id = request(r) {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nKeep-Alive: timeout=5\r\nContent-Length: 0\r\n\r\n", id)
+		}
+	}))
+	time.Sleep(10 * time.Millisecond)
+	fake := &clock.Fake{}
+	client.Clock, client.Opened = fake, func() { opened++ }
+	for _, wait := range []time.Duration{0, 3 * time.Second, 5 * time.Second} {
+		fake.Advance(wait)
+		_, err := client.Do(t.Context(), callOf("1"))
+		is.NoErr(err)
+	}
+	is.Equal(opened, 2)
+}
+
+// The answer to a long call may come before all of it was read. The connection
+// then carries nothing more.
+func TestEarlyAnswer(t *testing.T) {
+	is := is.New(t)
+	client := newClient(scripted(t, func(n int, c net.Conn, r *bufio.Reader) {
+		if n > 1 {
+			answer(c, request(r), "next")
+			return
+		}
+		_, _ = r.ReadString('\n')
+		answer(c, "1", "early")
+		time.Sleep(time.Second)
+	}))
+	long := callOf("1")
+	long.Method, long.Body = "POST", []byte(strings.Repeat("x", 32<<20))
+	got, err := client.Do(t.Context(), long)
+	is.NoErr(err)
+	is.Equal(string(got.Body), "early")
+	got, err = client.Do(t.Context(), callOf("2"))
+	is.NoErr(err)
+	is.Equal(string(got.Body), "next")
+}
+
+// A caller that leaves closes the connection, which tells the instance to stop.
+func TestLeavingClosesTheConnection(t *testing.T) {
+	is := is.New(t)
+	closed := make(chan error, 1)
+	client := newClient(scripted(t, func(_ int, _ net.Conn, r *bufio.Reader) {
+		_ = request(r)
+		_, err := r.ReadByte()
+		closed <- err
+	}))
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(30*time.Millisecond, cancel)
+	_, err := client.Do(ctx, callOf("1"))
+	is.True(err != nil)
+	is.Equal(<-closed, io.EOF)
+}
--- /dev/null
+++ b/pkg/link/link_test.go
@@ -0,0 +1,229 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/plantainramp/plantainramp/pkg/clock"
+	"github.com/plantainramp/plantainramp/rpc/linkrpc"
+)
+
+func hello() *linkrpc.Hello { return &linkrpc.Hello{Incarnation: 7} }
+
+// relay carries bytes between a link and its server and can be cut or silenced.
+type relay struct {
+	mu     sync.Mutex
+	silent bool
+	conns  []net.Conn
+	listen net.Listener
+}
+
+func newRelay(t *testing.T, to string) *relay {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	r := &relay{listen: l}
+	go func() {
+		for {
+			from, err := l.Accept()
+			if err != nil {
+				return
+			}
+			out, err := net.Dial("tcp", to)
+			if err != nil {
+				_ = from.Close()
+				continue
+			}
+			r.mu.Lock()
+			r.conns = append(r.conns, from, out)
+			silent := &r.silent
+			r.mu.Unlock()
+			go r.carry(from, out, silent)
+			go r.carry(out, from, silent)
+		}
+	}()
+	return r
+}
+
+func (r *relay) carry(from, to net.Conn, silent *bool) {
+	buffer := make([]byte, 4096)
+	for {
+		n, err := from.Read(buffer)
+		if err != nil {
+			_ = to.Close()
+			return
+		}
+		r.mu.Lock()
+		quiet := *silent
+		r.mu.Unlock()
+		if quiet {
+			continue
+		}
+		if _, err := to.Write(buffer[:n]); err != nil {
+			return
+		}
+	}
+}
+
+func (r *relay) silence(on bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.silent = on
+}
+
+func (r *relay) cut() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range r.conns {
+		_ = c.Close()
+	}
+}
+
+func newServer(t *testing.T, handle Handler) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &Server{Hello: hello, Handle: handle}
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() {
+		_ = l.Close()
+		s.Close()
+	})
+	return l.Addr().String()
+}
+
+func newLink(t *testing.T, address string) *Link {
+	t.Helper()
+	l := &Link{Address: address, Clock: clock.System{}, Hello: hello}
+	t.Cleanup(l.Close)
+	return l
+}
+
+func echo(_ context.Context, r Request) proto.Message {
+	run := &linkrpc.Run{}
+	if proto.Unmarshal(r.Payload, run) != nil {
+		return nil
+	}
+	return &linkrpc.Outcome{Body: run.Body}
+}
+
+func TestManyCallsAtOnce(t *testing.T) {
+	is := is.New(t)
+	l := newLink(t, newServer(t, echo))
+	var group sync.WaitGroup
+	for i := range 200 {
+		group.Go(func() {
+			body := make([]byte, i*50)
+			reply, err := l.Call(t.Context(), KindRun, &linkrpc.Run{Body: body})
+			is.NoErr(err)
+			o := &linkrpc.Outcome{}
+			is.NoErr(proto.Unmarshal(reply.Payload, o))
+			is.Equal(len(o.Body), len(body))
+			is.Equal(reply.Incarnation, uint64(7))
+		})
+	}
+	group.Wait()
+}
+
+// slow answers after the connection is gone, and tells of its context's end.
+func slow(ended chan<- error) Handler {
+	return func(ctx context.Context, _ Request) proto.Message {
+		<-ctx.Done()
+		ended <- context.Cause(ctx)
+		return nil
+	}
+}
+
+func TestLostAfterItWasSent(t *testing.T) {
+	is := is.New(t)
+	ended := make(chan error, 1)
+	r := newRelay(t, newServer(t, slow(ended)))
+	l := newLink(t, r.listen.Addr().String())
+	time.AfterFunc(100*time.Millisecond, r.cut)
+	_, err := l.Call(t.Context(), KindRun, &linkrpc.Run{})
+	var lost *LostError
+	is.True(errors.As(err, &lost))
+	is.Equal(lost.Incarnation, uint64(7))
+	var cancelled *CancelledError
+	is.True(!errors.As(<-ended, &cancelled))
+}
+
+// A connection that goes silent is given up well before any time limit.
+func TestSilentConnection(t *testing.T) {
+	is := is.New(t)
+	ended := make(chan error, 1)
+	r := newRelay(t, newServer(t, slow(ended)))
+	l := newLink(t, r.listen.Addr().String())
+	time.AfterFunc(100*time.Millisecond, func() { r.silence(true) })
+	began := time.Now()
+	_, err := l.Call(t.Context(), KindRun, &linkrpc.Run{})
+	var lost *LostError
+	is.True(errors.As(err, &lost))
+	is.True(time.Since(began) < 2500*time.Millisecond)
+}
+
+func TestNotSentWherePeerIsNotThere(t *testing.T) {
+	is := is.New(t)
+	_, err := newLink(t, "127.0.0.1:1").Call(t.Context(), KindRun, &linkrpc.Run{})
+	var unsent *NotSentError
+	is.True(errors.As(err, &unsent))
+}
+
+func TestLeavingIsToldToThePeer(t *testing.T) {
+	is := is.New(t)
+	ended := make(chan error, 1)
+	l := newLink(t, newServer(t, slow(ended)))
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err := l.Call(ctx, KindRun, &linkrpc.Run{})
+	is.Equal(err, context.DeadlineExceeded)
+	var cancelled *CancelledError
+	is.True(errors.As(<-ended, &cancelled))
+}
+
+func TestLinkIsOpenedAgain(t *testing.T) {
+	is := is.New(t)
+	r := newRelay(t, newServer(t, echo))
+	l := newLink(t, r.listen.Addr().String())
+	_, err := l.Call(t.Context(), KindRun, &linkrpc.Run{})
+	is.NoErr(err)
+	r.cut()
+	time.Sleep(50 * time.Millisecond)
+	_, err = l.Call(t.Context(), KindRun, &linkrpc.Run{})
+	is.NoErr(err)
+}
+
+// Bytes that are no message end the connection and nothing else.
+func FuzzServer(f *testing.F) {
+	f.Add([]byte("GET / HTTP/1.1\r\n\r\n"))
+	f.Add([]byte{0, 0, 0, 0, byte(KindHello), 0, 0, 0, 0, 0, 0, 0, 1, byte(KindRun), 0, 0, 0, 1, 255})
+	f.Add([]byte{255, 255, 255, 255, 1, 0, 0, 0, 0})
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		near, far := net.Pipe()
+		s := &Server{Hello: hello, Handle: echo}
+		done := make(chan struct{})
+		go func() { s.serve(far); close(done) }()
+		go func() { _, _ = io.Copy(io.Discard, near) }()
+		_ = near.SetWriteDeadline(time.Now().Add(time.Second))
+		_, _ = near.Write(raw)
+		_ = near.Close()
+		select {
+		case <-done:
+		case <-time.After(5 * time.Second):
+			t.Fatal("the server did not end the connection")
+		}
+	})
+}
