--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -132,7 +132,7 @@
 		Source: n.platform.Directory, Clock: n.clock, Uptime: n.uptime, Logger: logs.Part(n.logger, logs.PartMember),
 		Wait: directoryWait, Slack: readSlack, Apply: n.directory.Apply,
 	}
-	n.survey = &survey.Survey{Clock: n.clock, Self: self, Service: n.settings.Service, Load: n.gate.Load, View: n.view.Load, Planned: n.planned}
+	n.survey = &survey.Survey{Clock: n.clock, Self: self, Service: n.settings.Service, Load: n.gate.Load, View: n.view.Load, Directory: n.directory.Snapshot, Planned: n.planned}
 	n.links = &link.Server{Hello: n.hello, Handle: n.handle, Status: n.survey.Heard}
 }
 
--- a/pkg/survey/survey.go
+++ b/pkg/survey/survey.go
@@ -51,6 +51,8 @@
 	Load func() *linkrpc.Load
 	// View returns the configuration in force, or nil.
 	View func() *routing.View
+	// Directory returns the instances that are known.
+	Directory func() *directory.Snapshot
 	// Planned is told of each plan; nil is allowed.
 	Planned func(classes []room.Class, services map[fleet.ServiceName]room.Service, parts map[routing.RouteName]float64)
 
@@ -284,7 +286,6 @@
 		s.reports = map[directory.NodeAddress]report{}
 	}
 	s.reports[s.Self] = report{status: own, at: now}
-	services := map[fleet.ServiceName]room.Service{}
 	rates := map[routing.RouteName]float64{}
 	for node, r := range s.reports {
 		if now.Sub(r.at) > forgetReport {
@@ -294,19 +295,35 @@
 		for _, o := range r.status.Offers {
 			rates[routing.RouteName(o.Route)] += float64(o.Rate)
 		}
-		if load := r.status.Load; load != nil && !load.Closed {
-			service := services[fleet.ServiceName(r.status.Service)]
-			service.Slots += float64(load.Limit)
-			service.Busy += float64(load.InFlight + load.Queued)
-			services[fleet.ServiceName(r.status.Service)] = service
-		}
 	}
+	services := s.services()
 	classes := s.classes(rates)
 	parts := s.planner.Plan(classes, services)
 	s.replace(parts)
 	s.newest = planned{classes, services, parts}
 }
 
+// services adds up the instances of each service. An instance whose node has not
+// reported lately counts with its slots.
+func (s *Survey) services() map[fleet.ServiceName]room.Service {
+	list := map[fleet.ServiceName]room.Service{}
+	for name, entries := range s.Directory().Services {
+		var whole room.Service
+		for _, e := range entries {
+			load := s.reports[e.Node].status.GetLoad()
+			switch {
+			case load == nil:
+				whole.Slots += float64(e.Slots)
+			case !load.Closed:
+				whole.Slots += float64(load.Limit)
+				whole.Busy += float64(load.InFlight + load.Queued)
+			}
+		}
+		list[name] = whole
+	}
+	return list
+}
+
 func (s *Survey) classes(rates map[routing.RouteName]float64) []room.Class {
 	costs := s.costs()
 	priorities := s.priorities()
