--- /dev/null
+++ b/pkg/directory/directory_test.go
@@ -0,0 +1,99 @@
+package directory
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/plantainramp/plantainramp/pkg/clock"
+	"github.com/plantainramp/plantainramp/pkg/fleet"
+	"github.com/plantainramp/plantainramp/pkg/keyed"
+	"github.com/plantainramp/plantainramp/pkg/logs"
+)
+
+func record(e Entry) keyed.Record {
+	value, _ := json.Marshal(e)
+	return keyed.Record{Key: string(e.Node), Value: value}
+}
+
+func entry(node NodeAddress, open bool) Entry {
+	return Entry{Node: node, Instance: "i-" + fleet.InstanceName(node), Service: "desk", Slots: 4, Open: open}
+}
+
+// topic is a topic of which writes come back to the directory at once.
+type topic struct {
+	mu     sync.Mutex
+	writes int
+	d      *Directory
+}
+
+func (o *topic) put(_ context.Context, r keyed.Record) error {
+	o.mu.Lock()
+	o.writes++
+	o.mu.Unlock()
+	o.d.Apply([]keyed.Record{r}, false)
+	return nil
+}
+
+func newDirectory() (*Directory, *topic) {
+	o := &topic{}
+	d := &Directory{Self: "self", Clock: clock.System{}, Logger: logs.Discard(), Put: o.put}
+	d.Init()
+	o.d = d
+	return d, o
+}
+
+func TestEntries(t *testing.T) {
+	is := is.New(t)
+	d, _ := newDirectory()
+	d.Apply([]keyed.Record{
+		record(entry("a", true)), record(entry("b", false)), {Key: "c", Value: []byte("{")}, {Key: "d", Value: []byte(`{"node":"x","service":"desk"}`)},
+	}, true)
+	is.Equal(len(d.Snapshot().Services["desk"]), 1)
+	is.Equal(len(d.Snapshot().Nodes), 2)
+	d.Apply([]keyed.Record{{Key: "a"}, record(entry("b", true))}, false)
+	is.Equal(d.Snapshot().Services["desk"][0].Node, NodeAddress("b"))
+	d.Apply([]keyed.Record{record(entry("e", true))}, true)
+	is.Equal(len(d.Snapshot().Nodes), 1)
+}
+
+// An earlier write of the own entry that arrives late is seen and mended.
+func TestOwnEntryIsMended(t *testing.T) {
+	is := is.New(t)
+	d, o := newDirectory()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go d.Run(ctx)
+	d.SetOwn(entry("self", true))
+	await := func() bool {
+		for range 200 {
+			if d.differs() == nil {
+				return true
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		return false
+	}
+	is.True(await())
+	d.Apply([]keyed.Record{record(entry("self", false))}, false)
+	is.True(await())
+	o.mu.Lock()
+	is.Equal(o.writes, 2)
+	o.mu.Unlock()
+	is.True(d.Snapshot().Nodes["self"].Open)
+}
+
+// A full list without the own entry, after the store lost it, does not take
+// the own instance out, and has it written again.
+func TestOwnEntryMissing(t *testing.T) {
+	is := is.New(t)
+	d, _ := newDirectory()
+	d.SetOwn(entry("self", true))
+	d.Apply(nil, true)
+	is.Equal(len(d.Snapshot().Services["desk"]), 1)
+	is.True(d.differs() != nil)
+}
