Fewer calls to the store; nodes tell peers their entries

The configuration is now read so that two reads fit into the time for which keys are trusted, the directory every 5 s, and at once when the other read finds the store gone or back. A peer's own word of its entry arrives with its status, also where the store turns a node away. An idempotent call no longer looks at a connection used within 200 ms.

--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -39,8 +39,6 @@
 		Slots       int                `json:"slots"`
 		// Open tells whether the instance takes new calls.
 		Open bool `json:"open"`
-		// Born is the start of the instance in milliseconds since 1970, by its own clock.
-		Born int64 `json:"born"`
 	}
 
 	// Snapshot is the directory at one moment. It never changes.
@@ -122,6 +120,16 @@
 	d.publish()
 }
 
+// Own returns the own entry.
+func (d *Directory) Own() Entry {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.own == nil {
+		return Entry{}
+	}
+	return *d.own
+}
+
 // publish replaces the snapshot.
 func (d *Directory) publish() {
 	nodes := maps.Clone(d.nodes)
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -274,7 +274,7 @@
 	s := g.self.Load()
 	call := &instance.Call{
 		Method: run.Method, Target: run.Target, Host: run.Host, Body: run.Body,
-		RequestID: run.Request, Expected: string(s.ID), Headers: g.headers(run, s, left),
+		Idempotent: run.Idempotent, RequestID: run.Request, Expected: string(s.ID), Headers: g.headers(run, s, left),
 	}
 	answer, err := g.Instance.Do(ctx, call)
 	var unsent *instance.NotSentError
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -29,6 +29,9 @@
 	idleMargin = time.Second
 	// longCall is the size in bytes from which a call is written while its answer is awaited.
 	longCall = 4 << 10
+	// uncheckedFor is how long after its use a connection carries an idempotent
+	// call without a look whether it is still open.
+	uncheckedFor = 200 * time.Millisecond
 	// maxStray bounds the answers to other requests that are skipped on one connection.
 	maxStray = 2
 	// maxInterim bounds the interim answers (1xx) before the final one.
@@ -64,6 +67,8 @@
 	// RequestID is what the answer must echo; empty where the call has none.
 	RequestID string
 	Expected  string
+	// Idempotent calls may be lost on a connection that was closed just now.
+	Idempotent bool
 }
 
 // Answer is a whole answer.
@@ -79,6 +84,8 @@
 	net.Conn
 	reader *bufio.Reader
 	reused bool
+	// used is when the last answer was read.
+	used time.Time
 	// until is when the connection must no longer be used.
 	until time.Time
 }
@@ -89,7 +96,7 @@
 func (c *Client) Do(ctx context.Context, call *Call) (*Answer, error) {
 	head := encode(call)
 	for {
-		k, err := c.take(ctx)
+		k, err := c.take(ctx, call.Idempotent)
 		if err != nil {
 			return nil, &NotSentError{Cause: err}
 		}
@@ -223,17 +230,20 @@
 			idle = time.Duration(seconds)*time.Second - idleMargin
 		}
 	}
-	k.until = c.Clock.Now().Add(idle)
+	k.used = c.Clock.Now()
+	k.until = k.used.Add(idle)
 }
 
 // take returns an idle connection that is still good, or a new one.
-func (c *Client) take(ctx context.Context) (*conn, error) {
+func (c *Client) take(ctx context.Context, idempotent bool) (*conn, error) {
 	for {
 		k := c.pop()
 		if k == nil {
 			return c.open(ctx)
 		}
-		if c.Clock.Now().Before(k.until) && alive(k.Conn) {
+		now := c.Clock.Now()
+		unchecked := idempotent && now.Sub(k.used) < uncheckedFor
+		if now.Before(k.until) && (unchecked || alive(k.Conn)) {
 			k.reused = true
 			return k, nil
 		}
--- a/pkg/keyed/keyed.go
+++ b/pkg/keyed/keyed.go
@@ -68,6 +68,8 @@
 	confirmed atomic.Int64
 	known     atomic.Bool
 	failing   bool
+	// interrupt ends the read that is under way.
+	interrupt atomic.Pointer[context.CancelFunc]
 }
 
 // Known tells whether the topic has been read at all.
@@ -82,6 +84,14 @@
 	return f.Uptime() - time.Duration(f.confirmed.Load()), true
 }
 
+// Interrupt ends the read that is under way, whose connection may have gone
+// silent, and has it made again.
+func (f *Follower) Interrupt() {
+	if cancel := f.interrupt.Load(); cancel != nil {
+		(*cancel)()
+	}
+}
+
 // Run follows the topic until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	next, whole := Offset(0), false
@@ -113,6 +123,7 @@
 func (f *Follower) step(ctx context.Context, next Offset, whole bool) (Offset, error) {
 	ctx, cancel := context.WithTimeout(ctx, f.Wait+f.Slack)
 	defer cancel()
+	f.interrupt.Store(&cancel)
 	if !whole {
 		records, end, err := f.Source.Newest(ctx)
 		if err == nil {
--- a/pkg/mesh/load.go
+++ b/pkg/mesh/load.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/plantainramp/plantainramp/pkg/clock"
+	"github.com/plantainramp/plantainramp/pkg/directory"
 	"github.com/plantainramp/plantainramp/pkg/entrance"
 	"github.com/plantainramp/plantainramp/pkg/fleet"
 	"github.com/plantainramp/plantainramp/pkg/room"
@@ -71,12 +72,25 @@
 		if status == nil {
 			return
 		}
+		own := n.directory.Own()
+		status.Incarnation, status.Instance, status.DataCentre = own.Incarnation, string(own.Instance), string(own.DataCentre)
+		status.Slots, status.Open = uint32(max(own.Slots, 0)), own.Open
 		for _, p := range n.peers.Others(n.peers.Count()) {
-			p.Tell(status)
+			p.Tell(ctx, status)
 		}
 	})
 }
 
+// heard takes what a peer says of itself: its load, and its entry, which may be
+// newer than what the store shows or be missing there.
+func (n *Node) heard(status *linkrpc.Status) {
+	n.survey.Heard(status)
+	n.directory.Learn(directory.Entry{
+		Node: directory.NodeAddress(status.Node), Incarnation: status.Incarnation, Instance: fleet.InstanceName(status.Instance),
+		Service: fleet.ServiceName(status.Service), DataCentre: fleet.DataCentre(status.DataCentre), Slots: int(status.Slots), Open: status.Open,
+	})
+}
+
 // planned logs a plan that admits some class only in part.
 func (n *Node) planned(classes []room.Class, services map[fleet.ServiceName]room.Service, parts map[routing.RouteName]float64) {
 	thinned := false
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -31,10 +31,11 @@
 )
 
 const (
-	// configWait is how long one read of the configuration waits for a change.
-	configWait = 1500 * time.Millisecond
-	// directoryWait is the same for the directory.
-	directoryWait = 2 * time.Second
+	// confirmPart is the part of the time for which keys may be trusted that one
+	// read of the configuration waits for a change: two reads in turn fit into it.
+	confirmPart = 0.4
+	// directoryWait is how long one read of the directory waits for a change.
+	directoryWait = 5 * time.Second
 	// readSlack is what a read of the store may take beyond its wait.
 	readSlack = 1200 * time.Millisecond
 	// freshMargin is how much earlier than the bound keys are no longer trusted.
@@ -133,7 +134,7 @@
 		Wait: directoryWait, Slack: readSlack, Apply: n.directory.Apply,
 	}
 	n.survey = &survey.Survey{Clock: n.clock, Self: self, Service: n.settings.Service, Load: n.gate.Load, View: n.view.Load, Directory: n.directory.Snapshot, Planned: n.planned}
-	n.links = &link.Server{Hello: n.hello, Handle: n.handle, Status: n.survey.Heard}
+	n.links = &link.Server{Hello: n.hello, Handle: n.handle, Status: n.heard}
 }
 
 func (n *Node) makeEntrance() {
@@ -150,7 +151,8 @@
 	n.configLog = logs.Part(n.logger, logs.PartConfig)
 	n.config = &keyed.Follower{
 		Source: n.platform.Config, Clock: n.clock, Uptime: n.uptime, Logger: n.configLog,
-		Wait: configWait, Slack: readSlack, Apply: n.applyConfig,
+		Wait: time.Duration(confirmPart * float64(n.settings.Revoke-freshMargin)), Slack: readSlack, Apply: n.applyConfig,
+		Lost: n.directoryLog.Interrupt, Regained: n.directoryLog.Interrupt,
 	}
 }
 
--- a/pkg/peering/peering.go
+++ b/pkg/peering/peering.go
@@ -251,9 +251,17 @@
 	return grant.Granted
 }
 
-// Tell sends a status to the peer.
-func (p *Peer) Tell(status *linkrpc.Status) {
-	if p.link != nil {
+// Tell sends a status to the peer, opening the connection where none stands.
+func (p *Peer) Tell(ctx context.Context, status *linkrpc.Status) {
+	switch {
+	case p.link == nil:
+	case p.link.Up():
 		p.link.Tell(link.KindStatus, status)
+	default:
+		go func() {
+			if p.link.Connect(ctx) == nil {
+				p.link.Tell(link.KindStatus, status)
+			}
+		}()
 	}
 }
