--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -40,6 +40,9 @@
 	readSlack = 1200 * time.Millisecond
 	// freshMargin is how much earlier than the bound keys are no longer trusted.
 	freshMargin = 400 * time.Millisecond
+	// usedTolerance is the part of the tolerance in rates that shares may use up;
+	// the rest is for requests that wait between their token and their run.
+	usedTolerance = 0.5
 	// maxAnswer bounds an instance's answer in bytes.
 	maxAnswer = 32 << 20
 	// linesPerSecond bounds the log lines of each kind of event.
@@ -204,7 +207,10 @@
 	bounds := map[fleet.OrganisationID]quota.Bound{}
 	for _, o := range v.Organisations {
 		if o.Rate > 0 {
-			bounds[o.ID] = quota.Bound{Rate: o.Rate, Burst: o.Burst}
+			bounds[o.ID] = quota.Bound{
+				Rate:  o.Rate * fleet.Rate(1+n.settings.RateOverage*usedTolerance),
+				Burst: o.Burst + n.settings.RateSlack*usedTolerance,
+			}
 		}
 	}
 	n.shares.Update(bounds, n.peers.Count())
--- a/pkg/mesh/settings.go
+++ b/pkg/mesh/settings.go
@@ -32,6 +32,10 @@
 	Heartbeat time.Duration
 	// Revoke is how long a withdrawn key may still be used.
 	Revoke time.Duration
+	// RateOverage and RateSlack are what organisations may be over their rate and
+	// burst in a window over all nodes: a part, and a number of requests.
+	RateOverage float64
+	RateSlack   fleet.Tokens
 	// Grace is the time between a stop signal and the end by force.
 	Grace time.Duration
 
@@ -70,6 +74,8 @@
 	b := f.Section("bounds")
 	s.Heartbeat = b.Duration("heartbeat", 1500*time.Millisecond, 10*time.Millisecond)
 	s.Revoke = b.Duration("revoke", 5*time.Second, 100*time.Millisecond)
+	s.RateOverage = b.Float("rateOverage", 0, 0, 1)
+	s.RateSlack = fleet.Tokens(b.Float("rateSlack", 0, 0, 1e6))
 	s.Grace = b.Duration("grace", 6*time.Second, 100*time.Millisecond)
 	logging := f.Section("logs")
 	s.LogLevel = logging.OneOf("level", "info", "debug", "info", "warning", "error")
