Shares of rates use nine tenths of the tolerance; borrowed tokens are not hoarded

A request counts where it is sent and arrives within one window, so that time spent waiting cannot push a window over its bound; only tokens held beyond a share can, and these are bounded now.

--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -40,9 +40,9 @@
 	readSlack = 1200 * time.Millisecond
 	// freshMargin is how much earlier than the bound keys are no longer trusted.
 	freshMargin = 400 * time.Millisecond
-	// usedTolerance is the part of the tolerance in rates that shares may use up;
-	// the rest is for requests that wait between their token and their run.
-	usedTolerance = 0.5
+	// usedTolerance is the part of the tolerance in rates that shares use up; the rest
+	// covers tokens that a node holds beyond its share after it borrowed them.
+	usedTolerance = 0.9
 	// maxAnswer bounds an instance's answer in bytes.
 	maxAnswer = 32 << 20
 	// linesPerSecond bounds the log lines of each kind of event.
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -17,6 +17,8 @@
 	// borrowPause is how long an organisation whose tokens no peer could lend is
 	// refused without asking again.
 	borrowPause = 150 * time.Millisecond
+	// mostBorrowed bounds the tokens of a node whose share is smaller.
+	mostBorrowed = 3.0
 	// lendPart is the part of its whole tokens that a node lends at once.
 	lendPart = 0.5
 )
@@ -159,12 +161,13 @@
 	return granted
 }
 
-// Add takes tokens that a peer has deducted.
+// Add takes tokens that a peer has deducted. What exceeds the share by more
+// than a few is dropped: hoarded tokens would let a later window overflow.
 func (s *Shares) Add(id fleet.OrganisationID, granted float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if h := s.shares[id]; h != nil && granted > 0 {
-		h.tokens += granted
+		h.tokens = min(h.tokens+granted, max(h.depth, mostBorrowed))
 	}
 }
 
