--- a/pkg/room/room.go
+++ b/pkg/room/room.go
@@ -21,15 +21,17 @@
 	floor = 0.2
 	// Part of the slots below which a class's use of a service is left out of account.
 	leastUse = 0.01
-	// loosen moves the correction of a service with room per step.
-	loosen = 1.03
+	// loosen is what each idle part of its slots adds to the correction of a
+	// service per step, and mostLoosen the most that is added.
+	loosen     = 0.25
+	mostLoosen = 0.08
 	// tighten is what each multiple of its slots that waits takes off the
 	// correction per step, and mostTighten the most that is taken off.
 	tighten     = 0.04
 	mostTighten = 0.1
 	// fullFrom and idleBelow are the measured fullness at which the correction moves.
 	fullFrom  = 1.0
-	idleBelow = 0.85
+	idleBelow = 0.9
 	// leastCorrection and mostCorrection bound it.
 	leastCorrection = 0.6
 	mostCorrection  = 1.3
@@ -105,7 +107,7 @@
 			case full > fullFrom:
 				k *= 1 - min(mostTighten, tighten*(full-fullFrom))
 			case full < idleBelow:
-				k *= loosen
+				k *= 1 + min(mostLoosen, loosen*(idleBelow-full))
 			}
 		}
 		k = min(max(k, leastCorrection), mostCorrection)
