Directory is read in fewer calls when many nodes change at once

Cause: each entry written at a start woke the long polls of all nodes: 531 calls to the store in 15 s of an idle fleet of 15, and their number grows with the square of the nodes. Peers' own word and gates that hand back cover the pause. Tests waited for the store only and met nodes that had not read it yet; they wait for the nodes now.

--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -32,7 +32,6 @@
 	// Entry tells of one node and the instance beside it.
 	Entry struct {
 		Node        NodeAddress        `json:"node"`
-		Incarnation uint64             `json:"incarnation"`
 		Instance    fleet.InstanceName `json:"instance"`
 		Service     fleet.ServiceName  `json:"service"`
 		DataCentre  fleet.DataCentre   `json:"dataCentre"`
--- a/pkg/keyed/keyed.go
+++ b/pkg/keyed/keyed.go
@@ -58,6 +58,8 @@
 	Wait time.Duration
 	// Slack is what a read may take beyond its wait.
 	Slack time.Duration
+	// Settle is the pause after records were read, in which more may come.
+	Settle time.Duration
 	// Apply receives records in order. All tells that they are the newest of
 	// every key that the topic holds.
 	Apply func(records []Record, all bool)
@@ -114,8 +116,12 @@
 			}
 			pause = min(2*pause, retryMost)
 		default:
+			settle := whole && end != next
 			next, whole, pause = end, true, retryLeast
 			f.noteSuccess(sent)
+			if settle && f.Settle > 0 && clock.Sleep(ctx, f.Clock, f.Settle) != nil {
+				return
+			}
 		}
 	}
 }
--- a/pkg/mesh/load.go
+++ b/pkg/mesh/load.go
@@ -73,7 +73,7 @@
 			return
 		}
 		own := n.directory.Own()
-		status.Incarnation, status.Instance, status.DataCentre = own.Incarnation, string(own.Instance), string(own.DataCentre)
+		status.Instance, status.DataCentre = string(own.Instance), string(own.DataCentre)
 		status.Slots, status.Open = uint32(max(own.Slots, 0)), own.Open
 		for _, p := range n.peers.Others(n.peers.Count()) {
 			p.Tell(ctx, status)
@@ -86,7 +86,7 @@
 func (n *Node) heard(status *linkrpc.Status) {
 	n.survey.Heard(status)
 	n.directory.Learn(directory.Entry{
-		Node: directory.NodeAddress(status.Node), Incarnation: status.Incarnation, Instance: fleet.InstanceName(status.Instance),
+		Node: directory.NodeAddress(status.Node), Instance: fleet.InstanceName(status.Instance),
 		Service: fleet.ServiceName(status.Service), DataCentre: fleet.DataCentre(status.DataCentre), Slots: int(status.Slots), Open: status.Open,
 	})
 }
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -36,6 +36,9 @@
 	confirmPart = 0.4
 	// directoryWait is how long one read of the directory waits for a change.
 	directoryWait = 5 * time.Second
+	// directorySettle is the pause after a change of the directory: many nodes
+	// that start at once are then read about in few reads.
+	directorySettle = 250 * time.Millisecond
 	// readSlack is what a read of the store may take beyond its wait.
 	readSlack = 1200 * time.Millisecond
 	// freshMargin is how much earlier than the bound keys are no longer trusted.
@@ -134,7 +137,7 @@
 	n.directory.Init()
 	n.directoryLog = &keyed.Follower{
 		Source: n.platform.Directory, Clock: n.clock, Uptime: n.uptime, Logger: logs.Part(n.logger, logs.PartMember),
-		Wait: directoryWait, Slack: readSlack, Apply: n.directory.Apply,
+		Wait: directoryWait, Slack: readSlack, Settle: directorySettle, Apply: n.directory.Apply,
 	}
 	n.survey = &survey.Survey{Clock: n.clock, Self: self, Service: n.settings.Service, Load: n.gate.Load, View: n.view.Load, Directory: n.directory.Snapshot, Planned: n.planned}
 	n.links = &link.Server{Hello: n.hello, Handle: n.handle, Status: n.heard}
@@ -221,6 +224,15 @@
 	n.updateShares()
 }
 
+// Instances returns how many instances that take calls the node knows.
+func (n *Node) Instances() int {
+	count := 0
+	for _, entries := range n.directory.Snapshot().Services {
+		count += len(entries)
+	}
+	return count
+}
+
 // announce takes a change of the instance: the gate first, then everyone else.
 func (n *Node) announce(s *gate.Self) {
 	n.gate.Announce(s)
@@ -228,16 +240,18 @@
 	n.publish()
 }
 
-// publish writes the own entry as it is now.
+// publish writes the own entry as it is now. Before the instance has announced
+// itself, what an earlier start of the node wrote stays: the gate hands calls
+// back meanwhile.
 func (n *Node) publish() {
-	e := directory.Entry{
-		Node: directory.NodeAddress(n.settings.Peers), Incarnation: n.incarnation, Service: n.settings.Service, DataCentre: n.settings.DataCentre,
-	}
-	if s := n.gate.Self(); s != nil {
-		e.Instance, e.Slots = s.ID, s.Slots
+	s := n.gate.Self()
+	if s == nil {
+		return
 	}
-	e.Open = n.gate.Open()
-	n.directory.SetOwn(e)
+	n.directory.SetOwn(directory.Entry{
+		Node: directory.NodeAddress(n.settings.Peers), Service: n.settings.Service, DataCentre: n.settings.DataCentre,
+		Instance: s.ID, Slots: s.Slots, Open: n.gate.Open(),
+	})
 }
 
 // handle answers a message of a peer.
--- a/pkg/mesh/run.go
+++ b/pkg/mesh/run.go
@@ -110,7 +110,6 @@
 	for _, c := range []func(context.Context){n.config.Run, n.directoryLog.Run, n.directory.Run, n.upkeep, n.planRoom} {
 		controllers.Go(func() { c(work) })
 	}
-	n.publish()
 	select {
 	case <-ctx.Done():
 	case err = <-failed:
