--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -31,11 +31,11 @@
 
 	// Entry tells of one node and the instance beside it.
 	Entry struct {
-		Node        NodeAddress        `json:"node"`
-		Instance    fleet.InstanceName `json:"instance"`
-		Service     fleet.ServiceName  `json:"service"`
-		DataCentre  fleet.DataCentre   `json:"dataCentre"`
-		Slots       int                `json:"slots"`
+		Node       NodeAddress        `json:"node"`
+		Instance   fleet.InstanceName `json:"instance"`
+		Service    fleet.ServiceName  `json:"service"`
+		DataCentre fleet.DataCentre   `json:"dataCentre"`
+		Slots      int                `json:"slots"`
 		// Open tells whether the instance takes new calls.
 		Open bool `json:"open"`
 	}
