Callers of calls with an end of their own are found by counts in short windows

Expiries now count only beyond what matches by chance; else runs and calls of 250 ms windows are compared, each against its mean.

--- a/pkg/callgraph/callgraph.go
+++ b/pkg/callgraph/callgraph.go
@@ -1,9 +1,13 @@
 // Package callgraph learns what one run of each route makes its instance call.
-// Calls do not say which run made them, but they expire when that run does: a
-// call is put down to the one route whose runs expire at the same time.
+// Calls do not say which run made them. Most expire when that run does: such a
+// call is put down to the one route whose runs expire at the same time. Where
+// calls have an earlier end of their own, counts of runs and of calls in many
+// short windows are set against each other.
 package callgraph
 
 import (
+	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,8 +17,13 @@
 const (
 	// slack is how far the ends of a run and of its calls lie apart at most.
 	slack = 6 * time.Millisecond
+	// off is far enough from the end of a run to match it by chance only.
+	off = 4 * slack
+	// leastMatched is the part of the calls that must have been matched beyond
+	// chance for the others to be shared out like them.
+	leastMatched = 0.15
 	// forget is what remains of the weight of a window after the next one.
-	forget = 0.95
+	forget = 0.987
 	// leastRuns is how many runs an estimate needs.
 	leastRuns = 3.0
 	// leastCalls is the estimate below which a route is taken not to call another.
@@ -38,10 +47,11 @@
 		mu      sync.Mutex
 		running map[*Run]struct{}
 		runs    map[routing.RouteName]float64
-		// calls counts all calls, matched those whose caller was found, made the
-		// latter by their caller.
-		calls, matched map[routing.RouteName]float64
-		made           map[pair]float64
+		// calls counts all calls, matched those whose caller was found, chance those
+		// that match at another time as well, made the matched by their caller.
+		calls, matched, chance map[routing.RouteName]float64
+		made                   map[pair]float64
+		windows                windows
 	}
 )
 
@@ -52,10 +62,12 @@
 	if l.running == nil {
 		l.running, l.runs = map[*Run]struct{}{}, map[routing.RouteName]float64{}
 		l.calls, l.matched, l.made = map[routing.RouteName]float64{}, map[routing.RouteName]float64{}, map[pair]float64{}
+		l.chance, l.windows = map[routing.RouteName]float64{}, newWindows()
 	}
 	r := &Run{route: route, expires: expires}
 	l.running[r] = struct{}{}
 	l.runs[route]++
+	l.windows.runs[route]++
 	return r
 }
 
@@ -74,10 +86,17 @@
 		return
 	}
 	l.calls[route]++
+	l.windows.calls[route]++
 	if caller, found := l.caller(expires); found {
 		l.matched[route]++
 		l.made[pair{caller, route}]++
 	}
+	// What matches where no run of this call ends does so by chance.
+	for _, d := range []time.Duration{off, -off} {
+		if _, found := l.caller(expires.Add(d)); found {
+			l.chance[route] += 0.5
+		}
+	}
 }
 
 // caller returns the one route whose runs expire at a time.
@@ -85,7 +104,7 @@
 	var name routing.RouteName
 	found := false
 	for r := range l.running {
-		if off := r.expires.Sub(expires); off > slack || off < -slack {
+		if apart := r.expires.Sub(expires); apart > slack || apart < -slack {
 			continue
 		}
 		if found && r.route != name {
@@ -100,15 +119,19 @@
 func (l *Learner) Window() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	fade(l.runs)
-	fade(l.calls)
-	fade(l.matched)
-	fade(l.made)
+	if l.running == nil {
+		return
+	}
+	l.windows.close()
+	for _, sums := range []map[routing.RouteName]float64{l.runs, l.calls, l.matched, l.chance} {
+		fade(sums, forget)
+	}
+	fade(l.made, forget)
 }
 
-func fade[K comparable](sums map[K]float64) {
+func fade[K comparable](sums map[K]float64, keep float64) {
 	for k, v := range sums {
-		if v *= forget; v < leastSum {
+		if v *= keep; math.Abs(v) < leastSum {
 			delete(sums, k)
 		} else {
 			sums[k] = v
@@ -116,25 +139,68 @@
 	}
 }
 
+// Matched returns the part of the calls to each route whose caller was found
+// beyond chance.
+func (l *Learner) Matched() map[routing.RouteName]float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	parts := map[routing.RouteName]float64{}
+	for route, calls := range l.calls {
+		parts[route] = (l.matched[route] - l.chance[route]) / calls
+	}
+	return parts
+}
+
 // CallsPerRun returns, for each route, how often a run of it calls others.
-// Calls whose caller was not found are shared out like those whose caller was.
 func (l *Learner) CallsPerRun() map[routing.RouteName]map[routing.RouteName]float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	estimate := map[routing.RouteName]map[routing.RouteName]float64{}
-	for p, made := range l.made {
-		runs := l.runs[p.caller]
-		if runs < leastRuns || l.matched[p.callee] <= 0 {
-			continue
+	var callers []routing.RouteName
+	for caller, runs := range l.runs {
+		if runs >= leastRuns {
+			callers = append(callers, caller)
+			estimate[caller] = map[routing.RouteName]float64{}
 		}
-		times := made / runs * l.calls[p.callee] / l.matched[p.callee]
-		if times < leastCalls {
-			continue
-		}
-		if estimate[p.caller] == nil {
-			estimate[p.caller] = map[routing.RouteName]float64{}
+	}
+	slices.Sort(callers)
+	for callee, calls := range l.calls {
+		for caller, times := range l.timesPerRun(callers, callee, calls) {
+			if times >= leastCalls {
+				estimate[caller][callee] = times
+			}
 		}
-		estimate[p.caller][p.callee] = times
 	}
 	return estimate
 }
+
+// timesPerRun returns how often a run of each caller calls one route.
+func (l *Learner) timesPerRun(callers []routing.RouteName, callee routing.RouteName, calls float64) map[routing.RouteName]float64 {
+	if l.matched[callee]-l.chance[callee] < leastMatched*calls {
+		return l.scale(l.windows.solve(callers, callee), callers, calls)
+	}
+	times := map[routing.RouteName]float64{}
+	for _, caller := range callers {
+		times[caller] = l.made[pair{caller, callee}] / l.runs[caller] * calls / l.matched[callee]
+	}
+	return times
+}
+
+// scale brings estimates to the number of calls seen. Without any estimate all
+// callers are taken for the same.
+func (l *Learner) scale(times map[routing.RouteName]float64, callers []routing.RouteName, calls float64) map[routing.RouteName]float64 {
+	explained := 0.0
+	for caller, n := range times {
+		explained += n * l.runs[caller]
+	}
+	if explained <= 0 {
+		for _, caller := range callers {
+			times[caller] = 1
+			explained += l.runs[caller]
+		}
+	}
+	for caller := range times {
+		times[caller] *= calls / max(explained, 1)
+	}
+	return times
+}
--- a/pkg/callgraph/callgraph_test.go
+++ b/pkg/callgraph/callgraph_test.go
@@ -1,13 +1,12 @@
 package callgraph
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
-
-	"github.com/plantainramp/plantainramp/pkg/routing"
 )
 
 // Two routes run side by side at one instance. Only one of them makes calls;
@@ -37,19 +36,30 @@
 	is.True(calls["quiet"]["deep"] < 0.5)
 }
 
-// Calls that expire earlier than any run are shared like those that match.
-func TestCallsWithoutCallerAreShared(t *testing.T) {
+// Calls that have an earlier end of their own cannot be matched; the counts of
+// windows tell who makes them, also where many runs of another route go on.
+func TestCallsWithAnEndOfTheirOwn(t *testing.T) {
 	is := is.New(t)
 	l := &Learner{}
+	random := rand.New(rand.NewPCG(3, 4))
 	now := time.Unix(1000, 0)
-	for i := range 100 {
-		r := l.Started("caller", now.Add(time.Second))
-		expires := r.expires
-		if i%2 == 0 {
-			expires = now.Add(10 * time.Millisecond)
+	for i := range 120 {
+		// Both routes rise and fall together.
+		wave := 1 + 0.5*math.Sin(float64(i)/10)
+		now = now.Add(time.Second)
+		for range int(wave * (5 + 10*random.Float64())) {
+			l.Ended(l.Started("quiet", now.Add(time.Duration(random.IntN(6000))*time.Millisecond)))
+		}
+		for range int(wave * (60 + 30*random.Float64())) {
+			r := l.Started("caller", now.Add(6*time.Second))
+			for range 5 {
+				l.Called("deep", now.Add(time.Duration(random.IntN(700))*time.Millisecond))
+			}
+			l.Ended(r)
 		}
-		l.Called("deep", expires)
-		l.Ended(r)
+		l.Window()
 	}
-	is.Equal(l.CallsPerRun(), map[routing.RouteName]map[routing.RouteName]float64{"caller": {"deep": 1}})
+	calls := l.CallsPerRun()
+	is.True(calls["caller"]["deep"] > 4.5 && calls["caller"]["deep"] < 5.5)
+	is.Equal(calls["quiet"]["deep"], 0.0)
 }
--- a/pkg/mesh/load.go
+++ b/pkg/mesh/load.go
@@ -110,6 +110,6 @@
 		for _, c := range classes {
 			rates[c.Route], costs[c.Route] = c.Rate, c.Cost
 		}
-		return logrus.Fields{"parts": parts, "fullness": full, "ratesPerS": rates, "costsS": costs, "ownRunsPerS": runs, "ownHeld": held}
+		return logrus.Fields{"parts": parts, "fullness": full, "ratesPerS": rates, "costsS": costs, "ownRunsPerS": runs, "ownHeld": held, "ownMatched": n.survey.Matched()}
 	})
 }
--- a/pkg/survey/survey.go
+++ b/pkg/survey/survey.go
@@ -20,8 +20,6 @@
 const (
 	// Period is the time between two plans.
 	Period = 250 * time.Millisecond
-	// windowPeriods is how many plans share one window of the call graph.
-	windowPeriods = 4
 	// quietPeriods is how many plans pass between two reports of a node with little load.
 	quietPeriods = 4
 	// busyFrom is the part of its slots from which a node reports with each plan.
@@ -193,9 +191,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.periods++
-	if s.periods%windowPeriods == 0 {
-		s.graph.Window()
-	}
+	s.graph.Window()
 	s.rates()
 	own := s.status()
 	s.renew(own)
@@ -379,6 +375,9 @@
 	return rates, held
 }
 
+// Matched returns the part of the calls of the own instance whose caller was found.
+func (s *Survey) Matched() map[routing.RouteName]float64 { return s.graph.Matched() }
+
 // Parts returns the part of each class that is admitted, for logs and metrics.
 func (s *Survey) Parts() map[routing.RouteName]float64 {
 	parts := map[routing.RouteName]float64{}
