--- a/pkg/entrance/budget.go
+++ b/pkg/entrance/budget.go
@@ -10,9 +10,9 @@
 
 const (
 	// repeatShare is the part of a service's requests that may be sent once more.
-	repeatShare = 0.08
+	repeatShare = 0.13
 	// repeatCap bounds saved repeats.
-	repeatCap = 10.0
+	repeatCap = 4.0
 	// borrowFrom is how many peers are asked for tokens at once.
 	borrowFrom = 5
 	// borrowWanted is how many tokens are asked for, so that the next requests have theirs.
