--- a/pkg/entrance/budget.go
+++ b/pkg/entrance/budget.go
@@ -9,10 +9,12 @@
 )
 
 const (
-	// repeatShare is the part of a service's requests that may be sent once more.
-	repeatShare = 0.13
-	// repeatCap bounds saved repeats.
-	repeatCap = 4.0
+	// usedRatio and usedSlack are the parts of the operator's budget that entrances
+	// use; the rest is for calls of repeated runs that are not seen as repeats.
+	usedRatio = 0.65
+	usedSlack = 0.8
+	// mostOwed bounds what calls of repeated runs take from later repeats.
+	mostOwed = 10.0
 	// borrowFrom is how many peers are asked for tokens at once.
 	borrowFrom = 5
 	// borrowWanted is how many tokens are asked for, so that the next requests have theirs.
@@ -21,12 +23,34 @@
 	borrowTimeout = 30 * time.Millisecond
 )
 
+// Repeats bounds the requests that are sent to a further instance, over all
+// nodes together.
+type Repeats struct {
+	// Ratio is the part of a service's requests that may be sent once more.
+	Ratio float64
+	// Slack is what may be sent once more beside that in a window, over all nodes.
+	Slack float64
+}
+
 // budget ties sending requests once more to the requests of each service at
-// this entrance, so that the sum over all nodes stays a part of all requests.
-// The zero value works.
+// this entrance, so that the sum over all nodes stays within the operator's
+// budget. The zero value allows none.
 type budget struct {
 	mu    sync.Mutex
 	saved map[fleet.ServiceName]float64
+	// share is earned by each request; most bounds what is saved.
+	share, most float64
+}
+
+// set brings the budget up to the number of nodes that share it.
+func (b *budget) set(r Repeats, nodes int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.share = r.Ratio * usedRatio
+	b.most = 0
+	if b.share > 0 {
+		b.most = max(1, r.Slack*usedSlack/float64(max(nodes, 1)))
+	}
 }
 
 func (b *budget) requested(service fleet.ServiceName) {
@@ -35,14 +59,17 @@
 	if b.saved == nil {
 		b.saved = map[fleet.ServiceName]float64{}
 	}
-	b.saved[service] = min(b.saved[service]+repeatShare, repeatCap)
+	b.saved[service] = min(b.saved[service]+b.share, b.most)
 }
 
 // spent counts calls that repeat others because the run that makes them does.
 func (b *budget) spent(service fleet.ServiceName, calls float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.saved[service] = max(b.saved[service]-calls, -repeatCap)
+	if b.saved == nil {
+		b.saved = map[fleet.ServiceName]float64{}
+	}
+	b.saved[service] = max(b.saved[service]-calls, -mostOwed)
 }
 
 func (b *budget) take(service fleet.ServiceName) bool {
--- a/pkg/entrance/entrance.go
+++ b/pkg/entrance/entrance.go
@@ -105,6 +105,9 @@
 	}
 }
 
+// SetRepeats sets the budget of repeats and the number of nodes that share it.
+func (e *Entrance) SetRepeats(r Repeats, nodes int) { e.budget.set(r, nodes) }
+
 // Busy returns the number of requests in flight.
 func (e *Entrance) Busy() int64 { return e.inFlight.Load() }
 
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -221,6 +221,7 @@
 
 func (n *Node) onDirectory(s *directory.Snapshot) {
 	n.peers.Update(s)
+	n.entrance.SetRepeats(n.settings.Repeats, n.peers.Count())
 	n.updateShares()
 }
 
--- a/pkg/mesh/settings.go
+++ b/pkg/mesh/settings.go
@@ -6,6 +6,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/plantainramp/plantainramp/pkg/entrance"
 	"github.com/plantainramp/plantainramp/pkg/fleet"
 	"github.com/plantainramp/plantainramp/pkg/inifile"
 	"github.com/plantainramp/plantainramp/pkg/logs"
@@ -36,6 +37,8 @@
 	// burst in a window over all nodes: a part, and a number of requests.
 	RateOverage float64
 	RateSlack   fleet.Tokens
+	// Repeats bounds the requests that are sent to a further instance.
+	Repeats entrance.Repeats
 	// Grace is the time between a stop signal and the end by force.
 	Grace time.Duration
 
@@ -76,6 +79,8 @@
 	s.Revoke = b.Duration("revoke", 5*time.Second, 100*time.Millisecond)
 	s.RateOverage = b.Float("rateOverage", 0, 0, 1)
 	s.RateSlack = fleet.Tokens(b.Float("rateSlack", 0, 0, 1e6))
+	s.Repeats.Ratio = b.Float("repeatRatio", 0.1, 0, 1)
+	s.Repeats.Slack = b.Float("repeatSlack", 10, 0, 1e6)
 	s.Grace = b.Duration("grace", 6*time.Second, 100*time.Millisecond)
 	logging := f.Section("logs")
 	s.LogLevel = logging.OneOf("level", "info", "debug", "info", "warning", "error")
