--- a/internal/standincmd/standincmd.go
+++ b/internal/standincmd/standincmd.go
@@ -17,6 +17,7 @@
 	"github.com/plantainramp/plantainramp/internal/standin/logservice"
 	"github.com/plantainramp/plantainramp/internal/standin/upstream"
 	"github.com/plantainramp/plantainramp/pkg/clock"
+	"github.com/plantainramp/plantainramp/platform/platformtest"
 )
 
 const closeTimeout = 10 * time.Second
@@ -45,6 +46,8 @@
 	shedAbove := upstreamCommand.Flag("shed-above", "Refuse calls when that many wait.").Default("0").Int()
 	headers := upstreamCommand.Flag("keep-headers", "Keep the headers of all requests.").Bool()
 	deeper := upstreamCommand.Flag("deeper", "A call that serving PREFIX entails: PREFIX=METHOD:/SERVICE/PATH.").Strings()
+	storeCommand := app.Command("store", "The store of the users' platform.")
+	server := newServerFlags(app.Command("server", "An application server of the users' platform."))
 	command, err := app.Parse(args)
 	if err != nil {
 		_, _ = fmt.Fprintf(errOut, "standin: %s\n", err)
@@ -65,6 +68,16 @@
 		u := &upstream.Instance{Name: *name, Node: *beside, Clock: clock.System{}, KeepHeaders: *headers}
 		u.Start(ctx, upstream.Behaviour{ServiceTime: *serviceTime, Slots: *slots, ShedAbove: *shedAbove, Deeper: calls})
 		handler = u.Handler()
+	case storeCommand.FullCommand():
+		handler = platformtest.NewStore().Controlled()
+	case server.command.FullCommand():
+		application, err := server.make(*listen)
+		if err != nil {
+			_, _ = fmt.Fprintf(errOut, "standin: %s\n", err)
+			return 2
+		}
+		application.Start(ctx)
+		handler = application.Controlled()
 	}
 	if err := serve(ctx, *listen, handler); err != nil {
 		_, _ = fmt.Fprintf(errOut, "standin: %s\n", err)
--- /dev/null
+++ b/scripts/demo-platform.sh
@@ -0,0 +1,128 @@
+#!/usr/bin/env bash
+# The node on the users' machines, as separate processes on loopback: one store, six
+# servers of three services with a node each. Shows a calm path, an overload, a
+# withdrawn key, a drained server, a lost answer and a store outage, and explains one
+# failed request. Prints what was seen; exits 1 if anything is off.
+set -u
+cd "$(dirname "$0")/.."
+command -v curl >/dev/null || { echo 'demo: install curl first' >&2; exit 1; }
+bin=bin out=out/demo-platform base=${BASE:-18000} failed=0
+rm -rf "$out" && mkdir -p "$out"
+pids=() surge=()
+trap 'kill "${pids[@]}" 2>/dev/null; wait' EXIT
+
+row() {
+  local mark=ok
+  [ "$2" = "$3" ] || { mark=OFF; failed=1; }
+  printf '%-58s %-12s %-12s %s\n' "$1" "$2" "$3" "$mark"
+}
+address() { echo "127.0.0.1:$((base + 10 * $1 + $2))"; }
+store=$(address 0 0)
+
+# machine INDEX SERVICE ZONE SLOTS [server flags...]
+machine() {
+  local i=$1 service=$2 zone=$3 slots=$4
+  shift 4
+  cat >"$out/node$i.ini" <<INI
+[node]
+name = node-$i
+service = $service
+dataCentre = $zone
+firstStart = true
+[listen]
+callers = $(address "$i" 0)
+heartbeats = $(address "$i" 1)
+readiness = $(address "$i" 2)
+peers = $(address "$i" 3)
+metrics = $(address "$i" 4)
+[instance]
+address = $(address "$i" 5)
+[store]
+address = $store
+[bounds]
+heartbeat = 500ms
+revoke = 5s
+grace = 4s
+INI
+  "$bin/plantainmesh" --settings "$out/node$i.ini" >"$out/node$i.log" 2>&1 &
+  pids+=($!)
+  "$bin/standin" --listen "$(address "$i" 5)" server --id "i-$i" --service "$service" --zone "$zone" --slots "$slots" \
+    --control "$(address "$i" 1)" --outbound "$(address "$i" 0)" "$@" >"$out/server$i.log" 2>&1 &
+  pids+=($!)
+}
+
+# configure VERSION KEY writes a configuration in which dakar holds KEY.
+configure() {
+  curl -s -X PUT --data-binary @- "http://$store/-/config" <<JSON
+{"version":$1,"routes":[
+{"name":"browse","host":"homes.example","path_prefix":"/homes/","kind":"idempotent","timeout":"2000ms","target_latency":"500ms","priority":2,"service":"showcase","max_attempts":2},
+{"name":"commit","host":"homes.example","path_prefix":"/swaps/","kind":"non_idempotent","timeout":"2000ms","target_latency":"500ms","priority":0,"service":"desk","max_attempts":1},
+{"name":"peek","host":"homes.example","path_prefix":"/days/","kind":"idempotent","timeout":"1000ms","target_latency":"300ms","priority":1,"service":"calendar","allow_anonymous":true}],
+"services":[{"name":"showcase"},{"name":"desk"},{"name":"calendar"}],"limits":{"header_bytes":16384,"body_bytes":1048576},
+"tenants":[{"name":"dakar","api_keys":["$2"],"rate_per_s":5000,"burst":5000}]}
+JSON
+}
+
+# ask NODE METHOD PATH ID KEY prints the status.
+ask() {
+  curl -s -o /dev/null -w '%{http_code}' --max-time 5 -X "$2" -H 'Host: homes.example' -H "Authorization: Bearer $5" \
+    -H "Plantainramp-Request-Id: $4" -H 'Plantainramp-Deadline-Remaining: 3000' "http://$(address "$1" 0)$3"
+}
+runs() { local sum=0 i; for i in 1 2 3 4 5 6; do sum=$((sum + $(curl -s "http://$(address "$i" 5)/-/runs/$1"))); done; echo $sum; }
+ready() { local i; for i in 1 2 3 4 5 6; do [ "$(curl -s -o /dev/null -w '%{http_code}' "http://$(address "$i" 2)/readiness")" = 200 ] || return 1; done; }
+known() { [ "$(ask 1 GET /homes/1 "probe$RANDOM$RANDOM" key-1)" = 200 ] && [ "$(ask 6 POST /swaps/1 "probe$RANDOM$RANDOM" key-1)" = 200 ]; }
+await() { local end=$((SECONDS + $1)); shift; until "$@" >/dev/null 2>&1; do ((SECONDS < end)) || { echo "gave up waiting for: $*" >&2; exit 1; }; sleep 0.1; done; }
+
+began=$SECONDS
+"$bin/standin" --listen "$store" store >"$out/store.log" 2>&1 &
+pids+=($!)
+await 10 configure 1 key-1
+for i in 1 2; do machine "$i" showcase "z$i" 40 --deeper '/homes/=homes.example/days/x*2'; done
+for i in 3 4; do machine "$i" desk "z$((i - 2))" 40; done
+for i in 5 6; do machine "$i" calendar "z$((i - 4))" 3 --work 20ms; done
+await 15 ready
+await 10 known
+
+printf '%-58s %-12s %-12s\n' WHAT WANTED SEEN
+served=0
+for i in 1 2 3 4 5 6; do [ "$(ask "$i" GET /homes/7 "calm$i" key-1)" = 200 ] && served=$((served + 1)); done
+row 'reads through a chain of two services, at every node' 6 "$served"
+row 'runs of one of them' 1 "$(runs calm3)"
+row 'unknown key' 401 "$(ask 1 GET /homes/7 stranger key-0)"
+row 'unknown path' 404 "$(ask 1 GET /elsewhere/7 nowhere key-1)"
+
+curl -s -X POST "http://$(address 3 5)/-/break/1" >/dev/null
+curl -s -X POST "http://$(address 4 5)/-/break/1" >/dev/null
+row 'action whose answer is lost' 502 "$(ask 2 POST /swaps/9 lost key-1)"
+row 'runs of it' 1 "$(runs lost)"
+curl -s -X POST "http://$(address 3 5)/-/break/0" >/dev/null
+curl -s -X POST "http://$(address 4 5)/-/break/0" >/dev/null
+
+for n in $(seq 1 60); do
+  for i in 1 2 3 4 5 6; do echo "$(ask "$i" GET /homes/7 "many$n.$i" key-1)" >>"$out/many"; done &
+  surge+=($!)
+done
+wait "${surge[@]}"
+row 'reads answered otherwise than 200 or 503 in a surge' 0 "$(grep -cv '^200$\|^503$' "$out/many")"
+
+configure 2 key-2
+sleep 1
+row 'withdrawn key after 1 s' 401 "$(ask 4 GET /homes/7 old key-1)"
+row 'its successor' 200 "$(ask 4 GET /homes/7 new key-2)"
+
+curl -s -X POST "http://$store/-/fault/silent" >/dev/null
+row 'drained server acknowledged while the store is silent' 200 "$(curl -s -o /dev/null -w '%{http_code}' -X POST "http://$(address 3 5)/-/drain")"
+for i in 1 2 3 4 5 6; do ask "$i" POST /swaps/5 "after$i" key-2 >/dev/null; done
+row 'actions at the drained server after that' 0 "$(for i in 1 2 3 4 5 6; do curl -s "http://$(address 3 5)/-/runs/after$i"; echo; done | grep -c '^1$')"
+sleep 5
+row 'requests with a key once it cannot be confirmed' 503 "$(ask 1 GET /homes/7 stale key-2)"
+row 'calls without a key meanwhile' 200 "$(ask 1 GET /days/7 open key-2)"
+curl -s -X POST "http://$store/-/fault/none" >/dev/null
+await 5 eval '[ "$(ask 1 GET /homes/7 back$RANDOM key-2)" = 200 ]'
+row 'requests with a key after the store is back' 200 "$(ask 1 GET /homes/7 back key-2)"
+
+echo
+echo 'plantainramp explain lost:'
+"$bin/plantainramp" explain lost "$out"/node*.log | cut -c1-200
+echo "took $((SECONDS - began)) s"
+exit $failed
