--- /dev/null
+++ b/internal/meshcmd/meshcmd_test.go
@@ -0,0 +1,75 @@
+package meshcmd
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/plantainramp/plantainramp/pkg/logs"
+)
+
+type buffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *buffer) Write(line []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(line)
+}
+
+func (b *buffer) has(part string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return strings.Contains(b.text.String(), part)
+}
+
+func TestCommandLine(t *testing.T) {
+	cases := []struct {
+		name string
+		args []string
+		code int
+		says string
+	}{
+		{"unknown flag", []string{"--nothing"}, ExitSettings, "--help"},
+		{"no such file", []string{"--settings", "/nonexistent"}, ExitSettings, "cannot read"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var out, errOut bytes.Buffer
+			is.Equal(Main(c.args, &out, &errOut), c.code)
+			is.True(strings.Contains(errOut.String(), c.says))
+		})
+	}
+}
+
+// A hang-up reads the settings again; a file that cannot be used changes nothing
+// and is told.
+func TestHangup(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "node.ini")
+	is.NoErr(os.WriteFile(path, []byte("[node]\n"), 0o600))
+	out := &buffer{}
+	logger, err := logs.New(out, "info", logs.FormatJSON, "node")
+	is.NoErr(err)
+	hangups := make(chan os.Signal, 1)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go reload(ctx, hangups, path, logger)
+	hangups <- syscall.SIGHUP
+	end := time.Now().Add(2 * time.Second)
+	for !out.has("settings not reloaded") && time.Now().Before(end) {
+		time.Sleep(5 * time.Millisecond)
+	}
+	is.True(out.has("settings not reloaded"))
+}
--- /dev/null
+++ b/pkg/mesh/settings_test.go
@@ -0,0 +1,53 @@
+package mesh
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const good = `[node]
+name = n
+service = desk
+dataCentre = a
+firstStart = true
+[listen]
+callers = 127.0.0.1:1
+heartbeats = 127.0.0.1:2
+readiness = 127.0.0.1:3
+peers = 127.0.0.1:4
+[instance]
+address = 127.0.0.1:5
+[store]
+address = 127.0.0.1:6
+[bounds]
+heartbeat = 1500ms
+revoke = 5s
+rateOverage = 0.1
+rateSlack = 20
+repeatRatio = 0.2
+repeatSlack = 48
+grace = 6s
+`
+
+func TestSettings(t *testing.T) {
+	is := is.New(t)
+	s, err := ParseSettings("f", []byte(good))
+	is.NoErr(err)
+	is.Equal(s.Revoke, 5*time.Second)
+	is.True(s.FirstStart)
+	is.Equal(s.Metrics, "")
+	is.Equal(s.Repeats.Slack, 48.0)
+}
+
+// All faults of a file are told at once, with their lines.
+func TestSettingsWithFaults(t *testing.T) {
+	is := is.New(t)
+	text := strings.NewReplacer("service = desk\n", "", "revoke = 5s", "revoke = soon", "127.0.0.1:3", "nowhere", "grace", "grase").Replace(good)
+	_, err := ParseSettings("f", []byte(text))
+	for _, part := range []string{"service", "revoke", "readiness", "grase"} {
+		is.True(strings.Contains(err.Error(), part))
+	}
+}
