A read whose run was lost is not refused as not run; unused parts removed

Cause: after a lost answer a read is tried elsewhere; where no further instance took it the answer was 503 with run no, although the first run may have gone through. TestRefusalAfterALostRunIsTrue: 503 before, 502 after. Removed what nothing reads: health paths, time bounds of connections, cold times. One ListenError for both daemons, in pkg/settings.

--- a/pkg/entrance/budget.go
+++ b/pkg/entrance/budget.go
@@ -82,7 +82,8 @@
 	return true
 }
 
-func fleetService(r *Request) fleet.ServiceName { return fleet.ServiceName(r.run.Service) }
+// service returns the service that the request goes to.
+func (r *Request) service() fleet.ServiceName { return fleet.ServiceName(r.run.Service) }
 
 // spend uses a token of the request's organisation, borrowing from peers where
 // this node has none left.
--- a/pkg/entrance/entrance.go
+++ b/pkg/entrance/entrance.go
@@ -91,7 +91,9 @@
 	// Part is the part of the request's class that was admitted when it arrived.
 	Part float64
 
-	run linkrpc.Run
+	// lost tells that a run may have gone through whose answer was lost.
+	lost bool
+	run  linkrpc.Run
 }
 
 // Init prepares the entrance. Call it once, after the fields are set.
--- a/pkg/entrance/entrance_test.go
+++ b/pkg/entrance/entrance_test.go
@@ -37,6 +37,8 @@
 	runs     atomic.Int64
 	// work is how long a run takes.
 	work time.Duration
+	// abort makes instances run calls and cut their answers.
+	abort atomic.Bool
 	// refuse makes the entrance unable to reach any gate.
 	refuse atomic.Bool
 
@@ -51,6 +53,9 @@
 	case <-r.Context().Done():
 		return
 	}
+	if b.abort.Load() {
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set("Id", r.Header.Get("Id"))
 	_, _ = io.WriteString(w, "done")
 }
@@ -202,3 +207,26 @@
 	is.Equal(b.send(t.Context()).Code, 504)
 	is.True(time.Since(began) < 600*time.Millisecond)
 }
+
+// A read whose first run may have gone through is not called not run because
+// no further instance took it.
+func TestRefusalAfterALostRunIsTrue(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, 2, routing.Route{Idempotent: true, Open: true, MaxAttempts: 3})
+	b.entrance.SetRepeats(Repeats{Ratio: 1, Slack: 10}, 1)
+	for range 20 {
+		b.entrance.budget.requested("desk")
+	}
+	b.abort.Store(true)
+	for _, g := range b.gates {
+		g.Started = func(*linkrpc.Run, time.Time) func() {
+			for _, other := range b.gates {
+				other.Leave()
+			}
+			return func() {}
+		}
+	}
+	w := b.send(t.Context())
+	is.Equal(b.runs.Load(), int64(1))
+	is.Equal(w.Code, http.StatusBadGateway)
+}
--- a/pkg/entrance/place.go
+++ b/pkg/entrance/place.go
@@ -37,8 +37,19 @@
 	retryAfterSpread = 800 * time.Millisecond
 )
 
-// place has the request run by an instance of its service.
+// place has the request run by an instance of its service. A request of which a
+// run was lost is never refused as not run.
 func (e *Entrance) place(ctx context.Context, r *Request) (*linkrpc.Outcome, *problem.Error) {
+	outcome, refused := e.tryPlaces(ctx, r)
+	if refused != nil && refused.Run == problem.RunNo && r.lost {
+		return nil, problem.Uncertain(problem.KindUncertain, "an answer was lost, and then: "+refused.Detail)
+	}
+	return outcome, refused
+}
+
+// tryPlaces hands the request to one gate after another until it is answered or
+// nothing is left to try.
+func (e *Entrance) tryPlaces(ctx context.Context, r *Request) (*linkrpc.Outcome, *problem.Error) {
 	service := r.Route.Pick()
 	r.run.Service = string(service)
 	e.budget.requested(service)
@@ -67,6 +78,7 @@
 			}
 			full = full || outcome.Reason == linkrpc.Reason_REASON_FULL
 		default:
+			r.lost = true
 			if !r.Route.Idempotent || !e.again(r) {
 				return nil, lost(outcome)
 			}
@@ -148,7 +160,7 @@
 // again tells whether a request may be sent to a further instance.
 func (e *Entrance) again(r *Request) bool {
 	r.Arrivals = max(r.Arrivals, 1)
-	if !e.mayRepeat(r) || !e.budget.take(fleetService(r)) {
+	if !e.mayRepeat(r) || !e.budget.take(r.service()) {
 		return false
 	}
 	r.Arrivals++
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -42,8 +42,6 @@
 	Slots   int
 	// Open tells whether the instance takes new calls.
 	Open bool
-	// ColdUntil is when a started instance reaches its full speed.
-	ColdUntil time.Time
 }
 
 // Gate guards one instance. Set the exported fields before use.
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -291,15 +291,14 @@
 	c.idle = append(c.idle, k)
 }
 
-// CloseIdle closes the connections that nobody uses and whose time has passed,
-// or all of them.
-func (c *Client) CloseIdle(all bool) {
+// CloseIdle closes the connections that nobody uses and whose time has passed.
+func (c *Client) CloseIdle() {
 	now := c.Clock.Now()
 	c.mu.Lock()
 	kept := c.idle[:0]
 	var done []*conn
 	for _, k := range c.idle {
-		if !all && now.Before(k.until) {
+		if now.Before(k.until) {
 			kept = append(kept, k)
 		} else {
 			done = append(done, k)
--- a/pkg/mesh/heartbeat.go
+++ b/pkg/mesh/heartbeat.go
@@ -20,8 +20,6 @@
 	Address  string
 	Slots    int
 	Draining bool
-	// ColdFor is how much longer the instance is slow after its start.
-	ColdFor time.Duration
 	// Born is the instance's start in milliseconds since 1970, by its own
 	// clock; 0 where it does not say.
 	Born int64
@@ -64,7 +62,7 @@
 	}
 	p.current, p.last, p.heard = from, h.Sequence, now
 	self := gate.Self{
-		ID: h.Instance, Service: h.Service, Slots: h.Slots, Open: !h.Draining && !p.left[from], ColdUntil: now.Add(h.ColdFor),
+		ID: h.Instance, Service: h.Service, Slots: h.Slots, Open: !h.Draining && !p.left[from],
 	}
 	if h.Draining {
 		p.leave(from)
--- a/pkg/mesh/run.go
+++ b/pkg/mesh/run.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net"
 	"net/http"
 	"sync"
@@ -12,6 +11,7 @@
 	"github.com/plantainramp/plantainramp/pkg/clock"
 	"github.com/plantainramp/plantainramp/pkg/fleet"
 	"github.com/plantainramp/plantainramp/pkg/logs"
+	"github.com/plantainramp/plantainramp/pkg/settings"
 )
 
 const (
@@ -34,20 +34,6 @@
 	graceMargin = time.Second
 )
 
-// ListenError reports an address that cannot be listened on.
-type ListenError struct {
-	Face, Address string
-	Cause         error
-}
-
-// Error implements error.
-func (e *ListenError) Error() string {
-	return fmt.Sprintf("cannot listen on %s for %s: %s; change [listen] %s or end what uses the port", e.Address, e.Face, e.Cause, e.Face)
-}
-
-// Unwrap returns the cause.
-func (e *ListenError) Unwrap() error { return e.Cause }
-
 type face struct {
 	name, address string
 	handler       http.Handler
@@ -80,7 +66,7 @@
 	for _, f := range faces {
 		l, err := net.Listen("tcp", f.address)
 		if err != nil {
-			return &ListenError{Face: f.name, Address: f.address, Cause: err}
+			return &settings.ListenError{Face: f.name, Address: f.address, Cause: err}
 		}
 		f.listener = l
 		f.server = &http.Server{Handler: f.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
@@ -89,12 +75,12 @@
 }
 
 // Run serves until ctx ends, then leaves, finishes the work in flight and
-// returns nil. It returns *ListenError where a face cannot be opened.
+// returns nil. It returns *settings.ListenError where a face cannot be opened.
 func (n *Node) Run(ctx context.Context) error {
 	faces := n.faces()
 	peers, err := net.Listen("tcp", n.settings.Peers)
 	if err != nil {
-		return &ListenError{Face: "peers", Address: n.settings.Peers, Cause: err}
+		return &settings.ListenError{Face: "peers", Address: n.settings.Peers, Cause: err}
 	}
 	if err := n.listen(faces); err != nil {
 		return err
@@ -134,7 +120,7 @@
 func (n *Node) upkeep(ctx context.Context) {
 	clock.Every(ctx, n.clock, clock.Fixed(checkEvery), func(context.Context) {
 		n.presence.Check()
-		n.instance.CloseIdle(false)
+		n.instance.CloseIdle()
 		n.peers.Check()
 	})
 }
--- a/pkg/node/run.go
+++ b/pkg/node/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net"
 	"net/http"
 	"sync"
@@ -30,20 +29,6 @@
 	checkEvery = 500 * time.Millisecond
 )
 
-// ListenError reports an address that cannot be listened on.
-type ListenError struct {
-	Face, Address string
-	Cause         error
-}
-
-// Error implements error.
-func (e *ListenError) Error() string {
-	return fmt.Sprintf("cannot listen on %s for %s: %s; change [listen] %s or end what uses the port", e.Address, e.Face, e.Cause, e.Face)
-}
-
-// Unwrap returns the cause.
-func (e *ListenError) Unwrap() error { return e.Cause }
-
 // server is one face with its listener.
 type server struct {
 	name     string
@@ -89,7 +74,7 @@
 func (n *Node) listen(name, address string, handler http.Handler) (*server, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
-		return nil, &ListenError{Face: name, Address: address, Cause: err}
+		return nil, &settings.ListenError{Face: name, Address: address, Cause: err}
 	}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
@@ -106,7 +91,7 @@
 }
 
 // Run serves until ctx ends, then leaves, finishes the work in flight and
-// returns nil. It returns *ListenError where a face cannot be opened, and
+// returns nil. It returns *settings.ListenError where a face cannot be opened, and
 // *member.EndedError where the fleet has taken the node off its list.
 func (n *Node) Run(ctx context.Context) error {
 	servers, err := n.servers()
--- a/pkg/peering/peering.go
+++ b/pkg/peering/peering.go
@@ -213,9 +213,6 @@
 // Closed notes that the instance handed a call back because it takes none.
 func (p *Peer) Closed(now time.Time) { p.avoid(now, avoidTime) }
 
-// Waiting returns the calls of this node that are there.
-func (p *Peer) Waiting() int { return int(p.waiting.Load()) }
-
 // Run has the peer run a call. Errors are those of link.Call.
 func (p *Peer) Run(ctx context.Context, run *linkrpc.Run) (*linkrpc.Outcome, uint64, error) {
 	p.waiting.Add(1)
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -59,12 +59,10 @@
 	HasPriority bool
 }
 
-// Limits bound what a caller may send and how long a connection may idle.
+// Limits bound what a caller may send.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	// BodyBytes is 0 where bodies have no bound of their own.
+	BodyBytes int64
 }
 
 // View is one version of the configuration. It never changes once built.
@@ -76,7 +74,6 @@
 
 	routes map[string]map[string]*Route
 	keys   map[KeyDigest]*Organisation
-	health map[fleet.ServiceName]string
 }
 
 // Digest returns the digest of a key.
@@ -91,7 +88,6 @@
 func NewBuilder(version Version, limits Limits) *Builder {
 	return &Builder{view: View{
 		Version: version, Limits: limits, routes: map[string]map[string]*Route{}, keys: map[KeyDigest]*Organisation{},
-		health: map[fleet.ServiceName]string{},
 	}}
 }
 
@@ -113,18 +109,12 @@
 	}
 }
 
-// Health sets the path under which instances of a service tell their health.
-func (b *Builder) Health(service fleet.ServiceName, path string) { b.view.health[service] = path }
-
 // View returns the finished view.
 func (b *Builder) View() *View {
 	v := b.view
 	return &v
 }
 
-// HealthPath returns the path for health checks, or nothing.
-func (v *View) HealthPath(service fleet.ServiceName) string { return v.health[service] }
-
 // Lookup returns the route with the longest prefix that begins the path, or nil.
 func (v *View) Lookup(host, path string) *Route {
 	if colon := strings.LastIndexByte(host, ':'); colon >= 0 {
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -154,6 +154,21 @@
 // Unwrap returns the cause.
 func (e *FileError) Unwrap() error { return e.Cause }
 
+// ListenError reports an address that cannot be listened on.
+type ListenError struct {
+	// Face is what is served there, named as in [listen].
+	Face, Address string
+	Cause         error
+}
+
+// Error implements error.
+func (e *ListenError) Error() string {
+	return fmt.Sprintf("cannot listen on %s for %s: %s; change [listen] %s or end what uses the port", e.Address, e.Face, e.Cause, e.Face)
+}
+
+// Unwrap returns the cause.
+func (e *ListenError) Unwrap() error { return e.Cause }
+
 // Load reads a settings file and the secret it names. It returns *FileError or
 // *inifile.InvalidError.
 func Load(path string) (*Settings, error) {
--- a/pkg/survey/survey.go
+++ b/pkg/survey/survey.go
@@ -377,14 +377,3 @@
 
 // Matched returns the part of the calls of the own instance whose caller was found.
 func (s *Survey) Matched() map[routing.RouteName]float64 { return s.graph.Matched() }
-
-// Parts returns the part of each class that is admitted, for logs and metrics.
-func (s *Survey) Parts() map[routing.RouteName]float64 {
-	parts := map[routing.RouteName]float64{}
-	if p := s.plan.Load(); p != nil {
-		for name, c := range p.parts {
-			parts[name] = c.part
-		}
-	}
-	return parts
-}
