--- a/pkg/gate/attempts.go
+++ b/pkg/gate/attempts.go
@@ -111,7 +111,7 @@
 	return nil
 }
 
-// seals keeps a seal in the table without holding up the order of outcomes.
+// seals keeps a seal for longer than outcomes are kept, apart from their order.
 func (t *attempts) seals(id uint64, a *attempt) {
 	a.forget = t.Clock.Now().Add(keepSeal)
 	t.Clock.AfterFunc(keepSeal, func() {
--- a/pkg/link/server.go
+++ b/pkg/link/server.go
@@ -17,8 +17,9 @@
 	Payload []byte
 }
 
-// Handler answers a request. Ctx ends when the peer no longer waits or the
-// connection is lost; Lost tells the two apart. A nil reply sends nothing.
+// Handler answers a request. Ctx ends when the peer no longer waits, with
+// *CancelledError as its cause, or when the connection is lost, with another.
+// A nil reply sends nothing.
 type Handler func(ctx context.Context, r Request) proto.Message
 
 // Server accepts links from peers. Set its fields before Serve.
--- a/pkg/room/room.go
+++ b/pkg/room/room.go
@@ -22,7 +22,8 @@
 	// floorsPart is the part of a service's room that floors may take up, so that
 	// in the deepest overload something is left to put first.
 	floorsPart = 0.6
-	// Part of the slots below which a class's use of a service is left out of account.
+	// leastUse is the part of a service's slots below which a class's use of it is
+	// left out of account.
 	leastUse = 0.01
 	// loosen is what each idle part of its slots adds to the correction of a
 	// service per step, and mostLoosen the most that is added.
