A caller that leaves gets no empty success

Cause: found in reading. Where a caller had left, the handler returned without an answer, and the library then sends 200 with no body; a client that closes only its own side would take that for a success. The connection is broken off instead. TestCallerThatLeavesGetsNoEmptySuccess: a 200 before, nothing after.

--- a/pkg/entrance/entrance.go
+++ b/pkg/entrance/entrance.go
@@ -132,7 +132,8 @@
 		e.Finished(r, status, outcome, refused)
 	}
 	if hr.Context().Err() != nil && refused != nil {
-		return // the caller has left
+		// The caller has left. Returning would send an empty success.
+		panic(http.ErrAbortHandler)
 	}
 	if e.Stopping() {
 		w.Header().Set("Connection", "close")
--- a/pkg/entrance/entrance_test.go
+++ b/pkg/entrance/entrance_test.go
@@ -230,3 +230,22 @@
 	is.Equal(b.runs.Load(), int64(1))
 	is.Equal(w.Code, http.StatusBadGateway)
 }
+
+// A client that closes its side gets no answer that was never made: in
+// particular no empty success.
+func TestCallerThatLeavesGetsNoEmptySuccess(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, 1, routing.Route{Open: true})
+	b.work = 5 * time.Second
+	server := httptest.NewServer(b.entrance)
+	defer server.Close()
+	c, err := net.Dial("tcp", strings.TrimPrefix(server.URL, "http://"))
+	is.NoErr(err)
+	defer func() { _ = c.Close() }()
+	_, err = io.WriteString(c, "GET /x HTTP/1.1\r\nHost: h\r\nId: 1\r\nLeft: 3000\r\n\r\n")
+	is.NoErr(err)
+	time.Sleep(50 * time.Millisecond)
+	is.NoErr(c.(*net.TCPConn).CloseWrite())
+	answer, _ := io.ReadAll(c)
+	is.Equal(string(answer), "")
+}
