A stopping node answers what it has read last

The faces are now shut down: nobody is accepted any more, and requests that were read get their answer, 0.7 s at most, before links and controllers end. 1.5 s of the grace are kept for it instead of 1 s.

--- a/pkg/mesh/run.go
+++ b/pkg/mesh/run.go
@@ -30,8 +30,10 @@
 	// leastStop is how long a stopping node goes on at least: callers learn only
 	// with the next check of readiness that it takes no more.
 	leastStop = 2500 * time.Millisecond
+	// answerTimeout bounds the wait for requests that were read last.
+	answerTimeout = 700 * time.Millisecond
 	// graceMargin is kept of the grace for the end itself.
-	graceMargin = time.Second
+	graceMargin = 1500 * time.Millisecond
 )
 
 type face struct {
@@ -104,11 +106,9 @@
 		}
 	}
 	n.leave(work)
+	shutDown(faces)
 	stopWork()
 	controllers.Wait()
-	for _, f := range faces {
-		_ = f.server.Close()
-	}
 	_ = peers.Close()
 	n.links.Close()
 	_ = n.meter.Close()
@@ -116,6 +116,22 @@
 	return err
 }
 
+// shutDown closes the faces. Requests that were read are answered first; what
+// then still runs is cut.
+func shutDown(faces []*face) {
+	ctx, cancel := context.WithTimeout(context.Background(), answerTimeout)
+	defer cancel()
+	var group sync.WaitGroup
+	for _, f := range faces {
+		group.Go(func() {
+			if f.server.Shutdown(ctx) != nil {
+				_ = f.server.Close()
+			}
+		})
+	}
+	group.Wait()
+}
+
 // upkeep looks after what has no event of its own.
 func (n *Node) upkeep(ctx context.Context) {
 	clock.Every(ctx, n.clock, clock.Fixed(checkEvery), func(context.Context) {
