The clock is passed in on links, at the entrance and in the stand-in server

Cause: five places read the system's time although the house style passes a clock in. Bounds of connections come from the link's and the server's clock, a request's end from what is left of it.

--- a/internal/standincmd/server.go
+++ b/internal/standincmd/server.go
@@ -8,6 +8,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"github.com/plantainramp/plantainramp/pkg/clock"
 	"github.com/plantainramp/plantainramp/platform/platformtest"
 )
 
@@ -35,10 +36,10 @@
 }
 
 // make returns the server, or *CallError.
-func (f *serverFlags) make(address string) (*platformtest.Server, error) {
+func (f *serverFlags) make(address string, c clock.Clock) (*platformtest.Server, error) {
 	s := &platformtest.Server{
 		ID: *f.id, Service: *f.service, Address: address, Zone: *f.zone, Slots: *f.slots, Work: *f.work,
-		Control: *f.control, Outbound: *f.outbound, Beat: *f.beat, Born: time.Now().UnixMilli(),
+		Control: *f.control, Outbound: *f.outbound, Beat: *f.beat, Born: c.Now().UnixMilli(),
 	}
 	for _, text := range *f.deeper {
 		d, err := parseCall(text)
--- a/internal/standincmd/standincmd.go
+++ b/internal/standincmd/standincmd.go
@@ -71,7 +71,7 @@
 	case storeCommand.FullCommand():
 		handler = platformtest.NewStore().Controlled()
 	case server.command.FullCommand():
-		application, err := server.make(*listen)
+		application, err := server.make(*listen, clock.System{})
 		if err != nil {
 			_, _ = fmt.Fprintf(errOut, "standin: %s\n", err)
 			return 2
--- a/pkg/entrance/entrance.go
+++ b/pkg/entrance/entrance.go
@@ -213,7 +213,7 @@
 		return nil, p
 	}
 	e.fill(hr, r, body)
-	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(r.Deadline.Sub(e.Clock.Now())))
+	ctx, cancel := context.WithTimeout(ctx, r.Deadline.Sub(e.Clock.Now()))
 	defer cancel()
 	outcome, refused := e.place(ctx, r)
 	if refused != nil && refused.Run == problem.RunNo && r.Organisation != nil {
--- a/pkg/entrance/entrance_test.go
+++ b/pkg/entrance/entrance_test.go
@@ -122,7 +122,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &link.Server{Hello: hello, Handle: func(ctx context.Context, r link.Request) proto.Message { return handle(ctx, g, r) }}
+	s := &link.Server{Clock: clock.System{}, Hello: hello, Handle: func(ctx context.Context, r link.Request) proto.Message { return handle(ctx, g, r) }}
 	go func() { _ = s.Serve(l) }()
 	t.Cleanup(func() { _ = l.Close(); s.Close() })
 	b.gates = append(b.gates, g)
--- a/pkg/link/frame.go
+++ b/pkg/link/frame.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"google.golang.org/protobuf/proto"
+
+	"github.com/plantainramp/plantainramp/pkg/clock"
 )
 
 // Kind tells what a message is.
@@ -66,6 +68,7 @@
 // framer writes and reads messages on a connection.
 type framer struct {
 	conn   net.Conn
+	clock  clock.Clock
 	reader *bufio.Reader
 
 	mu sync.Mutex
@@ -80,8 +83,8 @@
 	taken func([]Stream)
 }
 
-func newFramer(conn net.Conn, taken func([]Stream)) *framer {
-	return &framer{conn: conn, reader: bufio.NewReaderSize(conn, readBuffer), wake: make(chan struct{}, 1), taken: taken}
+func newFramer(conn net.Conn, c clock.Clock, taken func([]Stream)) *framer {
+	return &framer{conn: conn, clock: c, reader: bufio.NewReaderSize(conn, readBuffer), wake: make(chan struct{}, 1), taken: taken}
 }
 
 // send queues a message. It returns the error of a connection that has failed.
@@ -135,7 +138,7 @@
 		if len(streams) > 0 && f.taken != nil {
 			f.taken(streams)
 		}
-		_ = f.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+		_ = f.conn.SetWriteDeadline(f.clock.Now().Add(writeTimeout))
 		if _, err := f.conn.Write(batch); err != nil {
 			f.fail(err)
 			return
--- a/pkg/link/link.go
+++ b/pkg/link/link.go
@@ -230,13 +230,13 @@
 		return nil, err
 	}
 	c := &outgoing{}
-	c.framer = newFramer(conn, c.markSent)
+	c.framer = newFramer(conn, l.Clock, c.markSent)
 	c.streams.waiting = map[Stream]*waiting{}
 	go c.write()
 	if err := c.send(KindHello, 0, l.Hello(), false); err != nil {
 		return nil, err
 	}
-	_ = conn.SetReadDeadline(time.Now().Add(dialTimeout))
+	_ = conn.SetReadDeadline(l.Clock.Now().Add(dialTimeout))
 	kind, _, payload, err := c.read()
 	if err != nil {
 		c.fail(err)
--- a/pkg/link/link_test.go
+++ b/pkg/link/link_test.go
@@ -96,7 +96,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &Server{Hello: hello, Handle: handle}
+	s := &Server{Clock: clock.System{}, Hello: hello, Handle: handle}
 	go func() { _ = s.Serve(l) }()
 	t.Cleanup(func() {
 		_ = l.Close()
@@ -214,7 +214,7 @@
 	f.Add([]byte{255, 255, 255, 255, 1, 0, 0, 0, 0})
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		near, far := net.Pipe()
-		s := &Server{Hello: hello, Handle: echo}
+		s := &Server{Clock: clock.System{}, Hello: hello, Handle: echo}
 		done := make(chan struct{})
 		go func() { s.serve(far); close(done) }()
 		go func() { _, _ = io.Copy(io.Discard, near) }()
--- a/pkg/link/server.go
+++ b/pkg/link/server.go
@@ -8,6 +8,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/plantainramp/plantainramp/pkg/clock"
 	"github.com/plantainramp/plantainramp/rpc/linkrpc"
 )
 
@@ -24,6 +25,7 @@
 
 // Server accepts links from peers. Set its fields before Serve.
 type Server struct {
+	Clock  clock.Clock
 	Hello  func() *linkrpc.Hello
 	Handle Handler
 	// Status receives what a peer tells of itself; nil is allowed.
@@ -68,10 +70,10 @@
 }
 
 func (s *Server) serve(conn net.Conn) {
-	c := &incoming{framer: newFramer(conn, nil), cancel: map[Stream]context.CancelCauseFunc{}}
+	c := &incoming{framer: newFramer(conn, s.Clock, nil), cancel: map[Stream]context.CancelCauseFunc{}}
 	go c.write()
 	defer c.end()
-	_ = conn.SetReadDeadline(time.Now().Add(dialTimeout))
+	_ = conn.SetReadDeadline(s.Clock.Now().Add(dialTimeout))
 	if kind, _, _, err := c.read(); err != nil || kind != KindHello {
 		return
 	}
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -140,7 +140,7 @@
 		Wait: directoryWait, Slack: readSlack, Settle: directorySettle, Apply: n.directory.Apply,
 	}
 	n.survey = &survey.Survey{Clock: n.clock, Self: self, Service: n.settings.Service, Load: n.gate.Load, View: n.view.Load, Directory: n.directory.Snapshot, Planned: n.planned}
-	n.links = &link.Server{Hello: n.hello, Handle: n.handle, Status: n.heard}
+	n.links = &link.Server{Clock: n.clock, Hello: n.hello, Handle: n.handle, Status: n.heard}
 }
 
 func (n *Node) makeEntrance() {
