Links and survey in files of one job each

The open requests of a connection stand in outgoing.go, costs and the plan of the survey in files of their own. A priority that nothing read went, and bare figures got names. No behaviour changes; tests of both, mesh and entrance pass.

--- a/pkg/link/frame.go
+++ b/pkg/link/frame.go
@@ -180,3 +180,10 @@
 	}
 	return Kind(header[4]), Stream(binary.BigEndian.Uint32(header[5:])), payload, nil
 }
+
+// cause returns why the connection failed, or nil.
+func (f *framer) cause() error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.failed
+}
--- a/pkg/mesh/load.go
+++ b/pkg/mesh/load.go
@@ -59,7 +59,7 @@
 	if r.Inner {
 		n.survey.Called(r.Route.Name, r.Expires)
 	} else {
-		n.survey.Arrived(r.Route.Name, r.Route.Priority)
+		n.survey.Arrived(r.Route.Name)
 	}
 }
 
--- a/pkg/survey/survey.go
+++ b/pkg/survey/survey.go
@@ -3,7 +3,6 @@
 package survey
 
 import (
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,6 +27,10 @@
 	forgetReport = 2200 * time.Millisecond
 	// rateWeight is the weight of the newest period in rates of requests.
 	rateWeight = 0.25
+	// leastRate is the requests or runs a second from which a route is reported,
+	// forgetRate that below which it is forgotten.
+	leastRate  = 0.01
+	forgetRate = 0.001
 	// heldWeight is the weight of one run in the mean time that a slot is held.
 	heldWeight = 0.05
 	// mostCost bounds the slot time of one run at one service.
@@ -81,8 +84,6 @@
 
 // routeStats counts one route at this node.
 type routeStats struct {
-	// priority is that of the last request seen.
-	priority int
 	// arrived counts requests that begin here, runs those that run here, in the present period.
 	arrived, runs float64
 	// offered and rate are the same per second.
@@ -91,18 +92,6 @@
 	held time.Duration
 }
 
-// Plan is the part of each class to admit. It never changes, but for the
-// credit of each class.
-type Plan struct {
-	parts map[routing.RouteName]*credit
-}
-
-type credit struct {
-	part float64
-	mu   sync.Mutex
-	left float64
-}
-
 func (s *Survey) stats(route routing.RouteName) *routeStats {
 	if s.routes == nil {
 		s.routes = map[routing.RouteName]*routeStats{}
@@ -116,12 +105,10 @@
 }
 
 // Arrived counts a request that begins at this node.
-func (s *Survey) Arrived(route routing.RouteName, priority int) {
+func (s *Survey) Arrived(route routing.RouteName) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r := s.stats(route)
-	r.arrived++
-	r.priority = priority
+	s.stats(route).arrived++
 }
 
 // Called counts a call that the instance makes, and that expires at a time.
@@ -157,27 +144,6 @@
 	s.reports[directory.NodeAddress(status.Node)] = report{status: status, at: s.Clock.Now()}
 }
 
-// Admit tells whether a request of a route is admitted, and the part of its
-// class that is.
-func (s *Survey) Admit(route routing.RouteName) (bool, float64) {
-	p := s.plan.Load()
-	if p == nil {
-		return true, 1
-	}
-	c := p.parts[route]
-	if c == nil || c.part >= fullPart {
-		return true, 1
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.left += c.part
-	if c.left < 1 {
-		return false, c.part
-	}
-	c.left--
-	return true, c.part
-}
-
 // Tick renews the plan. It returns what peers should hear now, or nil.
 func (s *Survey) Tick() *linkrpc.Status {
 	status, newest := s.step()
@@ -208,73 +174,12 @@
 		r.offered += rateWeight * (r.arrived*perSecond - r.offered)
 		r.rate += rateWeight * (r.runs*perSecond - r.rate)
 		r.arrived, r.runs = 0, 0
-		if r.offered < 1e-3 && r.rate < 1e-3 {
+		if r.offered < forgetRate && r.rate < forgetRate {
 			delete(s.routes, name)
 		}
 	}
 }
 
-// status is what this node says of itself.
-func (s *Survey) status() *linkrpc.Status {
-	status := &linkrpc.Status{Node: string(s.Self), Service: string(s.Service), Load: s.Load()}
-	calls := s.graph.CallsPerRun()
-	costs := s.costs()
-	for name, r := range s.routes {
-		if r.offered > 0.01 {
-			status.Offers = append(status.Offers, &linkrpc.Offer{Route: string(name), Rate: float32(r.offered)})
-		}
-		if r.held == 0 || r.rate < 0.01 {
-			continue
-		}
-		whole := Costs{s.Service: r.held.Seconds()}
-		for callee, times := range calls[name] {
-			for service, cost := range costs[callee] {
-				whole[service] += times * cost
-			}
-		}
-		for service, cost := range whole {
-			status.Costs = append(status.Costs, &linkrpc.Cost{
-				Route: string(name), Service: string(service), SlotUs: uint32(min(cost, mostCost.Seconds()) * 1e6), Weight: float32(r.rate),
-			})
-		}
-	}
-	return status
-}
-
-// costs averages what nodes say of each route, by how many runs it rests on.
-func (s *Survey) costs() map[routing.RouteName]Costs {
-	sums := map[routing.RouteName]Costs{}
-	weights := map[routing.RouteName]float64{}
-	now := s.Clock.Now()
-	for _, r := range s.reports {
-		if now.Sub(r.at) > forgetReport {
-			continue
-		}
-		s.sum(r.status, sums, weights)
-	}
-	for name, c := range sums {
-		for service := range c {
-			c[service] /= weights[name]
-		}
-	}
-	return sums
-}
-
-func (s *Survey) sum(status *linkrpc.Status, sums map[routing.RouteName]Costs, weights map[routing.RouteName]float64) {
-	seen := map[routing.RouteName]bool{}
-	for _, c := range status.Costs {
-		name, w := routing.RouteName(c.Route), float64(c.Weight)
-		if sums[name] == nil {
-			sums[name] = Costs{}
-		}
-		sums[name][fleet.ServiceName(c.Service)] += w * float64(c.SlotUs) / 1e6
-		if !seen[name] {
-			seen[name] = true
-			weights[name] += w
-		}
-	}
-}
-
 // renew makes the plan from the reports of all nodes, the own one included.
 func (s *Survey) renew(own *linkrpc.Status) {
 	now := s.Clock.Now()
@@ -344,23 +249,6 @@
 	return list
 }
 
-// replace puts new parts in force, keeping the credit of each class.
-func (s *Survey) replace(parts map[routing.RouteName]float64) {
-	old := s.plan.Load()
-	next := &Plan{parts: make(map[routing.RouteName]*credit, len(parts))}
-	for name, part := range parts {
-		c := &credit{part: part, left: rand.Float64()}
-		if old != nil && old.parts[name] != nil {
-			before := old.parts[name]
-			before.mu.Lock()
-			c.left = before.left
-			before.mu.Unlock()
-		}
-		next.parts[name] = c
-	}
-	s.plan.Store(next)
-}
-
 // Runs returns the runs a second of each route at the own instance, and the
 // mean time that each holds a slot.
 func (s *Survey) Runs() (map[routing.RouteName]float64, map[routing.RouteName]time.Duration) {
--- a/pkg/survey/survey_test.go
+++ b/pkg/survey/survey_test.go
@@ -44,7 +44,7 @@
 	admitted, asked := 0, 0
 	for range 40 {
 		for range 25 { // 100 a second, for which there is room for 18
-			s.Arrived("browse", 2)
+			s.Arrived("browse")
 			asked++
 			if ok, _ := s.Admit("browse"); ok {
 				admitted++
@@ -66,7 +66,7 @@
 	fake := &clock.Fake{}
 	s := newSurvey(fake)
 	for range 20 {
-		s.Arrived("browse", 2)
+		s.Arrived("browse")
 		ok, _ := s.Admit("browse")
 		is.True(ok)
 		fake.Advance(Period)
