--- a/internal/meshcmd/meshcmd.go
+++ b/internal/meshcmd/meshcmd.go
@@ -72,14 +72,12 @@
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
 	go reload(ctx, hangups, path, logger)
-	n := mesh.New(s, adapter(s), clock.System{}, uptime.Boot, logger)
-	return n.Run(ctx)
-}
-
-// adapter connects the node to the platform.
-func adapter(s *mesh.Settings) *mesh.Platform {
-	store := platform.NewStore(s.Store)
-	return platform.New(store)
+	n := mesh.New(s, platform.New(platform.NewStore(s.Store)), clock.System{}, uptime.Boot, logger)
+	err = n.Run(ctx)
+	if lines := queue.Dropped(); lines > 0 {
+		logger.WithField("lines", lines).Warn("log lines were dropped for a slow reader")
+	}
+	return err
 }
 
 // reload reads the settings anew at each hang-up. What is listened on stays as
--- a/pkg/keyed/keyed.go
+++ b/pkg/keyed/keyed.go
@@ -74,9 +74,6 @@
 	interrupt atomic.Pointer[context.CancelFunc]
 }
 
-// Known tells whether the topic has been read at all.
-func (f *Follower) Known() bool { return f.known.Load() }
-
 // Age returns how old the knowledge of the topic may be, and false where the
 // topic has never been read.
 func (f *Follower) Age() (time.Duration, bool) {
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -162,13 +162,7 @@
 	}
 }
 
-func (n *Node) hello() *linkrpc.Hello {
-	h := &linkrpc.Hello{Incarnation: n.incarnation}
-	if v := n.view.Load(); v != nil {
-		h.ConfigVersion = uint64(v.Version)
-	}
-	return h
-}
+func (n *Node) hello() *linkrpc.Hello { return &linkrpc.Hello{Incarnation: n.incarnation} }
 
 // fresh tells whether the knowledge of keys is young enough.
 func (n *Node) fresh() bool {
