--- a/pkg/cmd/root/root.go
+++ b/pkg/cmd/root/root.go
@@ -8,6 +8,7 @@
 
 	"github.com/plantainramp/plantainramp/internal/iostreams"
 	"github.com/plantainramp/plantainramp/pkg/clock"
+	"github.com/plantainramp/plantainramp/pkg/cmd/explain"
 	"github.com/plantainramp/plantainramp/pkg/cmd/factory"
 	"github.com/plantainramp/plantainramp/pkg/cmd/key/newkey"
 	"github.com/plantainramp/plantainramp/pkg/cmd/load/compare"
@@ -60,6 +61,7 @@
 	load := app.Command("load", "Run and compare experiments.")
 	run.NewCmdRun(f, load, nil)
 	compare.NewCmdCompare(f, load, nil)
+	explain.NewCmdExplain(f, app, nil)
 	version.NewCmdVersion(f, app)
 	return app
 }
