LOST: a stopping node takes requests for half of its grace, and answers them in the other half

Cause: the stop had a last moment for answers (grace less 0.8 s) and none for requests. Callers with open connections kept the node busy, so it read requests until all connections were closed by force; each whose answer took longer than what was left was cut. Class of fault: a shutdown whose admission has no end of its own. Change: at the latest after half of the grace the connections that wait for a request are closed, then the listener; root requests read later get 503 (not executed). What was read is answered until nine tenths of the grace; the rest gets 502 instead of a closed connection. While executions at the instance run, the listener stays open for their calls. A request that is read as its connection is closed does not reach the handler (pkg/connection): without that check TestRequestDuringCloseIsAnsweredOrNotHandled fails. Why it works: each request that is taken has at least four tenths of the grace for its answer, and one that needs more gets a final answer.

--- a/pkg/connection/connection.go
+++ b/pkg/connection/connection.go
@@ -1,5 +1,6 @@
 // Package connection tracks the open connections of an HTTP server: which of them wait
-// for a request, and which carry one.
+// for a request, and which carry one. It closes waiting connections without losing a
+// request: one that is read as its connection is closed does not reach the handler.
 package connection
 
 import (
@@ -36,14 +37,19 @@
 type Tracker struct {
 	Clock clock.Clock
 
-	// mu guards conns and the fields of its values.
+	// mu guards conns, the fields of its values, and closed.
 	mu    sync.Mutex
 	conns map[net.Conn]*conn
+	// closed reports whether Close was called.
+	closed bool
 }
 
 // conn is one connection. Its fields are guarded by Tracker.mu.
 type conn struct {
 	busy bool
+	// closed reports whether the tracker has closed the connection. It is never busy
+	// afterwards.
+	closed bool
 	// waitingSince is when the connection was accepted or its last response was
 	// written. It is not updated while the connection is busy.
 	waitingSince time.Time
@@ -60,8 +66,8 @@
 	server.ConnState = t.observe
 	next := server.Handler
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c, tracked := r.Context().Value(contextKey{}).(*conn); tracked {
-			t.begin(c)
+		if c, tracked := r.Context().Value(contextKey{}).(*conn); tracked && !t.begin(c) {
+			panic(http.ErrAbortHandler)
 		}
 		next.ServeHTTP(w, r)
 	})
@@ -82,6 +88,7 @@
 	var counts Counts
 	for _, c := range t.conns {
 		switch {
+		case c.closed:
 		case c.busy:
 			counts.Busy++
 		case c.use.Requests > 0:
@@ -101,14 +108,42 @@
 	return context.WithValue(ctx, contextKey{}, c)
 }
 
-// begin marks a connection busy, as a request was read from it.
-func (t *Tracker) begin(c *conn) {
+// CloseWaiting closes the connections that have waited for a request for at least
+// minWait.
+func (t *Tracker) CloseWaiting(minWait time.Duration) {
 	now := t.Clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	for netConn, c := range t.conns {
+		if !c.busy && !c.closed && now.Sub(c.waitingSince) >= minWait {
+			c.closed = true
+			_ = netConn.Close()
+		}
+	}
+}
+
+// Close closes all connections that wait for a request. After it returns, no further
+// request reaches the handler.
+func (t *Tracker) Close() {
+	t.mu.Lock()
+	t.closed = true
+	t.mu.Unlock()
+	t.CloseWaiting(0)
+}
+
+// begin marks a connection busy, as a request was read from it. It returns false if the
+// connection or the tracker has been closed.
+func (t *Tracker) begin(c *conn) bool {
+	now := t.Clock.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if c.closed || t.closed {
+		return false
+	}
 	c.busy = true
 	c.use.Requests++
 	c.use.Idle = now.Sub(c.waitingSince)
+	return true
 }
 
 // observe is the ConnState hook of the server.
--- a/pkg/connection/connection_test.go
+++ b/pkg/connection/connection_test.go
@@ -93,3 +93,56 @@
 	is.NoErr(conn.Close())
 	s.awaitCounts(t, Counts{})
 }
+
+// A connection that waits longer than others is closed alone. One that carries a request
+// stays open until it is answered.
+func TestCloseWaiting(t *testing.T) {
+	is := is.New(t)
+	s := newTestServer(t)
+	_, waiting := s.dial(t)
+	s.awaitCounts(t, Counts{Unused: 1})
+	s.clock.Advance(time.Second)
+	conn, busy := s.dial(t)
+	s.awaitCounts(t, Counts{Unused: 2})
+	sendRequest(t, conn)
+	<-s.uses
+	s.dial(t)
+	s.awaitCounts(t, Counts{Unused: 2, Busy: 1})
+	s.tracker.CloseWaiting(time.Second)
+	_, err := waiting.ReadByte()
+	is.True(err != nil)
+	s.awaitCounts(t, Counts{Unused: 1, Busy: 1})
+	s.release <- struct{}{}
+	readResponse(t, busy)
+}
+
+// Requests are sent at the moment at which their connections are closed. Guards against
+// a request that the handler executes although its connection is closed.
+func TestRequestDuringCloseIsAnsweredOrNotHandled(t *testing.T) {
+	is := is.New(t)
+	for range 300 {
+		s := newTestServer(t)
+		conn, reader := s.dial(t)
+		s.awaitCounts(t, Counts{Unused: 1})
+		handled := make(chan bool, 1)
+		finished := make(chan struct{})
+		go func() {
+			select {
+			case <-s.uses:
+				handled <- true
+				s.release <- struct{}{}
+			case <-finished:
+				handled <- false
+			}
+		}()
+		go s.tracker.CloseWaiting(0)
+		_, _ = conn.Write([]byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
+		response, err := http.ReadResponse(reader, nil)
+		close(finished)
+		answered := err == nil
+		if answered {
+			is.NoErr(response.Body.Close())
+		}
+		is.Equal(<-handled, answered)
+	}
+}
--- a/pkg/entrance/entrance.go
+++ b/pkg/entrance/entrance.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"math"
 	"math/rand/v2"
@@ -72,6 +73,8 @@
 	ConfigFresh func() bool
 	// Stopping reports whether connections should be closed after their response.
 	Stopping func() bool
+	// TakesRequests reports whether root requests are taken; nil means that they are.
+	TakesRequests func() bool
 	// OnArrival is called for each request with a route and, where needed, a valid
 	// API key; nil is allowed.
 	OnArrival func(r *Request)
@@ -163,7 +166,8 @@
 	if e.OnFinish != nil {
 		e.OnFinish(r, status, outcome, refusal)
 	}
-	if hr.Context().Err() != nil && refusal != nil {
+	var stopped *StoppedError
+	if hr.Context().Err() != nil && refusal != nil && !errors.As(context.Cause(hr.Context()), &stopped) {
 		// The caller has disconnected. Returning would send an empty success.
 		panic(http.ErrAbortHandler)
 	}
@@ -197,6 +201,9 @@
 		r.Organisation = r.View.OrganisationByKey(digest)
 	}
 	r.Inner = r.Route.AllowAnonymous && !hasKey
+	if !r.Inner && e.TakesRequests != nil && !e.TakesRequests() {
+		return r, retryLaterError(problem.KindLeaving, "the node stops", shedding.MinRetryAfter)
+	}
 	if r.View.NeedsKey(r.Route) {
 		if r.Organisation == nil {
 			return r, problem.New(problem.KindInvalidKey, "the request bears no key that is known")
--- a/pkg/mesh/run.go
+++ b/pkg/mesh/run.go
@@ -10,7 +10,6 @@
 
 	"github.com/plantainramp/plantainramp/pkg/clock"
 	"github.com/plantainramp/plantainramp/pkg/connection"
-	"github.com/plantainramp/plantainramp/pkg/entrance"
 	"github.com/plantainramp/plantainramp/pkg/fleet"
 	"github.com/plantainramp/plantainramp/pkg/logs"
 	"github.com/plantainramp/plantainramp/pkg/settings"
@@ -25,22 +24,6 @@
 	maxHeaderBytes = 64 << 10
 	// checkInterval is the interval of the periodic checks in runChecks.
 	checkInterval = 250 * time.Millisecond
-	// drainPollInterval is how often a stopping node checks for requests in flight.
-	drainPollInterval = 20 * time.Millisecond
-	// drainIdleTime is how long nothing must be in flight before draining ends.
-	drainIdleTime = 300 * time.Millisecond
-	// minDrainTime is the shortest time that draining takes. Callers learn only from
-	// the next readiness check that the node is stopping.
-	minDrainTime = 2500 * time.Millisecond
-	// shutdownTimeout bounds the wait for the responses to the last requests once the
-	// listeners are closed.
-	shutdownTimeout = 700 * time.Millisecond
-	// connectionIdleTime is how long nothing must be in flight once the listeners are
-	// closed. The last accepted connection has sent its request within that time.
-	connectionIdleTime = 100 * time.Millisecond
-	// shutdownMargin is the part of the grace period that is reserved for closing the
-	// servers and stopping the node after draining.
-	shutdownMargin = 1500 * time.Millisecond
 )
 
 // httpServer is one of the HTTP servers of a node. listener and server are set by listen.
@@ -123,8 +106,7 @@
 			err = nil
 		}
 	}
-	n.drain(workCtx)
-	n.closeServers(servers, abortRequests)
+	n.drain(servers, abortRequests)
 	stopWork()
 	controllers.Wait()
 	_ = peerListener.Close()
@@ -134,44 +116,6 @@
 	return err
 }
 
-// closeServers closes the listeners, waits for the responses to requests that were
-// already read, and closes the servers after shutdownTimeout at the latest.
-// http.Server.Shutdown drops requests that it reads after it was called, so it is called
-// last.
-func (n *Node) closeServers(servers []*httpServer, abortRequests context.CancelCauseFunc) {
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-	defer cancel()
-	for _, s := range servers {
-		_ = s.listener.Close()
-	}
-	n.logStop("listeners closed")
-	n.awaitIdle(ctx)
-	var group sync.WaitGroup
-	for _, s := range servers {
-		group.Go(func() {
-			if s.server.Shutdown(ctx) != nil {
-				if s.tracker != nil {
-					n.logStop("connections closed before their requests were answered")
-				}
-				abortRequests(&entrance.StoppedError{})
-				_ = s.server.Close()
-			}
-		})
-	}
-	group.Wait()
-}
-
-// awaitIdle waits until no request has been in flight for connectionIdleTime, or ctx
-// ends.
-func (n *Node) awaitIdle(ctx context.Context) {
-	lastBusy := n.clock.Now()
-	for n.clock.Now().Sub(lastBusy) < connectionIdleTime && clock.Sleep(ctx, n.clock, drainPollInterval) == nil {
-		if n.entrance.InFlight() > 0 {
-			lastBusy = n.clock.Now()
-		}
-	}
-}
-
 // runChecks closes the gate of an unresponsive instance, expired connections to the
 // instance, and unresponsive connections to peers. No event triggers these, so it polls
 // until ctx ends.
@@ -182,28 +126,3 @@
 		n.peers.CheckLiveness()
 	})
 }
-
-// drain closes the gate, publishes that in the directory, and waits until requests in
-// flight have ended, within the grace period. Requests on open connections are served
-// meanwhile.
-func (n *Node) drain(ctx context.Context) {
-	started := n.clock.Now()
-	n.stopStartedAt.Store(int64(clock.MonotonicOf(started)))
-	n.stopping.Store(true)
-	n.logStop("node stops")
-	n.gate.Drain()
-	n.publishEntry()
-	lastBusy := started
-	for {
-		now := n.clock.Now()
-		if n.entrance.InFlight()+int64(n.gate.Slots.Load().InFlight) > 0 {
-			lastBusy = now
-		}
-		if now.Sub(started) > n.settings.GracePeriod-shutdownMargin || now.Sub(started) > minDrainTime && now.Sub(lastBusy) > drainIdleTime {
-			return
-		}
-		if clock.Sleep(ctx, n.clock, drainPollInterval) != nil {
-			return
-		}
-	}
-}
