instance: read whether a connection was reused before it is idle again

Cause: Do read the field after putIdle, when another call may already have taken the connection and set it. Change: the field is read before the call is sent.

--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -118,6 +118,8 @@
 		if err != nil {
 			return nil, &NotSentError{Cause: err}
 		}
+		// Once k is idle again, another call may use it.
+		reused := k.reused
 		stopWatching := context.AfterFunc(ctx, func() { _ = k.Close() })
 		response, reusable, err := c.roundTrip(k, call, request)
 		if !stopWatching() || !reusable {
@@ -126,7 +128,7 @@
 			c.putIdle(k)
 		}
 		var unsent *NotSentError
-		if k.reused && ctx.Err() == nil && errors.As(err, &unsent) {
+		if reused && ctx.Err() == nil && errors.As(err, &unsent) {
 			continue
 		}
 		return response, err
