LOST: a stopping node takes a request when it is whole, and sends none that it gave up

Cause: the end of admission was checked when the head was read, and nothing looked at the context before a send. Change: whether a request is taken is decided once it is whole; in the second half only calls on open routes are, while the instance executes something. A request whose context has ended is not sent: 503, or 504 at its deadline, both not executed. Remaining: a caller without a key on an open route counts as the instance, while that executes something.

--- a/pkg/entrance/dispatch.go
+++ b/pkg/entrance/dispatch.go
@@ -58,6 +58,9 @@
 	tried := map[*peering.Peer]bool{}
 	anyFull := false
 	for r.Dispatches < maxDispatches {
+		if ctx.Err() != nil {
+			return nil, unsentError(ctx)
+		}
 		target := e.Peers.Choose(service, tried)
 		if target == nil {
 			break
@@ -195,6 +198,19 @@
 	return problem.NewUncertain(problem.KindUncertain, "the caller left")
 }
 
+// unsentError returns the refusal of a request that was cancelled by its caller or by the
+// stop of the node, or that reached its deadline, before it was sent to a further gate.
+func unsentError(ctx context.Context) *problem.Error {
+	var stopped *StoppedError
+	switch {
+	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
+		return problem.New(problem.KindDeadline, "the time for the request passed before it was sent")
+	case errors.As(context.Cause(ctx), &stopped):
+		return retryLaterError(problem.KindLeaving, "the node stopped before the request was sent", shedding.MinRetryAfter)
+	}
+	return problem.New(problem.KindUncertain, "the caller left before the request was sent")
+}
+
 func lostResponseError(outcome *linkrpc.Outcome) *problem.Error {
 	if outcome.Reason == linkrpc.Reason_REASON_EXPIRED {
 		return problem.NewUncertain(problem.KindDeadline, "no answer came in time; the request may have run")
--- a/pkg/entrance/entrance.go
+++ b/pkg/entrance/entrance.go
@@ -73,8 +73,9 @@
 	ConfigFresh func() bool
 	// Stopping reports whether connections should be closed after their response.
 	Stopping func() bool
-	// TakesRequests reports whether root requests are taken; nil means that they are.
-	TakesRequests func() bool
+	// Takes reports whether a request that was read whole is taken; nil means that all
+	// are.
+	Takes func(r *Request) bool
 	// OnArrival is called for each request with a route and, where needed, a valid
 	// API key; nil is allowed.
 	OnArrival func(r *Request)
@@ -201,9 +202,6 @@
 		r.Organisation = r.View.OrganisationByKey(digest)
 	}
 	r.Inner = r.Route.AllowAnonymous && !hasKey
-	if !r.Inner && e.TakesRequests != nil && !e.TakesRequests() {
-		return r, retryLaterError(problem.KindLeaving, "the node stops", shedding.MinRetryAfter)
-	}
 	if r.View.NeedsKey(r.Route) {
 		if r.Organisation == nil {
 			return r, problem.New(problem.KindInvalidKey, "the request bears no key that is known")
@@ -249,6 +247,9 @@
 	if refusal != nil {
 		return nil, refusal
 	}
+	if e.Takes != nil && !e.Takes(r) {
+		return nil, retryLaterError(problem.KindLeaving, "the node stops", shedding.MinRetryAfter)
+	}
 	if e.OnArrival != nil {
 		e.OnArrival(r)
 	}
--- a/pkg/entrance/entrance_test.go
+++ b/pkg/entrance/entrance_test.go
@@ -276,3 +276,18 @@
 		})
 	}
 }
+
+// A request that the node gave up before it was sent may not reach an instance: its
+// caller is told that it has not run.
+func TestGivenUpRequestIsNotSent(t *testing.T) {
+	is := is.New(t)
+	cluster := newTestCluster(t, 1, routing.Route{AllowAnonymous: true, MaxAttempts: 1})
+	is.Equal(cluster.sendRequest(t.Context()).Code, http.StatusOK)
+	for range 500 {
+		ctx, cancel := context.WithCancelCause(t.Context())
+		cancel(&StoppedError{})
+		is.Equal(cluster.sendRequest(ctx).Code, http.StatusServiceUnavailable)
+	}
+	time.Sleep(20 * time.Millisecond)
+	is.Equal(cluster.executions.Load(), int64(1))
+}
--- a/pkg/mesh/drain.go
+++ b/pkg/mesh/drain.go
@@ -61,9 +61,13 @@
 	return time.Duration(fraction * float64(n.settings.GracePeriod))
 }
 
-// takesRequests reports whether the node takes new requests of callers.
-func (n *Node) takesRequests() bool {
-	return !n.stopping.Load() || n.sinceStop() < n.partOfGrace(admissionFraction)
+// takes reports whether the node takes a request that was read whole. In the second part
+// of its stop it takes only calls that executions at the local instance may make.
+func (n *Node) takes(r *entrance.Request) bool {
+	if !n.stopping.Load() || n.sinceStop() < n.partOfGrace(admissionFraction) {
+		return true
+	}
+	return r.Inner && n.gate.Slots.Load().InFlight > 0
 }
 
 // inFlight returns the number of requests that are not answered whole and of executions
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -166,7 +166,7 @@
 	n.rateLimiter = &quota.Limiter{Clock: n.clock, StartFull: n.settings.FirstStart}
 	n.entrance = &entrance.Entrance{
 		Clock: n.clock, Headers: n.platform.EntranceHeaders, Service: n.settings.Service, Peers: n.peers, RateLimiter: n.rateLimiter,
-		View: n.view.Load, ConfigFresh: n.keysFresh, Stopping: n.stopping.Load, TakesRequests: n.takesRequests, OnFinish: n.onFinished, Incarnation: n.incarnation,
+		View: n.view.Load, ConfigFresh: n.keysFresh, Stopping: n.stopping.Load, Takes: n.takes, OnFinish: n.onFinished, Incarnation: n.incarnation,
 		OnArrival: n.onArrived, Admit: n.admit, RetryFraction: n.executions.repeatedFraction, OnBorrowError: n.onBorrowFailed,
 	}
 	n.entrance.Init()
