--- a/pkg/connection/connection.go
+++ b/pkg/connection/connection.go
@@ -30,6 +30,9 @@
 	// wait for a further request. Busy ones carry a request that was read and whose
 	// response has not been written whole.
 	Unused, Idle, Busy int
+	// Dropped is the number of requests that were read as their connection was closed
+	// and did not reach the handler.
+	Dropped int
 }
 
 // Tracker tracks the connections of one HTTP server. Set Clock, and call Track before
@@ -37,11 +40,12 @@
 type Tracker struct {
 	Clock clock.Clock
 
-	// mu guards conns, the fields of its values, and closed.
+	// mu guards the fields below and those of the values of conns.
 	mu    sync.Mutex
 	conns map[net.Conn]*conn
 	// closed reports whether Close was called.
-	closed bool
+	closed  bool
+	dropped int
 }
 
 // conn is one connection. Its fields are guarded by Tracker.mu.
@@ -85,7 +89,7 @@
 func (t *Tracker) Counts() Counts {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var counts Counts
+	counts := Counts{Dropped: t.dropped}
 	for _, c := range t.conns {
 		switch {
 		case c.closed:
@@ -138,6 +142,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if c.closed || t.closed {
+		t.dropped++
 		return false
 	}
 	c.busy = true
--- a/pkg/connection/connection_test.go
+++ b/pkg/connection/connection_test.go
@@ -144,5 +144,6 @@
 			is.NoErr(response.Body.Close())
 		}
 		is.Equal(<-handled, answered)
+		is.True(s.tracker.Counts().Dropped == 0 || !answered)
 	}
 }
--- a/pkg/mesh/drain.go
+++ b/pkg/mesh/drain.go
@@ -11,16 +11,21 @@
 
 const (
 	// admissionFraction is the fraction of the grace period during which a stopping node
-	// takes new requests. The rest is for their responses.
+	// takes requests. The rest is for their responses.
 	admissionFraction = 0.5
+	// maxAdmissionTime bounds that time: callers know after two readiness checks.
+	maxAdmissionTime = 3 * time.Second
 	// responseFraction is the fraction of the grace period after which a stopping node
 	// gives up the requests that it has not answered.
 	responseFraction = 0.9
-	// minDrainTime is how long a stopping node takes new requests even if there are
-	// none. Callers learn only from the next readiness check that the node is stopping.
+	// closeFraction is the fraction of the grace period after which responses that are
+	// still being written are cut.
+	closeFraction = 0.95
+	// minDrainTime is how long a stopping node keeps connections even if there are no
+	// requests. Callers learn only from the next readiness check that the node is stopping.
 	minDrainTime = 2500 * time.Millisecond
-	// drainIdleTime is how long nothing must be in flight before a stopping node takes
-	// no new requests.
+	// drainIdleTime is how long nothing must be in flight before a stopping node closes
+	// connections that wait for a request.
 	drainIdleTime = 300 * time.Millisecond
 	// connectionIdleTime is how long a connection must have waited for a request before
 	// it is closed, and how long nothing must be in flight before the servers are closed.
@@ -28,13 +33,11 @@
 	connectionIdleTime = 100 * time.Millisecond
 	// drainPollInterval is how often a stopping node checks for requests in flight.
 	drainPollInterval = 20 * time.Millisecond
-	// shutdownTimeout bounds the writing of the last responses.
-	shutdownTimeout = 200 * time.Millisecond
 )
 
 // drain stops the node's service to callers within the grace period. It closes the gate
-// and publishes that in the directory. In the first part of the period it serves new
-// requests, in the second it only answers those that it has taken, and calls that
+// and publishes that in the directory. In the first part of the period it serves what
+// comes, in the second it only answers the requests that it has taken, and calls that
 // executions at the local instance make.
 func (n *Node) drain(servers []*httpServer, abortRequests context.CancelCauseFunc) {
 	n.stopStartedAt.Store(int64(clock.MonotonicOf(n.clock.Now())))
@@ -42,18 +45,21 @@
 	n.logStop("node stops")
 	n.gate.Drain()
 	n.publishEntry()
-	n.awaitQuiet(n.partOfGrace(admissionFraction), minDrainTime, drainIdleTime, func() {})
+	n.awaitQuiet(n.admissionTime(), minDrainTime, drainIdleTime, func() {})
 	n.logStop("no more connections are kept")
 	n.awaitQuiet(n.partOfGrace(responseFraction), 0, connectionIdleTime, func() { n.closeWaiting(servers) })
 	for _, s := range servers {
 		_ = s.listener.Close()
+		s.tracker.Close()
 	}
-	n.callerConns.Close()
+	// A request may have been read before its connection was closed.
+	n.awaitQuiet(n.partOfGrace(responseFraction), 0, 0, func() {})
 	if n.inFlight() > 0 {
 		n.logStop("requests given up")
 		abortRequests(&entrance.StoppedError{})
 	}
-	closeServers(servers)
+	n.closeServers(servers)
+	n.logStop("connections closed")
 }
 
 // partOfGrace returns a fraction of the grace period.
@@ -61,10 +67,15 @@
 	return time.Duration(fraction * float64(n.settings.GracePeriod))
 }
 
+// admissionTime returns how long after the signal to stop the node takes requests.
+func (n *Node) admissionTime() time.Duration {
+	return min(n.partOfGrace(admissionFraction), maxAdmissionTime)
+}
+
 // takes reports whether the node takes a request that was read whole. In the second part
 // of its stop it takes only calls that executions at the local instance may make.
 func (n *Node) takes(r *entrance.Request) bool {
-	if !n.stopping.Load() || n.sinceStop() < n.partOfGrace(admissionFraction) {
+	if !n.stopping.Load() || n.sinceStop() < n.admissionTime() {
 		return true
 	}
 	return r.Inner && n.gate.Slots.Load().InFlight > 0
@@ -84,10 +95,11 @@
 	for n.sinceStop() < maxTime {
 		poll()
 		now := n.clock.Now()
-		if n.inFlight() > 0 {
+		busy := n.inFlight() > 0
+		if busy {
 			lastBusy = now
 		}
-		if n.sinceStop() > minTime && now.Sub(lastBusy) > idleTime {
+		if !busy && n.sinceStop() > minTime && now.Sub(lastBusy) >= idleTime {
 			return
 		}
 		_ = clock.Sleep(context.Background(), n.clock, drainPollInterval)
@@ -99,7 +111,7 @@
 func (n *Node) closeWaiting(servers []*httpServer) {
 	executing := n.gate.Slots.Load().InFlight > 0
 	for _, s := range servers {
-		if s.tracker == nil {
+		if s.tracker != &n.callerConns {
 			continue
 		}
 		if !executing {
@@ -110,9 +122,9 @@
 }
 
 // closeServers closes the servers once the responses that are being written are
-// complete, at the latest after shutdownTimeout.
-func closeServers(servers []*httpServer) {
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+// complete, or the time for that is over.
+func (n *Node) closeServers(servers []*httpServer) {
+	ctx, cancel := context.WithTimeout(context.Background(), n.partOfGrace(closeFraction)-n.sinceStop())
 	defer cancel()
 	var group sync.WaitGroup
 	for _, s := range servers {
--- a/pkg/mesh/events.go
+++ b/pkg/mesh/events.go
@@ -77,7 +77,7 @@
 	conns := n.callerConns.Counts()
 	n.logger.WithFields(logrus.Fields{
 		"sinceStopMs": milliseconds(n.sinceStop()), "requests": n.entrance.InFlight(), "runs": n.gate.Slots.Load().InFlight,
-		"busyConns": conns.Busy, "idleConns": conns.Idle, "unusedConns": conns.Unused,
+		"busyConns": conns.Busy, "idleConns": conns.Idle, "unusedConns": conns.Unused, "droppedRequests": conns.Dropped,
 	}).Info(step)
 }
 
--- a/pkg/mesh/run.go
+++ b/pkg/mesh/run.go
@@ -32,7 +32,7 @@
 	handler       http.Handler
 	listener      net.Listener
 	server        *http.Server
-	// tracker is set for the server of callers.
+	// tracker is Node.callerConns for the server of callers. listen sets it for others.
 	tracker *connection.Tracker
 }
 
@@ -67,9 +67,10 @@
 		s.listener = l
 		s.server = &http.Server{Handler: s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 		s.server.BaseContext = func(net.Listener) context.Context { return requestCtx }
-		if s.tracker != nil {
-			s.tracker.Track(s.server)
+		if s.tracker == nil {
+			s.tracker = &connection.Tracker{Clock: n.clock}
 		}
+		s.tracker.Track(s.server)
 	}
 	return nil
 }
