link: write the replies of requests that are being handled before a server closes

Seen: an entrance reads "connection to peer lost" for a request whose work succeeded, when the peer's node stops at that moment; it then asks a node that is gone. Cause: Close closed the connection at once. writeLoop discarded what was queued, a write in progress was cut, and a handler that had just returned could not queue its reply. Connections in their handshake were not closed at all. Why it works: a closing connection takes no more requests, waits for those being handled, writes the queue, ends its sending direction and reads on until the peer has read that end and closed. All connections do so at once, for at most closeTimeout (250 ms); then they are closed as before. writeTimeout still bounds each write. Connections in their handshake, and those accepted after Close, are closed at once. Three peers that read nothing hold the close up for less than 450 ms together. Not changed: a request that a peer sends while the connection closes is not taken, and the peer reads that its connection was lost.

--- /dev/null
+++ b/pkg/link/close_test.go
@@ -0,0 +1,219 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/plantainramp/plantainramp/pkg/clock"
+	"github.com/plantainramp/plantainramp/rpc/linkrpc"
+)
+
+const (
+	// unbufferedBytes is the size of a reply that no socket buffer holds as a whole.
+	unbufferedBytes = 12 << 20
+	// bufferedBytes is the size of a reply that the sender's socket buffer holds, but not the
+	// receiver's.
+	bufferedBytes = 2 << 20
+	// closingTime is enough for Close to have begun, and less than closeTimeout.
+	closingTime = 50 * time.Millisecond
+	// noWaitTime is how long a close may take that waits for nothing. It is less than
+	// closeTimeout and dialTimeout.
+	noWaitTime = 200 * time.Millisecond
+	// boundedTime is how long a close may take whose peers do not read. It is less than
+	// closeTimeout for each of two connections, and than writeTimeout.
+	boundedTime = 450 * time.Millisecond
+)
+
+// serve returns a server with a handler and its address.
+func serve(t *testing.T, handle Handler) (*Server, string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = l.Close() })
+	s := &Server{Clock: clock.System{}, Hello: hello, Handle: handle}
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(s.Close)
+	return s, l.Addr().String()
+}
+
+// pausedConn delivers no data that follows the first read until resume is closed.
+type pausedConn struct {
+	net.Conn
+	started bool
+	resume  <-chan struct{}
+}
+
+func (c *pausedConn) Read(b []byte) (int, error) {
+	if c.started {
+		<-c.resume
+	}
+	c.started = true
+	return c.Conn.Read(b)
+}
+
+// newPausedLink returns a link that reads its handshake, and replies once resume is
+// closed.
+func newPausedLink(t *testing.T, address string, resume <-chan struct{}) *Link {
+	t.Helper()
+	l := &Link{Address: address, Clock: clock.System{}, Hello: hello, Dial: func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := DialTCP(ctx, address)
+		return &pausedConn{Conn: conn, resume: resume}, err
+	}}
+	t.Cleanup(l.Close)
+	return l
+}
+
+// Guards against a close that cuts a reply that is being written: its work was done, and the entrance reads that the connection was lost.
+func TestClosingServerWritesReplyBeingWritten(t *testing.T) {
+	is := is.New(t)
+	handled := make(chan struct{})
+	s, address := serve(t, func(context.Context, Request) proto.Message {
+		defer close(handled)
+		return &linkrpc.Outcome{Body: make([]byte, unbufferedBytes)}
+	})
+	resume := make(chan struct{})
+	go func() {
+		<-handled
+		time.AfterFunc(2*closingTime, func() { close(resume) })
+		time.Sleep(closingTime)
+		s.Close()
+	}()
+	reply, err := newPausedLink(t, address, resume).Call(t.Context(), KindRun, &linkrpc.Run{})
+	is.NoErr(err)
+	is.True(len(reply.Payload) > unbufferedBytes)
+}
+
+// Guards against TCP discarding a written reply that the peer has not received, because the peer sends something to a closed connection.
+func TestClosingServerDeliversReplyToPeerThatSends(t *testing.T) {
+	is := is.New(t)
+	handled := make(chan struct{})
+	s, address := serve(t, func(context.Context, Request) proto.Message {
+		defer close(handled)
+		return &linkrpc.Outcome{Body: make([]byte, bufferedBytes)}
+	})
+	resume := make(chan struct{})
+	l := newPausedLink(t, address, resume)
+	go func() {
+		<-handled
+		go s.Close()
+		time.Sleep(closingTime)
+		l.Notify(KindPing, nil)
+		time.Sleep(closingTime)
+		close(resume)
+	}()
+	_, err := l.Call(t.Context(), KindRun, &linkrpc.Run{})
+	is.NoErr(err)
+}
+
+// Guards against a close that comes between the return of a handler and the queueing of its reply.
+func TestClosingServerSendsReplyOfReturnedHandler(t *testing.T) {
+	const attempts = 300
+	lost := 0
+	for range attempts {
+		handled := make(chan struct{})
+		s, address := serve(t, func(context.Context, Request) proto.Message {
+			defer close(handled)
+			return &linkrpc.Outcome{}
+		})
+		closed := make(chan struct{})
+		go func() {
+			defer close(closed)
+			<-handled
+			s.Close()
+		}()
+		if _, err := newLink(t, address).Call(t.Context(), KindRun, &linkrpc.Run{}); err != nil {
+			lost++
+		}
+		<-closed
+	}
+	is.New(t).Equal(lost, 0)
+}
+
+// Guards against a close that cuts the reply of a request being handled, and against new work of a closing connection.
+func TestClosingServerTakesNoNewRequests(t *testing.T) {
+	is := is.New(t)
+	var handled atomic.Int64
+	release := make(chan struct{})
+	s, address := serve(t, func(context.Context, Request) proto.Message {
+		if handled.Add(1) == 1 {
+			<-release
+		}
+		return &linkrpc.Outcome{}
+	})
+	l := newLink(t, address)
+	firstErr, laterErr := make(chan error, 1), make(chan error, 1)
+	call := func(result chan<- error) {
+		_, err := l.Call(t.Context(), KindRun, &linkrpc.Run{})
+		result <- err
+	}
+	go call(firstErr)
+	time.Sleep(closingTime)
+	go s.Close()
+	time.Sleep(closingTime)
+	go call(laterErr)
+	time.Sleep(closingTime)
+	close(release)
+	is.NoErr(<-firstErr)
+	var lost *ConnectionLostError
+	is.True(errors.As(<-laterErr, &lost))
+	is.Equal(handled.Load(), int64(1))
+}
+
+// Guards against a close that peers which do not read hold up, one after another.
+func TestClosingServerDoesNotWaitForPeersThatDoNotRead(t *testing.T) {
+	is := is.New(t)
+	var handled, ended sync.WaitGroup
+	s, address := serve(t, func(context.Context, Request) proto.Message {
+		defer handled.Done()
+		return &linkrpc.Outcome{Body: make([]byte, unbufferedBytes)}
+	})
+	resume := make(chan struct{})
+	for range 3 {
+		handled.Add(1)
+		l := newPausedLink(t, address, resume)
+		ended.Go(func() { _, _ = l.Call(t.Context(), KindRun, &linkrpc.Run{}) })
+	}
+	handled.Wait()
+	time.Sleep(closingTime)
+	started := time.Now()
+	s.Close()
+	is.True(time.Since(started) < boundedTime)
+	close(resume)
+	ended.Wait()
+}
+
+// Guards against connections that outlive the server because their handshake was under way, or because they came later.
+func TestClosingServerEndsHandshakes(t *testing.T) {
+	is := is.New(t)
+	s, address := serve(t, echo)
+	early, err := net.Dial("tcp", address)
+	is.NoErr(err)
+	defer func() { _ = early.Close() }()
+	time.Sleep(closingTime)
+	started := time.Now()
+	s.Close()
+	late, err := net.Dial("tcp", address)
+	is.NoErr(err)
+	defer func() { _ = late.Close() }()
+	for _, conn := range []net.Conn{early, late} {
+		_, err = conn.Read(make([]byte, 1))
+		is.Equal(err, io.EOF)
+	}
+	is.True(time.Since(started) < noWaitTime)
+}
+
+// Guards against a close that needs a connection, or a clock, where there is nothing to close.
+func TestCloseOfUnusedServer(*testing.T) {
+	s := &Server{}
+	s.Close()
+	s.Close()
+}
--- a/pkg/link/frame.go
+++ b/pkg/link/frame.go
@@ -86,16 +86,19 @@
 	clock  clock.Clock
 	reader *bufio.Reader
 
-	// mu guards pending, pendingStreams and closeErr.
+	// mu guards pending, pendingStreams, finishing and closeErr.
 	mu sync.Mutex
 	// pending holds the encoded messages that writeLoop has not picked up yet.
 	pending []byte
 	// pendingStreams lists the streams whose requests are in pending.
 	pendingStreams []StreamID
+	// finishing reports that nothing more is queued, and that writeLoop ends the sending
+	// direction once it has written what is.
+	finishing bool
 	// closeErr is why the connection was closed, or nil while it is open. It is
 	// set once, and nothing is queued afterwards.
 	closeErr error
-	// wake signals writeLoop that pending or closeErr has changed.
+	// wake signals writeLoop that pending, finishing or closeErr has changed.
 	wake chan struct{}
 	// beforeWrite receives the streams whose requests are about to be written; nil
 	// is allowed.
@@ -107,14 +110,17 @@
 }
 
 // send queues a message for writeLoop. On a closed connection it returns the
-// error that closed it, and *BacklogError when the queue is full. With isRequest
-// set, the stream is passed to beforeWrite.
+// error that closed it, after finishWrites net.ErrClosed, and *BacklogError when the
+// queue is full. With isRequest set, the stream is passed to beforeWrite.
 func (f *framer) send(kind Kind, stream StreamID, message proto.Message, isRequest bool) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.closeErr != nil {
 		return f.closeErr
 	}
+	if f.finishing {
+		return net.ErrClosed
+	}
 	if len(f.pending) > maxPendingBytes {
 		return &BacklogError{}
 	}
@@ -133,38 +139,39 @@
 	if isRequest {
 		f.pendingStreams = append(f.pendingStreams, stream)
 	}
+	f.wakeWriter()
+	return nil
+}
+
+// wakeWriter signals writeLoop, without waiting for it.
+func (f *framer) wakeWriter() {
 	select {
 	case f.wake <- struct{}{}:
 	default:
 	}
-	return nil
 }
 
-// writeLoop writes queued messages until the connection fails. It swaps two
-// buffers, so that messages can be queued during a write.
+// writeLoop writes queued messages until the connection fails or finishWrites was
+// called. It swaps two buffers, so that messages can be queued during a write.
 func (f *framer) writeLoop() {
 	var spare []byte
 	for range f.wake {
 		f.mu.Lock()
 		batch, streams := f.pending, f.pendingStreams
 		f.pending, f.pendingStreams = spare[:0], nil
-		closeErr := f.closeErr
+		closeErr, isLast := f.closeErr, f.finishing
 		f.mu.Unlock()
 		if closeErr != nil {
 			return
 		}
-		if len(batch) == 0 {
-			spare = batch
-			continue
-		}
-		if len(streams) > 0 && f.beforeWrite != nil {
-			f.beforeWrite(streams)
-		}
-		_ = f.conn.SetWriteDeadline(f.clock.Now().Add(writeTimeout))
-		if _, err := f.conn.Write(batch); err != nil {
+		if err := f.write(batch, streams); err != nil {
 			f.closeWithError(err)
 			return
 		}
+		if isLast {
+			f.endSending()
+			return
+		}
 		if cap(batch) > maxReusedBufferBytes {
 			batch = nil
 		}
@@ -172,6 +179,36 @@
 	}
 }
 
+// write writes a batch of messages, which may be empty.
+func (f *framer) write(batch []byte, streams []StreamID) error {
+	if len(batch) == 0 {
+		return nil
+	}
+	if len(streams) > 0 && f.beforeWrite != nil {
+		f.beforeWrite(streams)
+	}
+	_ = f.conn.SetWriteDeadline(f.clock.Now().Add(writeTimeout))
+	_, err := f.conn.Write(batch)
+	return err
+}
+
+// finishWrites makes writeLoop write what is queued and then end the sending
+// direction. Messages can still be read.
+func (f *framer) finishWrites() {
+	f.mu.Lock()
+	f.finishing = true
+	f.mu.Unlock()
+	f.wakeWriter()
+}
+
+// endSending tells the peer that no more data follows. To close the connection at once
+// would discard what TCP has not sent yet if data of the peer is unread.
+func (f *framer) endSending() {
+	if c, ok := f.conn.(interface{ CloseWrite() error }); !ok || c.CloseWrite() != nil {
+		f.closeWithError(net.ErrClosed)
+	}
+}
+
 // closeWithError closes the connection. Only the first error is recorded.
 func (f *framer) closeWithError(err error) {
 	f.mu.Lock()
@@ -180,10 +217,7 @@
 	}
 	f.mu.Unlock()
 	_ = f.conn.Close()
-	select {
-	case f.wake <- struct{}{}:
-	default:
-	}
+	f.wakeWriter()
 }
 
 // readMessage blocks until it has read a message, and returns its kind, stream
--- a/pkg/link/server.go
+++ b/pkg/link/server.go
@@ -12,6 +12,10 @@
 	"github.com/plantainramp/plantainramp/rpc/linkrpc"
 )
 
+// closeTimeout bounds how long a closing server waits for the requests being handled,
+// the writing of their replies and the peers' receipt of these.
+const closeTimeout = 250 * time.Millisecond
+
 // Request is a message from a peer that expects a reply.
 type Request struct {
 	Kind    Kind
@@ -36,9 +40,12 @@
 	// decoded; nil is allowed.
 	OnUnreadableStatus func(error)
 
-	// mu guards conns, the connections that have completed the handshake.
-	mu    sync.Mutex
-	conns map[*framer]struct{}
+	// mu guards conns and closed.
+	mu sync.Mutex
+	// conns holds the open connections, including those in their handshake.
+	conns map[*serverConn]struct{}
+	// closed is set by Close.
+	closed bool
 }
 
 // CancelledError is the cause of a context whose request was cancelled.
@@ -59,39 +66,53 @@
 	}
 }
 
-// Close closes all connections that have completed the handshake. It does not
-// close the listener.
+// Close closes all connections, and those that are accepted later. It takes no more
+// requests, and waits for the replies to those being handled and until the peers have
+// received them, at most closeTimeout. It does not close the listener.
 func (s *Server) Close() {
+	var group sync.WaitGroup
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	for f := range s.conns {
-		f.closeWithError(net.ErrClosed)
+	s.closed = true
+	for c := range s.conns {
+		group.Go(c.finish)
 	}
+	s.mu.Unlock()
+	group.Wait()
 }
 
 // serverConn is one connection from a peer.
 type serverConn struct {
 	*framer
-	// mu guards cancels.
+	// ended is closed when serveConn has returned.
+	ended chan struct{}
+	// handlers counts the requests whose reply is not queued yet.
+	handlers sync.WaitGroup
+	// mu guards the fields below.
 	mu sync.Mutex
 	// cancel holds the cancel functions of the requests being handled.
 	cancel map[StreamID]context.CancelCauseFunc
+	// greeted reports whether the handshake message of the peer was read, closing
+	// whether no more requests are taken.
+	greeted, closing bool
 }
 
 func (s *Server) serveConn(netConn net.Conn) {
-	c := &serverConn{framer: newFramer(netConn, s.Clock, nil), cancel: map[StreamID]context.CancelCauseFunc{}}
-	go c.writeLoop()
+	c := &serverConn{framer: newFramer(netConn, s.Clock, nil), ended: make(chan struct{}), cancel: map[StreamID]context.CancelCauseFunc{}}
+	defer close(c.ended)
 	defer c.close()
+	if !s.addConn(c) {
+		return
+	}
+	defer s.removeConn(c)
+	go c.writeLoop()
 	_ = netConn.SetReadDeadline(s.Clock.Now().Add(dialTimeout))
-	if kind, _, _, err := c.readMessage(); err != nil || kind != KindHello {
+	if kind, _, _, err := c.readMessage(); err != nil || kind != KindHello || !c.startRequests() {
 		return
 	}
 	_ = netConn.SetReadDeadline(time.Time{})
 	if c.send(KindHello, 0, s.Hello(), false) != nil {
 		return
 	}
-	s.trackConn(c.framer, true)
-	defer s.trackConn(c.framer, false)
 	for {
 		kind, stream, payload, err := c.readMessage()
 		if err != nil {
@@ -102,17 +123,24 @@
 	}
 }
 
-func (s *Server) trackConn(f *framer, add bool) {
+// addConn adds an accepted connection. It returns false if the server is closed.
+func (s *Server) addConn(c *serverConn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.conns == nil {
-		s.conns = map[*framer]struct{}{}
+	if s.closed {
+		return false
 	}
-	if add {
-		s.conns[f] = struct{}{}
-	} else {
-		delete(s.conns, f)
+	if s.conns == nil {
+		s.conns = map[*serverConn]struct{}{}
 	}
+	s.conns[c] = struct{}{}
+	return true
+}
+
+func (s *Server) removeConn(c *serverConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
 }
 
 // dispatch handles one message; requests run in goroutines of their own.
@@ -125,20 +153,16 @@
 	case KindStatus:
 		s.handleStatus(payload)
 	case KindRun, KindAsk, KindTokenRequest:
-		ctx, cancel := context.WithCancelCause(context.Background())
-		c.mu.Lock()
-		c.cancel[stream] = cancel
-		c.mu.Unlock()
-		go func() {
-			reply := s.Handle(ctx, Request{Kind: kind, Payload: payload})
-			c.mu.Lock()
-			delete(c.cancel, stream)
-			c.mu.Unlock()
-			cancel(nil)
-			if reply != nil {
-				_ = c.send(KindReply, stream, reply, false)
-			}
-		}()
+		if ctx, end := c.takeRequest(stream); ctx != nil {
+			go func() {
+				defer c.handlers.Done()
+				reply := s.Handle(ctx, Request{Kind: kind, Payload: payload})
+				end()
+				if reply != nil {
+					_ = c.send(KindReply, stream, reply, false)
+				}
+			}()
+		}
 	}
 }
 
@@ -154,6 +178,42 @@
 	}
 }
 
+// startRequests records the handshake. It returns false if the connection closes.
+func (c *serverConn) startRequests() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.greeted = true
+	return !c.closing
+}
+
+// stopRequests makes takeRequest fail. It returns false if the connection is still in
+// its handshake.
+func (c *serverConn) stopRequests() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closing = true
+	return c.greeted
+}
+
+// takeRequest registers a request to be handled. It returns the context of the request
+// and the function that ends it, or nil if the connection closes.
+func (c *serverConn) takeRequest(stream StreamID) (ctx context.Context, end func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing {
+		return nil, nil
+	}
+	ctx, cancel := context.WithCancelCause(context.Background())
+	c.cancel[stream] = cancel
+	c.handlers.Add(1)
+	return ctx, func() {
+		c.mu.Lock()
+		delete(c.cancel, stream)
+		c.mu.Unlock()
+		cancel(nil)
+	}
+}
+
 // cancelRequest cancels the request of a stream, if it is still being handled.
 func (c *serverConn) cancelRequest(stream StreamID) {
 	c.mu.Lock()
@@ -164,6 +224,24 @@
 	}
 }
 
+// finish closes the connection once the requests being handled are answered and the
+// peer has received that, at the latest after closeTimeout.
+func (c *serverConn) finish() {
+	if !c.stopRequests() {
+		c.close()
+		return
+	}
+	go func() {
+		c.handlers.Wait()
+		c.finishWrites()
+	}()
+	select {
+	case <-c.ended:
+	case <-c.clock.After(closeTimeout):
+		c.close()
+	}
+}
+
 // close closes the connection and cancels its requests.
 func (c *serverConn) close() {
 	c.closeWithError(net.ErrClosed)
