gate: end the executions that a stopping node gives up, and tell their entrances

Seen: callers of other nodes whose request was still executed when the executing node reached the end of its grace period were told 504 at their deadline (non-idempotent, deadline 6 s: 5.07 s after the stop); an idempotent request was repeated or answered only 0.71 s after it. Cause: the drain gave up the requests of the node's own callers and ended with calls of peers still running. Their links closed without a reply, and the entrances went on asking a node that was gone: until the deadline, or for idempotentQueryTimeout. Without the case in execute, TestGivenUpGateEndsOnlyRunningAttempts gets REASON_EXPIRED, which an entrance passes on as a deadline. Why it works: after the requests of its own callers, the node calls Gate.GiveUp. The entrance answers 502 or repeats an idempotent request within its budget. An attempt whose answer has come, one that has ended and one that is fenced stay as they are; one of which nothing was sent stays NOT_RUN.

--- a/pkg/gate/attempts.go
+++ b/pkg/gate/attempts.go
@@ -62,6 +62,21 @@
 	return a, true
 }
 
+// cancelRunning cancels the attempts that have not ended.
+func (t *attemptTable) cancelRunning() {
+	var cancels []context.CancelFunc
+	t.mu.Lock()
+	for _, a := range t.byID {
+		if a.expires.IsZero() {
+			cancels = append(cancels, a.cancel)
+		}
+	}
+	t.mu.Unlock()
+	for _, cancel := range cancels {
+		cancel()
+	}
+}
+
 // end sets the outcome of an attempt and retains it for outcomeRetention, or until
 // it is evicted because of maxRetainedBytes.
 func (t *attemptTable) end(id uint64, a *attempt, outcome *linkrpc.Outcome) {
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -71,8 +71,22 @@
 	attempts attemptTable
 	local    atomic.Pointer[LocalInstance]
 	draining atomic.Bool
+	// givenUp is set by GiveUp.
+	givenUp atomic.Bool
 }
 
+// GivenUpError is the cause of the outcome of a call that GiveUp ended.
+type GivenUpError struct {
+	// Cause is the error of the call.
+	Cause error
+}
+
+// Error implements error.
+func (e *GivenUpError) Error() string { return "given up as the node stops: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *GivenUpError) Unwrap() error { return e.Cause }
+
 // Init prepares the gate. It must be called once, before any other method.
 func (g *Gate) Init() {
 	g.Slots.Clock = g.Clock
@@ -97,6 +111,13 @@
 	g.updateSlots()
 }
 
+// GiveUp cancels the running calls for the end of the node; call Drain before. They end
+// as lost, not as expired, so that the entrance learns at once that they may have run.
+func (g *Gate) GiveUp() {
+	g.givenUp.Store(true)
+	g.attempts.cancelRunning()
+}
+
 func (g *Gate) updateSlots() {
 	if local := g.local.Load(); local != nil && local.Open && !g.draining.Load() {
 		g.Slots.Open()
@@ -301,6 +322,8 @@
 		return NotRunOutcome(linkrpc.Reason_REASON_BROKEN), err
 	case errors.As(err, &rejected):
 		return NotRunOutcome(linkrpc.Reason_REASON_REJECTED), err
+	case g.givenUp.Load() && errors.Is(ctx.Err(), context.Canceled):
+		return LostOutcome(linkrpc.Reason_REASON_BROKEN), &GivenUpError{Cause: err}
 	case ctx.Err() != nil:
 		return LostOutcome(linkrpc.Reason_REASON_EXPIRED), err
 	}
--- a/pkg/mesh/drain.go
+++ b/pkg/mesh/drain.go
@@ -58,6 +58,7 @@
 		n.logStop("requests given up")
 		abortRequests(&entrance.StoppedError{})
 	}
+	n.gate.GiveUp()
 	n.closeServers(servers)
 	n.logStop("connections closed")
 }
