LOST: the last replies to peers fit into the grace period

Cause: a constant beside fractions of the grace. Change: link.Server.CloseTimeout, 0.04 of the grace; responses to callers end at 0.93.

--- a/pkg/link/close_test.go
+++ b/pkg/link/close_test.go
@@ -23,13 +23,13 @@
 	// bufferedBytes is the size of a reply that the sender's socket buffer holds, but not the
 	// receiver's.
 	bufferedBytes = 2 << 20
-	// closingTime is enough for Close to have begun, and less than closeTimeout.
+	// closingTime is enough for Close to have begun, and less than defaultCloseTimeout.
 	closingTime = 50 * time.Millisecond
 	// noWaitTime is how long a close may take that waits for nothing. It is less than
-	// closeTimeout and dialTimeout.
+	// defaultCloseTimeout and dialTimeout.
 	noWaitTime = 200 * time.Millisecond
 	// boundedTime is how long a close may take whose peers do not read. It is less than
-	// closeTimeout for each of two connections, and than writeTimeout.
+	// defaultCloseTimeout for each of two connections, and than writeTimeout.
 	boundedTime = 450 * time.Millisecond
 )
 
--- a/pkg/link/server.go
+++ b/pkg/link/server.go
@@ -12,9 +12,8 @@
 	"github.com/plantainramp/plantainramp/rpc/linkrpc"
 )
 
-// closeTimeout bounds how long a closing server waits for the requests being handled,
-// the writing of their replies and the peers' receipt of these.
-const closeTimeout = 250 * time.Millisecond
+// defaultCloseTimeout is the value of Server.CloseTimeout where none is set.
+const defaultCloseTimeout = 250 * time.Millisecond
 
 // Request is a message from a peer that expects a reply.
 type Request struct {
@@ -40,6 +39,11 @@
 	// decoded; nil is allowed.
 	OnUnreadableStatus func(error)
 
+	// CloseTimeout bounds how long Close waits for the requests being handled, the
+	// writing of their replies and the peers' receipt of these; 0 means
+	// defaultCloseTimeout.
+	CloseTimeout time.Duration
+
 	// mu guards conns and closed.
 	mu sync.Mutex
 	// conns holds the open connections, including those in their handshake.
@@ -68,13 +72,17 @@
 
 // Close closes all connections, and those that are accepted later. It takes no more
 // requests, and waits for the replies to those being handled and until the peers have
-// received them, at most closeTimeout. It does not close the listener.
+// received them, at most CloseTimeout. It does not close the listener.
 func (s *Server) Close() {
+	timeout := s.CloseTimeout
+	if timeout == 0 {
+		timeout = defaultCloseTimeout
+	}
 	var group sync.WaitGroup
 	s.mu.Lock()
 	s.closed = true
 	for c := range s.conns {
-		group.Go(c.finish)
+		group.Go(func() { c.finish(timeout) })
 	}
 	s.mu.Unlock()
 	group.Wait()
@@ -225,8 +233,8 @@
 }
 
 // finish closes the connection once the requests being handled are answered and the
-// peer has received that, at the latest after closeTimeout.
-func (c *serverConn) finish() {
+// peer has received that, at the latest after the timeout.
+func (c *serverConn) finish(timeout time.Duration) {
 	if !c.stopRequests() {
 		c.close()
 		return
@@ -237,7 +245,7 @@
 	}()
 	select {
 	case <-c.ended:
-	case <-c.clock.After(closeTimeout):
+	case <-c.clock.After(timeout):
 		c.close()
 	}
 }
--- a/pkg/mesh/drain.go
+++ b/pkg/mesh/drain.go
@@ -20,7 +20,10 @@
 	responseFraction = 0.9
 	// closeFraction is the fraction of the grace period after which responses that are
 	// still being written are cut.
-	closeFraction = 0.95
+	closeFraction = 0.93
+	// linkCloseFraction is the fraction of the grace period that the last replies to
+	// peers may take after that.
+	linkCloseFraction = 0.04
 	// minDrainTime is how long a stopping node keeps connections even if there are no
 	// requests. Callers learn only from the next readiness check that the node is stopping.
 	minDrainTime = 2500 * time.Millisecond
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -159,7 +159,7 @@
 		PollWait: directoryPollWait, PollMargin: pollMargin, BatchDelay: directoryBatchDelay, Apply: n.directory.Apply,
 	}
 	n.demand = &demand.Monitor{Clock: n.clock, LocalNode: self, Service: n.settings.Service, Load: n.gate.Load, View: n.view.Load, Directory: n.directory.Snapshot, OnPlan: n.onPlan}
-	n.links = &link.Server{Clock: n.clock, Hello: n.hello, Handle: n.handlePeerRequest, OnStatus: n.handleStatus, OnUnreadableStatus: func(err error) { n.logUnreadable("status", err) }}
+	n.links = &link.Server{Clock: n.clock, Hello: n.hello, Handle: n.handlePeerRequest, OnStatus: n.handleStatus, OnUnreadableStatus: func(err error) { n.logUnreadable("status", err) }, CloseTimeout: n.partOfGrace(linkCloseFraction)}
 }
 
 func (n *Node) makeEntrance() {
