CONFIG: read the era of the store, log it, and let the stand-in be restored

Cause looked for: what a node does when the store comes back from an older copy. Nothing read Store-Era, and no line told where a follower reads on after an outage; the log could not show a node that waits at an offset of another era. TestDirectoriesConverge also compares the topic with the entries. No decision changes.

--- a/pkg/directory/converge_test.go
+++ b/pkg/directory/converge_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"maps"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -29,11 +31,18 @@
 
 var errUnavailable = errors.New("store unavailable")
 
-// flakyStore holds one topic. It can be unavailable, remove its history, and apply
-// writes late or never.
+// flakyStore holds one topic. It can be unavailable, remove its history, apply writes
+// late or never, and be restored from a copy.
 type flakyStore struct {
 	mu          sync.Mutex
 	unavailable bool
+	era         topic.Era
+	// copied is the state from which restore restores the store.
+	copied struct {
+		firstOffset topic.Offset
+		records     []topic.Record
+		newest      map[string]topic.Record
+	}
 	// firstOffset is the offset of records[0]; earlier records have been removed.
 	firstOffset topic.Offset
 	records     []topic.Record
@@ -75,39 +84,71 @@
 	return nil
 }
 
-func (w *flakyStore) readNewest(context.Context) ([]topic.Record, topic.Offset, error) {
+func (w *flakyStore) readNewest(context.Context) ([]topic.Record, topic.Position, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.unavailable {
-		return nil, 0, errUnavailable
+		return nil, topic.Position{}, errUnavailable
 	}
 	var list []topic.Record
 	for _, r := range w.newest {
 		list = append(list, r)
 	}
-	return list, w.firstOffset + topic.Offset(len(w.records)), nil
+	return list, topic.Position{Era: w.era, Offset: w.firstOffset + topic.Offset(len(w.records))}, nil
 }
 
-func (w *flakyStore) read(ctx context.Context, from topic.Offset, wait time.Duration) ([]topic.Record, topic.Offset, error) {
+func (w *flakyStore) read(ctx context.Context, from topic.Position, wait time.Duration) ([]topic.Record, topic.Position, error) {
 	for began := time.Now(); ; time.Sleep(10 * time.Millisecond) {
 		w.mu.Lock()
 		end := w.firstOffset + topic.Offset(len(w.records))
 		switch {
 		case w.unavailable || ctx.Err() != nil:
 			w.mu.Unlock()
-			return nil, 0, errUnavailable
-		case from < w.firstOffset:
+			return nil, topic.Position{}, errUnavailable
+		case from.Offset < w.firstOffset || from.Offset > end:
 			w.mu.Unlock()
-			return nil, 0, &topic.TruncatedError{From: from}
-		case from < end || time.Since(began) > wait:
-			list := append([]topic.Record(nil), w.records[from-w.firstOffset:]...)
+			return nil, topic.Position{}, &topic.TruncatedError{From: from.Offset}
+		case from.Offset < end || time.Since(began) > wait:
+			list := append([]topic.Record(nil), w.records[from.Offset-w.firstOffset:]...)
+			next := topic.Position{Era: w.era, Offset: end}
 			w.mu.Unlock()
-			return list, end, nil
+			return list, next, nil
 		}
 		w.mu.Unlock()
 	}
 }
 
+// copyRecords keeps the state of the topic for restore.
+func (w *flakyStore) copyRecords() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.copied.firstOffset, w.copied.records, w.copied.newest = w.firstOffset, slices.Clone(w.records), maps.Clone(w.newest)
+}
+
+// restore replaces the topic by its last copy, or by nothing if there is none.
+func (w *flakyStore) restore() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.era++
+	w.firstOffset, w.records, w.newest = w.copied.firstOffset, slices.Clone(w.copied.records), maps.Clone(w.copied.newest)
+	if w.newest == nil {
+		w.newest = map[string]topic.Record{}
+	}
+}
+
+// entries returns the newest entry of each node.
+func (w *flakyStore) entries() map[NodeAddress]Entry {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	entries := map[NodeAddress]Entry{}
+	for key, r := range w.newest {
+		var e Entry
+		_ = json.Unmarshal(r.Value, &e)
+		entries[NodeAddress(key)] = e
+	}
+	return entries
+}
+
 // truncate removes the history; the newest record of each key stays.
 func (w *flakyStore) truncate() {
 	w.mu.Lock()
@@ -187,6 +228,10 @@
 		o.store.add(topic.Record{Key: string(o.nodes[i].Self)})
 	case "drop":
 		o.store.truncate()
+	case "copy":
+		o.store.copyRecords()
+	case "restore":
+		o.store.restore()
 	case "down", "up":
 		o.store.mu.Lock()
 		o.store.unavailable = event.kind == "down"
@@ -198,8 +243,8 @@
 	}
 }
 
-// firstDisagreement describes a node whose snapshot differs from the actual entries,
-// or returns "".
+// firstDisagreement describes a node whose snapshot differs from the actual entries, or
+// the topic if it does, or returns "".
 func (o *cluster) firstDisagreement() string {
 	want := map[NodeAddress]Entry{}
 	for _, d := range o.nodes {
@@ -210,6 +255,9 @@
 			return fmt.Sprintf("%s has %v, want %v", d.Self, got, want)
 		}
 	}
+	if got := o.store.entries(); !maps.Equal(got, want) {
+		return fmt.Sprintf("the topic has %v, want %v", got, want)
+	}
 	return ""
 }
 
@@ -222,8 +270,9 @@
 }
 
 // Writes may be delayed or lost, history removed, the store unavailable, entries from
-// peers outdated, and nodes restarted at the same address. Once the store is available
-// again, all nodes must agree on the entries within convergeTimeout.
+// peers outdated, nodes restarted at the same address, and the store restored from a
+// copy. Once the store is available again, all nodes and the topic must agree on the
+// entries within convergeTimeout.
 func TestDirectoriesConverge(t *testing.T) {
 	millis := func(least, most int) *rapid.Generator[time.Duration] {
 		return rapid.Map(rapid.IntRange(least, most), func(ms int) time.Duration { return time.Duration(ms) * time.Millisecond })
--- a/pkg/topic/topic.go
+++ b/pkg/topic/topic.go
@@ -22,8 +22,16 @@
 )
 
 type (
-	// Offset is the position of a record in a topic.
+	// Offset numbers the records of a topic. After the log was restored from a copy, the
+	// offsets of lost records are assigned again.
 	Offset int64
+	// Era counts how often the log has been restored from a copy.
+	Era int64
+	// Position is a place in a topic. An offset alone is one only within one era.
+	Position struct {
+		Era    Era
+		Offset Offset
+	}
 	// Record sets the value of a key. An empty value deletes the key.
 	Record struct {
 		Key   string
@@ -32,12 +40,12 @@
 	// Source reads one topic. Its functions return *TruncatedError when the
 	// requested records have been removed from the log.
 	Source struct {
-		// Newest returns the newest record of each key, and the offset from which
+		// Newest returns the newest record of each key, and the position from which
 		// to read on: all records before it are reflected in the result.
-		Newest func(ctx context.Context) ([]Record, Offset, error)
-		// Read returns the records from an offset on, and the offset after them.
+		Newest func(ctx context.Context) ([]Record, Position, error)
+		// Read returns the records from a position on, and the position after them.
 		// Without any, it waits up to the given duration for the first to arrive.
-		Read func(ctx context.Context, from Offset, wait time.Duration) ([]Record, Offset, error)
+		Read func(ctx context.Context, from Position, wait time.Duration) ([]Record, Position, error)
 	}
 )
 
@@ -104,7 +112,7 @@
 // Run follows the topic until ctx ends. It starts with the newest record of each
 // key, and again whenever the records to read next have been removed.
 func (f *Follower) Run(ctx context.Context) {
-	next, hasSnapshot := Offset(0), false
+	next, hasSnapshot := Position{}, false
 	retryDelay := minRetryDelay
 	for ctx.Err() == nil {
 		sentAt := f.Uptime()
@@ -126,7 +134,7 @@
 		default:
 			batch := hasSnapshot && end != next
 			next, hasSnapshot, retryDelay = end, true, minRetryDelay
-			f.recordSuccess(sentAt)
+			f.recordSuccess(sentAt, next)
 			if batch && f.BatchDelay > 0 && clock.Sleep(ctx, f.Clock, f.BatchDelay) != nil {
 				return
 			}
@@ -134,8 +142,8 @@
 	}
 }
 
-// poll makes one read, applies its records and returns the offset after them.
-func (f *Follower) poll(ctx context.Context, next Offset, hasSnapshot bool) (Offset, error) {
+// poll makes one read, applies its records and returns the position after them.
+func (f *Follower) poll(ctx context.Context, next Position, hasSnapshot bool) (Position, error) {
 	ctx, cancel := context.WithTimeout(ctx, f.PollWait+f.PollMargin)
 	defer cancel()
 	f.cancelRead.Store(&cancel)
@@ -153,13 +161,14 @@
 	return end, err
 }
 
-// recordSuccess updates the age after a read that was sent at sentAt.
-func (f *Follower) recordSuccess(sentAt time.Duration) {
+// recordSuccess updates the age after a read that was sent at sentAt and that led to the
+// given position.
+func (f *Follower) recordSuccess(sentAt time.Duration, next Position) {
 	f.confirmedAt.Store(int64(sentAt))
 	f.synced.Store(true)
 	if f.failing {
 		f.failing = false
-		f.Logger.Info("the store answers again")
+		f.Logger.WithField("era", next.Era).WithField("offset", next.Offset).Info("the store answers again")
 		if f.OnRecovery != nil {
 			f.OnRecovery()
 		}
--- a/pkg/topic/topic_test.go
+++ b/pkg/topic/topic_test.go
@@ -54,13 +54,13 @@
 		}
 	}
 	return Source{
-		Newest: func(ctx context.Context) ([]Record, Offset, error) {
+		Newest: func(ctx context.Context) ([]Record, Position, error) {
 			records, err := respond(ctx, "newest")
-			return records, 10, err
+			return records, Position{Offset: 10}, err
 		},
-		Read: func(ctx context.Context, from Offset, _ time.Duration) ([]Record, Offset, error) {
+		Read: func(ctx context.Context, from Position, _ time.Duration) ([]Record, Position, error) {
 			records, err := respond(ctx, "read")
-			return records, from + Offset(len(records)), err
+			return records, Position{Offset: from.Offset + Offset(len(records))}, err
 		},
 	}
 }
@@ -113,14 +113,14 @@
 	is.True(!known)
 	ctx, cancel := context.WithCancel(t.Context())
 	f.Source = Source{
-		Newest: func(context.Context) ([]Record, Offset, error) {
+		Newest: func(context.Context) ([]Record, Position, error) {
 			now += 3 * time.Second
-			return nil, 0, nil
+			return nil, Position{}, nil
 		},
-		Read: func(ctx context.Context, _ Offset, _ time.Duration) ([]Record, Offset, error) {
+		Read: func(ctx context.Context, _ Position, _ time.Duration) ([]Record, Position, error) {
 			close(read)
 			<-ctx.Done()
-			return nil, 0, ctx.Err()
+			return nil, Position{}, ctx.Err()
 		},
 	}
 	go f.Run(ctx)
