CONFIG: an offset is a position only within one era of the store

Seen by callers: after the store came back from an older copy, a configuration that it acknowledged then was not in force at any node until the next change: requests ran at the old service, a withdrawn key was accepted. Cause: a follower reads on at its offset whatever log answers. After a restore the lost offsets are given out again; where the log's end meets the follower's offset the read is valid and empty and counts as fresh, and where the end passes it the records between are never seen. A node so takes its own lost directory entry for written. Class of fault: a position used outside the history that gave it meaning. After a failed read the next one does not wait for records, so that it shows the era at once; the follower of the configuration makes that of the directory read again. Why it works: no record of one era is taken for the continuation of another, so after a restore each node holds what the store holds, and writes its own entry where it is missing.

--- a/pkg/directory/converge_test.go
+++ b/pkg/directory/converge_test.go
@@ -105,6 +105,10 @@
 		case w.unavailable || ctx.Err() != nil:
 			w.mu.Unlock()
 			return nil, topic.Position{}, errUnavailable
+		case from.Era != w.era:
+			err := &topic.RestoredError{From: from.Era, Now: w.era}
+			w.mu.Unlock()
+			return nil, topic.Position{}, err
 		case from.Offset < w.firstOffset || from.Offset > end:
 			w.mu.Unlock()
 			return nil, topic.Position{}, &topic.TruncatedError{From: from.Offset}
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -177,7 +177,7 @@
 	n.configFollower = &topic.Follower{
 		Source: n.platform.ConfigSource, Clock: n.clock, Uptime: n.uptime, Logger: n.configLogger,
 		PollWait: time.Duration(configPollFraction * float64(n.settings.MaxRevocationDelay-freshnessMargin)), PollMargin: pollMargin, Apply: n.applyConfig,
-		OnFailure: n.directoryFollower.Interrupt, OnRecovery: n.directoryFollower.Interrupt,
+		OnFailure: n.directoryFollower.Interrupt, OnRecovery: n.directoryFollower.Interrupt, OnRestore: n.directoryFollower.Interrupt,
 	}
 }
 
--- a/pkg/topic/topic.go
+++ b/pkg/topic/topic.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -38,7 +39,8 @@
 		Value []byte
 	}
 	// Source reads one topic. Its functions return *TruncatedError when the
-	// requested records have been removed from the log.
+	// requested records have been removed from the log, and *RestoredError when the
+	// log is of another era than the position or the earlier part of the result.
 	Source struct {
 		// Newest returns the newest record of each key, and the position from which
 		// to read on: all records before it are reflected in the result.
@@ -58,6 +60,18 @@
 // Error implements error.
 func (e *TruncatedError) Error() string { return "requested records have been removed from the topic" }
 
+// RestoredError reports a read at a position of one era from a log of another, in which
+// the position has no meaning.
+type RestoredError struct {
+	// From is the era of the position, and Now that of the log.
+	From, Now Era
+}
+
+// Error implements error.
+func (e *RestoredError) Error() string {
+	return fmt.Sprintf("the log has been restored from a copy: it is in era %d, the read began in era %d", e.Now, e.From)
+}
+
 // Follower passes the records of a topic to Apply as they are written. Set the
 // exported fields before Run.
 type Follower struct {
@@ -79,6 +93,9 @@
 	// OnFailure is called at the first of consecutive failed reads, OnRecovery at
 	// the next successful one; nil is allowed.
 	OnFailure, OnRecovery func()
+	// OnRestore is called when the log was found restored from a copy, before the
+	// newest records are read again; nil is allowed.
+	OnRestore func()
 
 	// confirmedAt is the uptime, in nanoseconds, at which the last successful read
 	// was sent; it is valid once synced is set.
@@ -110,7 +127,8 @@
 }
 
 // Run follows the topic until ctx ends. It starts with the newest record of each
-// key, and again whenever the records to read next have been removed.
+// key, and again whenever the records to read next have been removed or the log has
+// been restored from a copy.
 func (f *Follower) Run(ctx context.Context) {
 	next, hasSnapshot := Position{}, false
 	retryDelay := minRetryDelay
@@ -120,11 +138,11 @@
 		if ctx.Err() != nil {
 			return
 		}
-		var truncated *TruncatedError
 		switch {
-		case errors.As(err, &truncated):
-			f.Logger.WithField("from", truncated.From).Info("records have been removed from the log; reading the newest record of each key")
+		case hasSnapshot && needsSnapshot(err):
+			f.Logger.WithError(err).WithField("era", next.Era).WithField("from", next.Offset).Info("the log cannot be read on; reading the newest record of each key")
 			hasSnapshot = false
+			f.reportRestore(err)
 		case err != nil:
 			f.recordFailure(err)
 			if clock.Sleep(ctx, f.Clock, retryDelay) != nil {
@@ -142,6 +160,14 @@
 	}
 }
 
+// needsSnapshot reports whether a read failed because its position is no longer one in
+// the log.
+func needsSnapshot(err error) bool {
+	var truncated *TruncatedError
+	var restored *RestoredError
+	return errors.As(err, &truncated) || errors.As(err, &restored)
+}
+
 // poll makes one read, applies its records and returns the position after them.
 func (f *Follower) poll(ctx context.Context, next Position, hasSnapshot bool) (Position, error) {
 	ctx, cancel := context.WithTimeout(ctx, f.PollWait+f.PollMargin)
@@ -154,7 +180,12 @@
 		}
 		return end, err
 	}
-	records, end, err := f.Source.Read(ctx, next, f.PollWait)
+	wait := f.PollWait
+	if f.failing {
+		// The response shows at once whether the store answers, and its era.
+		wait = 0
+	}
+	records, end, err := f.Source.Read(ctx, next, wait)
 	if err == nil && len(records) > 0 {
 		f.Apply(records, false)
 	}
@@ -175,6 +206,14 @@
 	}
 }
 
+// reportRestore calls OnRestore if a read failed because the log was restored.
+func (f *Follower) reportRestore(err error) {
+	var restored *RestoredError
+	if errors.As(err, &restored) && f.OnRestore != nil {
+		f.OnRestore()
+	}
+}
+
 func (f *Follower) recordFailure(err error) {
 	if f.failing {
 		return
--- a/pkg/topic/topic_test.go
+++ b/pkg/topic/topic_test.go
@@ -130,3 +130,69 @@
 	is.True(known)
 	is.Equal(age, 3*time.Second)
 }
+
+// restorableLog is a log of one key. It is restored from a copy before the second read.
+type restorableLog struct {
+	era    Era
+	values []string
+	// restored is what the log holds once it is restored.
+	restored []string
+	// positions holds the position of each read. onRead is called after each one.
+	positions []Position
+	onRead    func(from Position)
+}
+
+func (l *restorableLog) end() Position {
+	return Position{Era: l.era, Offset: Offset(len(l.values))}
+}
+
+func (l *restorableLog) records(from Offset) []Record {
+	var records []Record
+	for _, value := range l.values[from:] {
+		records = append(records, Record{Key: "k", Value: []byte(value)})
+	}
+	return records
+}
+
+func (l *restorableLog) newest(context.Context) ([]Record, Position, error) {
+	return l.records(l.end().Offset - 1), l.end(), nil
+}
+
+func (l *restorableLog) read(_ context.Context, from Position, _ time.Duration) ([]Record, Position, error) {
+	l.positions = append(l.positions, from)
+	defer l.onRead(from)
+	if len(l.positions) == 2 {
+		l.era, l.values = l.era+1, l.restored
+	}
+	if from.Era != l.era {
+		return nil, Position{}, &RestoredError{From: from.Era, Now: l.era}
+	}
+	return l.records(from.Offset), l.end(), nil
+}
+
+// Guards against a follower that reads on at an offset of an earlier era, where other
+// records stand now or none yet.
+func TestRestoredLogIsReadAnew(t *testing.T) {
+	for _, restored := range [][]string{{"a"}, {"a", "d"}, {"a", "d", "e"}, {"a", "d", "e", "f"}} {
+		t.Run(restored[len(restored)-1], func(t *testing.T) {
+			is := is.New(t)
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			log := &restorableLog{values: []string{"a", "b", "c"}, restored: restored, onRead: func(from Position) {
+				if from.Era > 0 {
+					cancel()
+				}
+			}}
+			applied, restores := "", 0
+			f := &Follower{
+				Source: Source{Newest: log.newest, Read: log.read}, Clock: clock.System{}, Uptime: func() time.Duration { return time.Second },
+				Logger: logs.Discard(), PollWait: time.Second, PollMargin: time.Second, OnRestore: func() { restores++ },
+				Apply: func(records []Record, _ bool) { applied = string(records[len(records)-1].Value) },
+			}
+			f.Run(ctx)
+			is.Equal(log.positions, []Position{{Offset: 3}, {Offset: 3}, {Era: 1, Offset: Offset(len(restored))}})
+			is.Equal(applied, restored[len(restored)-1])
+			is.Equal(restores, 1)
+		})
+	}
+}
