CONFIG: the link to a node that leaves the directory stays open while a call needs it

Change: a node that leaves is taken out of the choice at once. The entrance holds a peer from before a call is sent until its outcome is known; CheckLiveness and Update close the link once nothing holds it, and a node that comes back before that keeps its link. Holds are counted beside pendingCalls, which is 0 between the loss of a connection and the end of the queries, and which the balancer reads. Why it works: the step from no hold to closed is one compare-and-swap, so no call can start on a link that is being closed: its Hold fails and it goes elsewhere as not sent. A hold ends at the latest with the request's deadline, so links to nodes that are gone are closed.

--- a/pkg/entrance/dispatch.go
+++ b/pkg/entrance/dispatch.go
@@ -94,6 +94,10 @@
 
 // sendCall sends the request to one gate and returns the outcome.
 func (e *Entrance) sendCall(ctx context.Context, r *Request, target *peering.Target) (*linkrpc.Outcome, *problem.Error) {
+	if !target.Peer.Hold() {
+		return gate.NotRunOutcome(linkrpc.Reason_REASON_BROKEN), nil
+	}
+	defer target.Peer.Release()
 	message := &r.message
 	message.Attempt = e.Incarnation ^ e.attemptCount.Add(1)
 	message.Instance = string(target.Entry.Instance)
--- a/pkg/peering/peering.go
+++ b/pkg/peering/peering.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -29,6 +30,9 @@
 	// connectionLossAvoidance is how long an instance is a last resort after its
 	// connection was lost or could not be opened.
 	connectionLossAvoidance = 700 * time.Millisecond
+	// closedHolds is the value of Peer.holds once the link is closed: so low that
+	// late holds do not raise it to 0.
+	closedHolds = math.MinInt64 / 2
 )
 
 // Peers holds a connection to each other node and the gate of the local instance.
@@ -44,8 +48,12 @@
 	// Dial connects to a peer; nil means link.DialTCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 
+	// mu guards peers and leaving.
 	mu    sync.Mutex
 	peers map[directory.NodeAddress]*Peer
+	// leaving holds the peers that are no longer in the directory and whose link is
+	// still held.
+	leaving map[directory.NodeAddress]*Peer
 	// services is replaced as a whole by Update, so that reading it needs no lock.
 	services atomic.Pointer[map[fleet.ServiceName][]*Target]
 }
@@ -57,6 +65,9 @@
 	link *link.Link
 	gate *gate.Gate
 
+	// holds is the number of holds that have not been released, or negative once the
+	// link is closed.
+	holds atomic.Int64
 	// pendingCalls is the number of calls that this node sent and that have not
 	// ended.
 	pendingCalls atomic.Int64
@@ -73,23 +84,30 @@
 	OtherDataCentre bool
 }
 
-// Update applies a new directory: it adds new nodes, closes the connections to
-// removed ones and replaces the targets.
+// Update applies a new directory: it adds new nodes, takes removed ones out of the
+// choice and replaces the targets. The link to a removed node is closed once nothing
+// holds it, unless the node comes back before.
 func (p *Peers) Update(snapshot *directory.Snapshot) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.peers == nil {
-		p.peers = map[directory.NodeAddress]*Peer{}
+		p.peers, p.leaving = map[directory.NodeAddress]*Peer{}, map[directory.NodeAddress]*Peer{}
 	}
 	for address, e := range snapshot.Nodes {
-		if peer := p.peers[address]; peer == nil {
-			p.peers[address] = p.newPeer(e)
+		if p.peers[address] != nil {
+			continue
+		}
+		if peer := p.leaving[address]; peer != nil {
+			delete(p.leaving, address)
+			p.peers[address] = peer
+			continue
 		}
+		p.peers[address] = p.newPeer(e)
 	}
 	for address, peer := range p.peers {
 		if _, present := snapshot.Nodes[address]; !present && address != p.LocalNode {
-			peer.link.Close()
 			delete(p.peers, address)
+			p.leaving[address] = peer
 		}
 	}
 	services := map[fleet.ServiceName][]*Target{}
@@ -99,6 +117,18 @@
 		}
 	}
 	p.services.Store(&services)
+	p.closeLeaving()
+}
+
+// closeLeaving closes the links to removed nodes that nothing holds. The caller holds
+// mu.
+func (p *Peers) closeLeaving() {
+	for address, peer := range p.leaving {
+		if peer.holds.CompareAndSwap(0, closedHolds) {
+			delete(p.leaving, address)
+			peer.link.Close()
+		}
+	}
 }
 
 func (p *Peers) newPeer(entry directory.Entry) *Peer {
@@ -125,13 +155,17 @@
 	return max(len(p.peers), 1)
 }
 
-// CheckLiveness checks all connections for unresponsive peers.
+// CheckLiveness checks all connections for unresponsive peers, and closes those to
+// removed nodes that nothing holds.
 func (p *Peers) CheckLiveness() {
 	p.mu.Lock()
-	links := make([]*link.Link, 0, len(p.peers))
-	for _, peer := range p.peers {
-		if peer.link != nil {
-			links = append(links, peer.link)
+	p.closeLeaving()
+	links := make([]*link.Link, 0, len(p.peers)+len(p.leaving))
+	for _, peers := range []map[directory.NodeAddress]*Peer{p.peers, p.leaving} {
+		for _, peer := range peers {
+			if peer.link != nil {
+				links = append(links, peer.link)
+			}
 		}
 	}
 	p.mu.Unlock()
@@ -231,6 +265,15 @@
 // rejected a call because it accepts none.
 func (p *Peer) MarkClosed(now time.Time) { p.avoid(now, closedAvoidance) }
 
+// Hold keeps the link to the peer open until Release, also if the node leaves the
+// directory meanwhile. A caller of Run holds the peer until the outcome is known. Hold
+// returns false if the link has been closed, so that nothing can be sent; Release must
+// not be called then.
+func (p *Peer) Hold() bool { return p.holds.Add(1) > 0 }
+
+// Release ends a hold.
+func (p *Peer) Release() { p.holds.Add(-1) }
+
 // Run runs a call at the peer and returns its outcome and the incarnation of the
 // peer, which is 0 for the local node. It returns the errors of link.Call.
 func (p *Peer) Run(ctx context.Context, run *linkrpc.Run) (*linkrpc.Outcome, uint64, error) {
--- a/pkg/peering/peering_test.go
+++ b/pkg/peering/peering_test.go
@@ -43,3 +43,41 @@
 		})
 	}
 }
+
+// A peer that leaves the directory is taken out of the choice at once. While it is held
+// it stays the same peer for a node that comes back; once its link is closed it cannot be
+// held, and a node that comes back is a new peer.
+func TestLeavingPeer(t *testing.T) {
+	is := is.New(t)
+	peers := newPeers(&clocktest.Stepped{})
+	peer := peers.Choose("desk", nil).Peer
+	is.True(peer.Hold())
+	peers.Update(&directory.Snapshot{})
+	is.Equal(peers.Choose("desk", nil), nil)
+	is.Equal(len(peers.ReachablePeers(10)), 0)
+	peers.CheckLiveness()
+	is.True(peer.Hold())
+	peer.Release()
+
+	entry := directory.Entry{Node: peer.Node, Instance: "c", Service: "desk", Slots: 10, Open: true}
+	present := &directory.Snapshot{
+		Nodes:    map[directory.NodeAddress]directory.Entry{peer.Node: entry},
+		Services: map[fleet.ServiceName][]directory.Entry{"desk": {entry}},
+	}
+	peers.Update(present)
+	is.Equal(peers.Choose("desk", nil).Peer, peer)
+	peer.Release()
+	peers.CheckLiveness()
+	is.Equal(peers.ReachablePeers(10), []*Peer{peer})
+
+	is.True(peer.Hold())
+	peers.Update(&directory.Snapshot{})
+	peer.Release()
+	peers.CheckLiveness()
+	is.True(!peer.Hold())
+	is.True(!peer.Hold())
+	is.True(!peer.link.Reachable())
+	peers.Update(present)
+	is.True(peers.Choose("desk", nil).Peer != peer)
+	is.Equal(len(peers.ReachablePeers(10)), 1)
+}
