CONFIG: a restore is reported although the position was lost before

Seen (by reading, then by the test): where the log's history was removed, and the log restored before the newest records could be read, OnRestore was not called, and the directory dropped the entries of the lost seconds at once.

--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -122,8 +122,8 @@
 	d.signalWrite()
 }
 
-// HandleRestore must be called when the topic was found restored from a copy, before the
-// newest records are read again. Entries that these lack are kept for
+// HandleRestore must be called when the topic was found restored from a copy, before its
+// newest records are applied. Entries that these lack are kept for
 // missingEntryRetention, as their nodes may live and write them again.
 func (d *Directory) HandleRestore() {
 	d.mu.Lock()
--- a/pkg/topic/topic.go
+++ b/pkg/topic/topic.go
@@ -93,8 +93,8 @@
 	// OnFailure is called at the first of consecutive failed reads, OnRecovery at
 	// the next successful one; nil is allowed.
 	OnFailure, OnRecovery func()
-	// OnRestore is called when the log was found restored from a copy, before the
-	// newest records are read again; nil is allowed.
+	// OnRestore is called when the log was found restored from a copy, before its newest
+	// records are applied; nil is allowed.
 	OnRestore func()
 
 	// confirmedAt is the uptime, in nanoseconds, at which the last successful read
@@ -142,7 +142,6 @@
 		case hasSnapshot && needsSnapshot(err):
 			f.Logger.WithError(err).WithField("era", next.Era).WithField("from", next.Offset).Info("the log cannot be read on; reading the newest record of each key")
 			hasSnapshot = false
-			f.reportRestore(err)
 		case err != nil:
 			f.recordFailure(err)
 			if clock.Sleep(ctx, f.Clock, retryDelay) != nil {
@@ -176,7 +175,7 @@
 	if !hasSnapshot {
 		records, end, err := f.Source.Newest(ctx)
 		if err == nil {
-			f.Apply(records, true)
+			f.applySnapshot(records, end.Era != next.Era)
 		}
 		return end, err
 	}
@@ -206,12 +205,13 @@
 	}
 }
 
-// reportRestore calls OnRestore if a read failed because the log was restored.
-func (f *Follower) reportRestore(err error) {
-	var restored *RestoredError
-	if errors.As(err, &restored) && f.OnRestore != nil {
+// applySnapshot applies the newest record of each key. newEra reports whether the log is
+// in another era than that of the records applied before, if there were any.
+func (f *Follower) applySnapshot(records []Record, newEra bool) {
+	if newEra && f.synced.Load() && f.OnRestore != nil {
 		f.OnRestore()
 	}
+	f.Apply(records, true)
 }
 
 func (f *Follower) recordFailure(err error) {
--- a/pkg/topic/topic_test.go
+++ b/pkg/topic/topic_test.go
@@ -196,3 +196,38 @@
 		})
 	}
 }
+
+// The history of the log is removed, and the log is restored before the newest records
+// could be read. Guards against a restore that goes unnoticed as the position was lost
+// already.
+func TestRestoreAfterTruncationIsReported(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	newestReads, restores := 0, 0
+	f := &Follower{
+		Source: Source{
+			Newest: func(context.Context) ([]Record, Position, error) {
+				newestReads++
+				switch newestReads {
+				case 1:
+					return nil, Position{Offset: 3}, nil
+				case 2:
+					return nil, Position{}, errors.ErrUnsupported
+				}
+				return nil, Position{Era: 1, Offset: 2}, nil
+			},
+			Read: func(_ context.Context, from Position, _ time.Duration) ([]Record, Position, error) {
+				if from.Era > 0 {
+					cancel()
+				}
+				return nil, Position{}, &TruncatedError{From: from.Offset}
+			},
+		},
+		Clock: clock.System{}, Uptime: func() time.Duration { return time.Second }, Logger: logs.Discard(),
+		PollWait: time.Second, PollMargin: time.Second, OnRestore: func() { restores++ }, Apply: func([]Record, bool) {},
+	}
+	f.Run(ctx)
+	is.Equal(newestReads, 3)
+	is.Equal(restores, 1)
+}
