CONFIG: an entry that a restored topic brings back is used once its node confirms it

Cause: an older entry of the copy replaced the newer word of its node, and nobody writes it again once the node is gone.

--- a/pkg/directory/converge_test.go
+++ b/pkg/directory/converge_test.go
@@ -251,14 +251,20 @@
 // firstDisagreement describes a node whose snapshot differs from the actual entries, or
 // the topic if it does, or returns "".
 func (o *cluster) firstDisagreement() string {
-	want := map[NodeAddress]Entry{}
+	want, openCount := map[NodeAddress]Entry{}, 0
 	for _, d := range o.nodes {
 		want[d.Self] = d.Local()
+		if d.Local().Open {
+			openCount++
+		}
 	}
 	for _, d := range o.nodes {
 		if got := d.Snapshot().Nodes; !maps.Equal(got, want) {
 			return fmt.Sprintf("%s has %v, want %v", d.Self, got, want)
 		}
+		if got := len(d.Snapshot().Services["desk"]); got != openCount {
+			return fmt.Sprintf("%s uses %d instances, want %d", d.Self, got, openCount)
+		}
 	}
 	if got := o.store.entries(); !maps.Equal(got, want) {
 		return fmt.Sprintf("the topic has %v, want %v", got, want)
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -49,7 +49,8 @@
 	// Snapshot is the directory at one moment. It is immutable.
 	Snapshot struct {
 		Nodes map[NodeAddress]Entry
-		// Services holds the entries whose instance is known and accepts calls.
+		// Services holds the entries whose instance is known and accepts calls, without
+		// those that a restored topic brought back.
 		Services map[fleet.ServiceName][]Entry
 	}
 
@@ -75,13 +76,16 @@
 	OnChange func(*Snapshot)
 
 	snapshot atomic.Pointer[Snapshot]
-	// mu guards nodes, missing, restored, loggedKeys and local.
+	// mu guards the fields below.
 	mu sync.Mutex
 	// nodes holds the entries from the topic and from peers.
 	nodes map[NodeAddress]Entry
 	// missing holds the entries of other nodes that a restored topic lacks. Its keys
 	// are not in nodes.
 	missing map[NodeAddress]missingEntry
+	// unconfirmed holds the keys of nodes whose entry came back with a restored topic.
+	// Their instances are not used until a record or the node itself confirms them.
+	unconfirmed map[NodeAddress]bool
 	// restored reports whether the next full list of records is of a restored topic.
 	restored bool
 	// loggedKeys holds the keys whose entry cannot be decoded, so that each is logged
@@ -96,7 +100,7 @@
 // Init prepares the directory. It must be called once, before any other method.
 func (d *Directory) Init() {
 	d.nodes, d.missing = map[NodeAddress]Entry{}, map[NodeAddress]missingEntry{}
-	d.loggedKeys, d.writeSignal = map[string]bool{}, make(chan struct{}, 1)
+	d.unconfirmed, d.loggedKeys, d.writeSignal = map[NodeAddress]bool{}, map[string]bool{}, make(chan struct{}, 1)
 	d.snapshot.Store(&Snapshot{})
 }
 
@@ -108,23 +112,41 @@
 func (d *Directory) Apply(records []topic.Record, full bool) {
 	d.mu.Lock()
 	if full {
-		if d.restored {
-			d.keepMissing()
-			d.restored = false
+		d.replace(records)
+	} else {
+		d.applyRecords(records)
+	}
+	d.publish()
+	d.mu.Unlock()
+	d.signalWrite()
+}
+
+// replace replaces the entries by those of a full list of records. The caller holds mu.
+func (d *Directory) replace(records []topic.Record) {
+	before, unconfirmed, restored := d.nodes, d.unconfirmed, d.restored
+	if restored {
+		d.keepMissing()
+	}
+	d.nodes, d.unconfirmed, d.restored = map[NodeAddress]Entry{}, map[NodeAddress]bool{}, false
+	d.applyRecords(records)
+	for address, e := range d.nodes {
+		known := before[address] == e
+		if known && unconfirmed[address] || !known && restored {
+			d.unconfirmed[address] = true
 		}
-		clear(d.nodes)
 	}
+}
+
+func (d *Directory) applyRecords(records []topic.Record) {
 	for _, r := range records {
 		d.applyRecord(r)
 	}
-	d.publish()
-	d.mu.Unlock()
-	d.signalWrite()
 }
 
 // HandleRestore must be called when the topic was found restored from a copy, before its
 // newest records are applied. Entries that these lack are kept for
-// missingEntryRetention, as their nodes may live and write them again.
+// missingEntryRetention, as their nodes may live and write them again. Entries that
+// differ from what was known may be older, and their nodes gone.
 func (d *Directory) HandleRestore() {
 	d.mu.Lock()
 	d.restored = true
@@ -159,6 +181,7 @@
 	address := NodeAddress(r.Key)
 	delete(d.nodes, address)
 	delete(d.missing, address)
+	delete(d.unconfirmed, address)
 	if len(r.Value) == 0 {
 		return
 	}
@@ -178,11 +201,13 @@
 func (d *Directory) UpdatePeer(e Entry) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if previous, known := d.nodes[e.Node]; known && previous == e || e.Node == "" || e.Node == d.Self || e.Service == "" {
+	previous, known := d.nodes[e.Node]
+	if known && previous == e && !d.unconfirmed[e.Node] || e.Node == "" || e.Node == d.Self || e.Service == "" {
 		return
 	}
 	d.nodes[e.Node] = e
 	delete(d.missing, e.Node)
+	delete(d.unconfirmed, e.Node)
 	d.publish()
 }
 
@@ -208,7 +233,7 @@
 	}
 	s := &Snapshot{Nodes: nodes, Services: map[fleet.ServiceName][]Entry{}}
 	for _, e := range nodes {
-		if e.Open && e.Instance != "" {
+		if e.Open && e.Instance != "" && (e.Node == d.Self || !d.unconfirmed[e.Node]) {
 			s.Services[e.Service] = append(s.Services[e.Service], e)
 		}
 	}
--- a/pkg/directory/restore_test.go
+++ b/pkg/directory/restore_test.go
@@ -136,3 +136,42 @@
 	is.Equal(nodesOf(d), []NodeAddress{"c"})
 	is.Equal(d.Snapshot().Services, map[fleet.ServiceName][]Entry{"desk": {entry("c", true)}})
 }
+
+// openNodes returns the nodes whose instances are used.
+func openNodes(d *Directory) []NodeAddress {
+	var nodes []NodeAddress
+	for _, e := range d.Snapshot().Services["desk"] {
+		nodes = append(nodes, e.Node)
+	}
+	slices.Sort(nodes)
+	return nodes
+}
+
+// A node closed its entry and left, and the restored topic holds the open one again.
+// Guards against calls to a node that is gone. A node that lives confirms its entry.
+func TestEntryThatCameBackIsUsedOnceConfirmed(t *testing.T) {
+	is := is.New(t)
+	d, _ := newDirectory()
+	records := []topic.Record{record(entry("a", true)), record(entry("b", true)), record(entry("c", true)), record(entry("d", true))}
+	d.Apply(records, true)
+	d.Apply([]topic.Record{record(entry("b", false)), record(entry("c", false)), {Key: "d"}}, false)
+	d.HandleRestore()
+	d.Apply(records, true)
+	is.Equal(openNodes(d), []NodeAddress{"a"})
+	is.Equal(nodesOf(d), []NodeAddress{"a", "b", "c", "d"})
+	d.Apply(records, true)
+	is.Equal(openNodes(d), []NodeAddress{"a"})
+	d.UpdatePeer(entry("b", true))
+	d.Apply([]topic.Record{record(entry("c", true))}, false)
+	is.Equal(openNodes(d), []NodeAddress{"a", "b", "c"})
+	d.Apply(records, true)
+	is.Equal(openNodes(d), []NodeAddress{"a", "b", "c"})
+}
+
+// After a restart a node knows nothing of before, and uses what the topic holds.
+func TestFirstListNeedsNoConfirmation(t *testing.T) {
+	is := is.New(t)
+	d, _ := newDirectory()
+	d.Apply([]topic.Record{record(entry("a", true)), record(entry("b", false))}, true)
+	is.Equal(openNodes(d), []NodeAddress{"a"})
+}
