CONFIG: an interrupted read is repeated at once

Cause: both followers notice the return at the same moment; that of the configuration interrupts the directory's read, which counted as a failure of the store, with its pause. Change: a read that was interrupted is neither a failure nor followed by a pause; the next one does not wait for records. Evidence: TestInterruptedReadIsRepeatedAtOnce failed on the commit before. Measured: it passes; ./pkg/topic -race 3 times, ./platform, ./pkg/mesh, ./pkg/directory once.

--- a/pkg/topic/topic.go
+++ b/pkg/topic/topic.go
@@ -72,6 +72,12 @@
 	return fmt.Sprintf("the log has been restored from a copy: it is in era %d, the read began in era %d", e.Now, e.From)
 }
 
+// InterruptedError reports a read that Follower.Interrupt cancelled.
+type InterruptedError struct{}
+
+// Error implements error.
+func (e *InterruptedError) Error() string { return "the read was interrupted" }
+
 // Follower passes the records of a topic to Apply as they are written. Set the
 // exported fields before Run.
 type Follower struct {
@@ -102,10 +108,11 @@
 	confirmedAt atomic.Int64
 	// synced reports whether any read has succeeded.
 	synced atomic.Bool
-	// failing reports whether the last read failed; only Run uses it.
-	failing bool
+	// failing reports whether the last read failed, and interrupted whether Interrupt
+	// cancelled it; only Run uses them.
+	failing, interrupted bool
 	// cancelRead cancels the read in progress.
-	cancelRead atomic.Pointer[context.CancelFunc]
+	cancelRead atomic.Pointer[context.CancelCauseFunc]
 }
 
 // Age returns how far the applied records may lag behind the topic: the time since
@@ -122,7 +129,7 @@
 // that Run reads again. It is safe for concurrent use.
 func (f *Follower) Interrupt() {
 	if cancel := f.cancelRead.Load(); cancel != nil {
-		(*cancel)()
+		(*cancel)(&InterruptedError{})
 	}
 }
 
@@ -138,7 +145,10 @@
 		if ctx.Err() != nil {
 			return
 		}
+		var interrupted *InterruptedError
+		f.interrupted = errors.As(err, &interrupted)
 		switch {
+		case f.interrupted:
 		case hasSnapshot && needsSnapshot(err):
 			f.Logger.WithError(err).WithField("era", next.Era).WithField("from", next.Offset).Info("the log cannot be read on; reading the newest record of each key")
 			hasSnapshot = false
@@ -169,9 +179,20 @@
 
 // poll makes one read, applies its records and returns the position after them.
 func (f *Follower) poll(ctx context.Context, next Position, hasSnapshot bool) (Position, error) {
+	ctx, interrupt := context.WithCancelCause(ctx)
+	defer interrupt(nil)
+	f.cancelRead.Store(&interrupt)
 	ctx, cancel := context.WithTimeout(ctx, f.PollWait+f.PollMargin)
 	defer cancel()
-	f.cancelRead.Store(&cancel)
+	end, err := f.read(ctx, next, hasSnapshot)
+	var interrupted *InterruptedError
+	if err != nil && errors.As(context.Cause(ctx), &interrupted) {
+		return end, interrupted
+	}
+	return end, err
+}
+
+func (f *Follower) read(ctx context.Context, next Position, hasSnapshot bool) (Position, error) {
 	if !hasSnapshot {
 		records, end, err := f.Source.Newest(ctx)
 		if err == nil {
@@ -180,7 +201,7 @@
 		return end, err
 	}
 	wait := f.PollWait
-	if f.failing {
+	if f.failing || f.interrupted {
 		// The response shows at once whether the store answers, and its era.
 		wait = 0
 	}
--- a/pkg/topic/topic_test.go
+++ b/pkg/topic/topic_test.go
@@ -231,3 +231,37 @@
 	is.Equal(newestReads, 3)
 	is.Equal(restores, 1)
 }
+
+// Guards against a follower that pauses, or counts the store as lost, after a read that
+// was interrupted: it must read again at once, without waiting for records.
+func TestInterruptedReadIsRepeatedAtOnce(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var waits []time.Duration
+	failures := 0
+	f := &Follower{
+		Clock: clock.System{}, Uptime: func() time.Duration { return time.Second }, Logger: logs.Discard(),
+		PollWait: time.Second, PollMargin: time.Second, OnFailure: func() { failures++ }, Apply: func([]Record, bool) {},
+	}
+	f.Source = Source{
+		Newest: func(context.Context) ([]Record, Position, error) { return nil, Position{}, nil },
+		Read: func(ctx context.Context, _ Position, wait time.Duration) ([]Record, Position, error) {
+			waits = append(waits, wait)
+			switch len(waits) {
+			case 1:
+				f.Interrupt()
+				<-ctx.Done()
+				return nil, Position{}, ctx.Err()
+			case 3:
+				cancel()
+			}
+			return nil, Position{}, nil
+		},
+	}
+	started := time.Now()
+	f.Run(ctx)
+	is.Equal(waits, []time.Duration{time.Second, 0, time.Second})
+	is.Equal(failures, 0)
+	is.True(time.Since(started) < minRetryDelay)
+}
