instance: close a connection whose response is too large before its body

Seen: bytes that come without end in a body, or a body declared too large, are read until the call's time limit although the call has failed already; the caller waits as long. Cause: closing the body of a response reads the rest of it as long as the connection is open. Change: the connection is closed first.

--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -180,6 +180,8 @@
 	defer func() { _ = response.Body.Close() }()
 	body, err := readBody(response, c.MaxBodyBytes)
 	if err != nil {
+		// Closing the body of an open connection would read the rest of it.
+		_ = k.Close()
 		return nil, false, &ResponseError{HeaderReceived: true, Cause: err}
 	}
 	c.updateExpiry(k, response)
