instance: bound the header of a response

Seen: an instance in trouble that sends a header, a status line or interim responses without end is read until the call's time limit, and all of it is kept in memory. Cause: the reader of the header has no limit of its own. Change: the headers of one response, the interim ones included, may have 256 KiB; then the connection is closed and the call has no valid response. Not bounded yet: the sum of the bodies that are read at once (32 MB each).

--- a/pkg/instance/errors.go
+++ b/pkg/instance/errors.go
@@ -54,6 +54,16 @@
 	return fmt.Sprintf("response has request id %q, not that of the call", e.Got)
 }
 
+// HeaderTooLargeError reports a response header that exceeds the limit.
+type HeaderTooLargeError struct {
+	LimitBytes int
+}
+
+// Error implements error.
+func (e *HeaderTooLargeError) Error() string {
+	return fmt.Sprintf("response header is larger than %d bytes", e.LimitBytes)
+}
+
 // ResponseTooLargeError reports a response body that exceeds the limit.
 type ResponseTooLargeError struct {
 	LimitBytes int64
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -39,6 +39,8 @@
 	// maxMismatchedResponses bounds the responses to other requests that are skipped while
 	// the response to a call is awaited.
 	maxMismatchedResponses = 2
+	// maxHeaderBytes bounds the headers of the interim responses and the final one together.
+	maxHeaderBytes = 256 << 10
 	// maxInterimResponses bounds the interim (1xx) responses before the final one.
 	maxInterimResponses = 8
 )
@@ -98,6 +100,8 @@
 // conn is a connection to the instance. It carries one call at a time.
 type conn struct {
 	net.Conn
+	// header bounds the bytes that reader reads while it reads a header.
+	header headerLimiter
 	reader *bufio.Reader
 	// reused reports whether the connection has carried an earlier call.
 	reused bool
@@ -173,7 +177,9 @@
 // readResponse reads the final response to a call and reports whether the
 // connection may be reused.
 func (c *Client) readResponse(k *conn, call *Call) (*Response, bool, error) {
+	k.header.limit(maxHeaderBytes)
 	response, err := readFinalResponse(k.reader, &http.Request{Method: call.Method})
+	k.header.unlimit()
 	if err != nil {
 		return nil, false, &ResponseError{Cause: err}
 	}
@@ -291,7 +297,9 @@
 	if c.OnConnect != nil {
 		c.OnConnect()
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+	k := &conn{Conn: raw, header: headerLimiter{source: raw}}
+	k.reader = bufio.NewReaderSize(&k.header, readBufferBytes)
+	return k, nil
 }
 
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
