entrance: a body must arrive within the time limit of its request

Seen: a caller that sends a body without end, slowly or not at all, holds its connection, and a stopping node, without a bound; its request gets no answer. Cause: the reading of a body had a bound on its size and none on its time. Change: the body is read until the request's deadline; then the request is refused (504, not executed) and the connection closed. Measured: it passes, with -race twice; ./pkg/entrance and ./platform pass.

--- a/pkg/entrance/entrance.go
+++ b/pkg/entrance/entrance.go
@@ -12,6 +12,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/textproto"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -167,9 +168,8 @@
 	if e.OnFinish != nil {
 		e.OnFinish(r, status, outcome, refusal)
 	}
-	var stopped *StoppedError
-	if hr.Context().Err() != nil && refusal != nil && !errors.As(context.Cause(hr.Context()), &stopped) {
-		// The caller has disconnected. Returning would send an empty success.
+	if refusal != nil && callerLeft(hr.Context(), refusal) {
+		// Returning would send an empty success.
 		panic(http.ErrAbortHandler)
 	}
 	if e.Stopping() {
@@ -183,6 +183,13 @@
 	writeResponse(w, outcome)
 }
 
+// callerLeft reports whether the caller of a refused request has disconnected. The context
+// of a request also ends when its body does not arrive in time, and when the node stops.
+func callerLeft(ctx context.Context, refusal *problem.Error) bool {
+	var stopped *StoppedError
+	return ctx.Err() != nil && refusal.Kind != problem.KindDeadline && !errors.As(context.Cause(ctx), &stopped)
+}
+
 // newRequest finds the route of a request, sets its deadline and checks its API key.
 // The returned request is valid, though incomplete, if it is refused.
 func (e *Entrance) newRequest(hr *http.Request) (*Request, *problem.Error) {
@@ -243,7 +250,7 @@
 
 // handle admits a request and runs it.
 func (e *Entrance) handle(ctx context.Context, w http.ResponseWriter, hr *http.Request, r *Request) (*linkrpc.Outcome, *problem.Error) {
-	body, refusal := readBody(w, hr, r.View.Limits.MaxBodyBytes)
+	body, refusal := readBody(w, hr, r.View.Limits.MaxBodyBytes, r.Deadline)
 	if refusal != nil {
 		return nil, refusal
 	}
@@ -286,7 +293,8 @@
 	return refusal
 }
 
-func readBody(w http.ResponseWriter, hr *http.Request, limit int64) ([]byte, *problem.Error) {
+// readBody reads the body of a request until the deadline, and up to limit bytes.
+func readBody(w http.ResponseWriter, hr *http.Request, limit int64, deadline time.Time) ([]byte, *problem.Error) {
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
@@ -298,6 +306,10 @@
 		return nil, nil
 	}
 	reader := http.MaxBytesReader(w, hr.Body, limit)
+	controller := http.NewResponseController(w)
+	if err := controller.SetReadDeadline(deadline); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return nil, problem.New(problem.KindMalformed, "the body could not be read whole: "+err.Error())
+	}
 	var body []byte
 	var err error
 	if hr.ContentLength > 0 {
@@ -306,9 +318,14 @@
 	} else {
 		body, err = io.ReadAll(reader)
 	}
-	if err != nil {
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, problem.New(problem.KindDeadline, "the body did not arrive in time")
+	case err != nil:
 		return nil, problem.New(problem.KindMalformed, "the body could not be read whole: "+err.Error())
 	}
+	// While the request runs, the server reads on to notice that the caller leaves.
+	_ = controller.SetReadDeadline(time.Time{})
 	return body, nil
 }
 
--- a/pkg/entrance/entrance_test.go
+++ b/pkg/entrance/entrance_test.go
@@ -1,6 +1,7 @@
 package entrance
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -291,3 +292,35 @@
 	time.Sleep(20 * time.Millisecond)
 	is.Equal(cluster.executions.Load(), int64(1))
 }
+
+// A caller sends a body that never ends, byte by byte or not at all. Guards against a
+// request that holds its connection and memory beyond its time limit.
+func TestUnendingBodyIsRefusedAtDeadline(t *testing.T) {
+	for name, chunk := range map[string]string{"silent": "", "slow": "1\r\ny\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			cluster := newTestCluster(t, 1, routing.Route{AllowAnonymous: true, MaxAttempts: 1})
+			server := httptest.NewServer(cluster.entrance)
+			t.Cleanup(server.Close)
+			conn, err := net.Dial("tcp", server.Listener.Addr().String())
+			is.NoErr(err)
+			t.Cleanup(func() { _ = conn.Close() })
+			_, err = io.WriteString(conn, "POST /x HTTP/1.1\r\nHost: h\r\nId: 1\r\nLeft: 300\r\nTransfer-Encoding: chunked\r\n\r\n1\r\ny\r\n")
+			is.NoErr(err)
+			go func() {
+				for err == nil {
+					_, err = io.WriteString(conn, chunk)
+					time.Sleep(10 * time.Millisecond)
+				}
+			}()
+			is.NoErr(conn.SetReadDeadline(time.Now().Add(3 * time.Second)))
+			started := time.Now()
+			response, readErr := http.ReadResponse(bufio.NewReader(conn), nil)
+			is.NoErr(readErr)
+			is.Equal(response.StatusCode, http.StatusGatewayTimeout)
+			is.True(time.Since(started) < time.Second)
+			is.True(response.Close)
+			is.Equal(cluster.executions.Load(), int64(0))
+		})
+	}
+}
