--- a/pkg/topic/topic.go
+++ b/pkg/topic/topic.go
@@ -26,7 +26,7 @@
 	// Offset numbers the records of a topic. After the log was restored from a copy, the
 	// offsets of lost records are assigned again.
 	Offset int64
-	// Era counts how often the log has been restored from a copy.
+	// Era rises by one each time the log is restored from a copy.
 	Era int64
 	// Position is a place in a topic. An offset alone is one only within one era.
 	Position struct {
