--- a/pkg/caller/handler.go
+++ b/pkg/caller/handler.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -46,18 +45,10 @@
 	MaxBodyBytes int64
 	// DefaultDeadline is the time until the deadline of requests that set none.
 	DefaultDeadline time.Duration
-
-	// inFlight is the number of requests that are being served.
-	inFlight atomic.Int64
 }
 
-// InFlight returns the number of requests that are being served.
-func (h *Handler) InFlight() int64 { return h.inFlight.Load() }
-
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	h.inFlight.Add(1)
-	defer h.inFlight.Add(-1)
 	start := h.Clock.Now()
 	c, err := h.readCall(r, start)
 	var response *call.Response
--- a/pkg/node/cluster_test.go
+++ b/pkg/node/cluster_test.go
@@ -37,6 +37,10 @@
 	key      string
 	log      *httptest.Server
 	upstream *httptest.Server
+	nodes    []*node.Node
+	// stopNode holds a function for each node that stops it and waits until it has
+	// stopped.
+	stopNode []func()
 }
 
 // freeAddress returns a loopback address with an unused port.
@@ -68,7 +72,20 @@
 		}
 		s.AnnouncedPeersAddress = s.PeersAddress
 		c.settings = append(c.settings, s)
-		group.Go(func() { runNode(ctx, t, s) })
+		n := newNode(t, s)
+		c.nodes = append(c.nodes, n)
+		nodeCtx, cancelNode := context.WithCancel(ctx)
+		stopped := make(chan struct{})
+		c.stopNode = append(c.stopNode, func() {
+			cancelNode()
+			<-stopped
+		})
+		group.Go(func() {
+			defer close(stopped)
+			if err := n.Run(nodeCtx); err != nil {
+				t.Error(err)
+			}
+		})
 	}
 	t.Cleanup(func() {
 		cancel()
@@ -82,11 +99,10 @@
 	return c
 }
 
-func runNode(ctx context.Context, t testing.TB, s *settings.Settings) {
+func newNode(t testing.TB, s *settings.Settings) *node.Node {
 	logger, err := logs.New(os.Stderr, cmp.Or(os.Getenv("MESH_LOG_LEVEL"), "error"), logs.FormatText, string(s.Instance))
 	if err != nil {
-		t.Error(err)
-		return
+		t.Fatal(err)
 	}
 	injector := do.New()
 	do.ProvideValue(injector, s)
@@ -95,12 +111,9 @@
 	do.ProvideNamedValue(injector, "version", "test")
 	n, err := node.New(injector)
 	if err != nil {
-		t.Error(err)
-		return
-	}
-	if err := n.Run(ctx); err != nil {
-		t.Error(err)
+		t.Fatal(err)
 	}
+	return n
 }
 
 // announceUpstreams announces a serving upstream to each node.
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -40,6 +40,9 @@
 	// startTime is the zero point of the clock readings sent to peers.
 	startTime time.Time
 
+	// callsTimeout bounds the wait for calls in flight when the node stops.
+	callsTimeout time.Duration
+
 	// upstreamState is the last announcement of the upstream, or nil before the first.
 	upstreamState atomic.Pointer[Announcement]
 	// stopping is true once the node has begun to shut down.
@@ -72,7 +75,7 @@
 // New returns a node. The injector must provide *settings.Settings, clock.Clock,
 // *logs.Logger, and the version as a string under the name "version".
 func New(injector do.Injector) (*Node, error) {
-	n := &Node{memberID: fleet.MemberID(fleet.NewID())}
+	n := &Node{memberID: fleet.MemberID(fleet.NewID()), callsTimeout: stopTimeout}
 	var err error
 	if n.settings, err = do.Invoke[*settings.Settings](injector); err != nil {
 		return nil, err
--- a/pkg/node/run.go
+++ b/pkg/node/run.go
@@ -10,7 +10,6 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/plantainramp/plantainramp/pkg/clock"
-	"github.com/plantainramp/plantainramp/pkg/logs"
 	"github.com/plantainramp/plantainramp/pkg/peer"
 	"github.com/plantainramp/plantainramp/pkg/settings"
 	"github.com/plantainramp/plantainramp/rpc/peerrpc"
@@ -19,11 +18,6 @@
 const (
 	// headerTimeout is the maximum time to read the headers of a request.
 	headerTimeout = 5 * time.Second
-	// stopTimeout bounds the steps of a graceful stop that wait for the log, for other
-	// nodes, or for calls in flight.
-	stopTimeout = 30 * time.Second
-	// responseTimeout is the time that closing servers get to write their responses.
-	responseTimeout = time.Second
 	// pollInterval is the interval between checks for calls in flight during a stop, and for
 	// the first announcement of the upstream.
 	pollInterval = 10 * time.Millisecond
@@ -38,11 +32,14 @@
 	name       string
 	httpServer *http.Server
 	listener   net.Listener
+	// intake is set for the servers that take calls.
+	intake *intake
 }
 
 // openServers opens the listeners of all servers. If one cannot be opened, it closes the
-// others and returns *settings.ListenError.
-func (n *Node) openServers() ([]*server, error) {
+// others and returns *settings.ListenError. requestCtx is the parent of the contexts of
+// all requests.
+func (n *Node) openServers(requestCtx context.Context) ([]*server, error) {
 	announceMux := http.NewServeMux()
 	announceMux.HandleFunc("PUT "+AnnouncePath, n.handleAnnouncement)
 	outbound := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -59,11 +56,12 @@
 	serverSpecs := []struct {
 		name, address string
 		handler       http.Handler
+		intake        *intake
 	}{
-		{"callers", n.settings.CallersAddress, n.callersHandler},
-		{"callsOut", n.settings.CallsOutAddress, outbound},
-		{"peers", n.settings.PeersAddress, peers},
-		{"admin", n.settings.AdminAddress, n.adminAPI.Handler()},
+		{"callers", n.settings.CallersAddress, n.callersHandler, n.newIntake()},
+		{"callsOut", n.settings.CallsOutAddress, outbound, n.newIntake()},
+		{"peers", n.settings.PeersAddress, peers, nil},
+		{"admin", n.settings.AdminAddress, n.adminAPI.Handler(), nil},
 	}
 	var servers []*server
 	for _, e := range serverSpecs {
@@ -72,6 +70,10 @@
 			closeListeners(servers)
 			return nil, err
 		}
+		s.httpServer.BaseContext = func(net.Listener) context.Context { return requestCtx }
+		if s.intake = e.intake; s.intake != nil {
+			s.intake.watch(s.httpServer)
+		}
 		servers = append(servers, s)
 	}
 	return servers, nil
@@ -100,7 +102,9 @@
 // flight and returns nil. It returns *settings.ListenError if a listener cannot be
 // opened, and *member.EndedError if the fleet has removed the node from the list.
 func (n *Node) Run(ctx context.Context) error {
-	servers, err := n.openServers()
+	requestCtx, abortRequests := context.WithCancel(context.Background())
+	defer abortRequests()
+	servers, err := n.openServers(requestCtx)
 	if err != nil {
 		return err
 	}
@@ -113,7 +117,7 @@
 	var controllers sync.WaitGroup
 	n.startControllers(controllerCtx, &controllers)
 	cause := n.waitForStop(ctx, serveErrors)
-	n.leave(servers)
+	n.leave(servers, abortRequests)
 	stopControllers()
 	controllers.Wait()
 	_ = n.meter.Close()
@@ -156,46 +160,3 @@
 	n.announcer.Member.Slots = n.upstreamState.Load().Slots
 	_ = n.announcer.Join(ctx)
 }
-
-// leave shuts the node down gracefully. It releases the rate slots, removes the node
-// from the list of members, serves callers for the drain time of the settings, returns
-// borrowed tokens, waits for the calls in flight and for outcomes of actions that are
-// being recorded, and closes the servers.
-func (n *Node) leave(servers []*server) {
-	n.stopping.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
-	defer cancel()
-	n.slotController.ReleaseAll(ctx)
-	if err := n.announcer.Leave(ctx); err != nil {
-		n.componentLogger(logs.ComponentMember).WithError(err).Warn("could not record that the node leaves; other nodes will detect it")
-	}
-	for _, s := range servers {
-		if s.name == "callers" {
-			s.httpServer.SetKeepAlivesEnabled(false)
-		}
-	}
-	_ = clock.Sleep(ctx, n.clock, n.settings.DrainPeriod)
-	n.limiter.ReturnAll(ctx)
-	for n.hasWorkInFlight() && clock.Sleep(ctx, n.clock, pollInterval) == nil {
-		continue
-	}
-	n.writer.Flush()
-	shutDownServers(servers)
-}
-
-func (n *Node) hasWorkInFlight() bool {
-	return n.callersHandler.InFlight()+n.outboundHandler.InFlight()+int64(n.admission.Load().InFlight) > 0
-}
-
-// shutDownServers closes all servers. It waits up to responseTimeout for responses that
-// are being written. Connections that were opened but never used do not prolong the
-// stop further.
-func shutDownServers(servers []*server) {
-	ctx, cancel := context.WithTimeout(context.Background(), responseTimeout)
-	defer cancel()
-	for _, s := range servers {
-		if s.httpServer.Shutdown(ctx) != nil {
-			_ = s.httpServer.Close()
-		}
-	}
-}
