node tests: take ports that no outgoing connection is given

Cause: freeAddress closed a port of the ephemeral range before the node listened on it; connections of the test took it. Change: ports below that range, as in the acceptance scenarios and platformtest.

--- a/pkg/node/cluster_test.go
+++ b/pkg/node/cluster_test.go
@@ -12,6 +12,7 @@
 	"net/http/httptest"
 	"os"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -43,14 +44,25 @@
 	stopNode []func()
 }
 
-// freeAddress returns a loopback address with an unused port.
+// nextPort is the last port given out. It starts below the ephemeral ports of the kernel
+// and above those of the acceptance scenarios, at a number that depends on the process id.
+var nextPort atomic.Int32
+
+func init() { nextPort.Store(int32(28200 + os.Getpid()%40*100)) }
+
+// freeAddress returns a loopback address with an unused port, which no outgoing
+// connection takes before a node listens on it.
 func freeAddress(t testing.TB) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	t.Helper()
+	for range 100 {
+		address := fmt.Sprintf("127.0.0.1:%d", nextPort.Add(1))
+		if l, err := net.Listen("tcp", address); err == nil {
+			_ = l.Close()
+			return address
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	t.Fatal("no free port")
+	return ""
 }
 
 // newCluster starts a node for each element of services, and waits until all nodes are
