logs: lines after the end of the writer are dropped

Cause: the writer is closed once Node.Run has returned; the goroutines that read from peers may still log. Change: a line that comes after Close is dropped and counted; Close may come at the same time. Evidence: TestLinesAfterCloseAreDropped panicked on the code before. Measured: ./pkg/logs -race 10 times.

--- a/pkg/logs/asyncwriter.go
+++ b/pkg/logs/asyncwriter.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"sync"
 	"sync/atomic"
 )
 
@@ -12,12 +13,15 @@
 
 // AsyncWriter writes log lines to another writer in the background, such as a pipe. If
 // that writer blocks, lines are dropped, so logging never delays the caller. Its methods
-// are safe for concurrent use, except Close.
+// are safe for concurrent use.
 type AsyncWriter struct {
-	out   io.Writer
-	lines chan []byte
-	done  chan struct{}
-	// dropped counts lines dropped because the queue was full.
+	out  io.Writer
+	done chan struct{}
+	// mu guards closed, and lines against a write after it was closed.
+	mu     sync.RWMutex
+	lines  chan []byte
+	closed bool
+	// dropped counts lines dropped because the queue was full or closed.
 	dropped atomic.Int64
 }
 
@@ -28,9 +32,15 @@
 	return w
 }
 
-// Write queues a copy of line, or drops it if the queue is full. It never blocks and
-// never returns an error.
+// Write queues a copy of line, or drops it if the queue is full or closed. It never
+// blocks and never returns an error.
 func (w *AsyncWriter) Write(line []byte) (int, error) {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	if w.closed {
+		w.dropped.Add(1)
+		return len(line), nil
+	}
 	select {
 	case w.lines <- append([]byte(nil), line...):
 	default:
@@ -39,13 +49,17 @@
 	return len(line), nil
 }
 
-// Dropped returns the number of lines dropped because the queue was full.
+// Dropped returns the number of lines dropped because the queue was full or closed.
 func (w *AsyncWriter) Dropped() int64 { return w.dropped.Load() }
 
-// Close waits until all queued lines are written. Write must not be called afterwards,
-// nor at the same time.
+// Close waits until all queued lines are written. Later lines are dropped.
 func (w *AsyncWriter) Close() {
-	close(w.lines)
+	w.mu.Lock()
+	if !w.closed {
+		w.closed = true
+		close(w.lines)
+	}
+	w.mu.Unlock()
 	<-w.done
 }
 
--- a/pkg/logs/asyncwriter_test.go
+++ b/pkg/logs/asyncwriter_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -62,3 +63,33 @@
 	sampler.Log("refused", fields)
 	is.True(strings.Contains(text.String(), `"omitted":995`))
 }
+
+// Goroutines go on writing while and after the writer is closed, as those of connections
+// do when a program stops. Guards against a program that crashes on its last lines.
+func TestLinesAfterCloseAreDropped(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	w := NewAsyncWriter(&out)
+	started := make(chan struct{})
+	var group sync.WaitGroup
+	for i := range 4 {
+		group.Go(func() {
+			for n := range 2000 {
+				_, err := w.Write([]byte("line\n"))
+				is.NoErr(err)
+				if i == 0 && n == 100 {
+					close(started)
+				}
+			}
+		})
+	}
+	<-started
+	w.Close()
+	group.Wait()
+	before := w.Dropped()
+	_, err := w.Write([]byte("late\n"))
+	is.NoErr(err)
+	is.Equal(w.Dropped(), before+1)
+	w.Close()
+	is.True(!strings.Contains(out.String(), "late"))
+}
