soak: kept connections, overlapping stops, slow instances, and requests cut by a stop

Its clients drop their connections as a node goes, net/http's pool sends a cut read again by itself, its instances answer in 8 ms, one node stops at a time, and an outcome without a response did not tell a closed connection from the client's own time-out. Change: an outcome records its machine, its end, and whether the connection was closed without a complete response; each end of a process records machine, signal, from and to. New violation: a request that was executed and whose connection was closed without a response while its node was being stopped by SIGTERM, unless a kill of that node fell within the request. Three raw connections to each machine carry one request after the other, are never retried, and are reopened until the node is gone. A fourth service, archive, takes 1.2 s a request. New fault 'stops': two or three nodes at once.

--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -4,6 +4,7 @@
 package soak
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
@@ -37,8 +38,16 @@
 	// heartbeatInterval is the interval between heartbeats of a server, as in
 	// settingsTemplate.
 	heartbeatInterval = 300 * time.Millisecond
+	// requestTimeout is the time after which clients give a request up.
+	requestTimeout = 2500 * time.Millisecond
 )
 
+// serviceTimes are the times that requests take at the servers of each service. Those
+// of the archive take so long that a node's stop meets requests that are running.
+var serviceTimes = map[string]time.Duration{
+	"showcase": 8 * time.Millisecond, "desk": 8 * time.Millisecond, "calendar": 8 * time.Millisecond, "archive": 1200 * time.Millisecond,
+}
+
 // settingsTemplate is the format of a node's settings file.
 const settingsTemplate = `[node]
 name = %[1]s
@@ -79,6 +88,13 @@
 	exited chan struct{}
 }
 
+// shutdown is the end of a node's process after a signal. to is when it had exited.
+type shutdown struct {
+	machine  string
+	signal   syscall.Signal
+	from, to time.Time
+}
+
 // cluster is a store and the machines that use it.
 type cluster struct {
 	t *testing.T
@@ -87,9 +103,11 @@
 	store    *platformtest.Store
 	machines []*machine
 
-	// mu guards violations, the texts of the violations found so far.
+	// mu guards the fields below. violations are the texts of the violations found so
+	// far.
 	mu         sync.Mutex
 	violations []string
+	shutdowns  []shutdown
 }
 
 // addViolation records that a guarantee was violated.
@@ -123,7 +141,7 @@
 	return path
 }
 
-// newCluster starts a store, and two machines for each of three services. Reads at
+// newCluster starts a store, and two machines for each of four services. Reads at
 // the showcase make two downstream calls each to the calendar.
 func newCluster(t *testing.T) *cluster {
 	t.Helper()
@@ -131,7 +149,7 @@
 	c.putConfig(1)
 	address := serveHTTP(t, c.store.Handler())
 	downstream := platformtest.NestedCall{Prefix: "/homes/", Host: testHost, Path: "/days/x", Times: 2}
-	for i, service := range []string{"showcase", "showcase", "desk", "desk", "calendar", "calendar"} {
+	for i, service := range []string{"showcase", "showcase", "desk", "desk", "calendar", "calendar", "archive", "archive"} {
 		c.addMachine(i, service, address, downstream)
 	}
 	return c
@@ -145,8 +163,9 @@
 			{"name": "browse", "host": testHost, "path_prefix": "/homes/", "kind": "idempotent", "timeout": "2000ms", "target_latency": "500ms", "priority": 2, "service": "showcase", "max_attempts": 2},
 			{"name": "commit", "host": testHost, "path_prefix": "/swaps/", "kind": "non_idempotent", "timeout": "2000ms", "target_latency": "500ms", "priority": 0, "service": "desk", "max_attempts": 1},
 			{"name": "peek", "host": testHost, "path_prefix": "/days/", "kind": "idempotent", "timeout": "1000ms", "target_latency": "300ms", "priority": 1, "service": "calendar", "allow_anonymous": true},
+			{"name": "search", "host": testHost, "path_prefix": "/archive/", "kind": "idempotent", "timeout": "2000ms", "target_latency": "1500ms", "priority": 2, "service": "archive", "max_attempts": 2},
 		},
-		Services: []map[string]any{{"name": "showcase"}, {"name": "desk"}, {"name": "calendar"}},
+		Services: []map[string]any{{"name": "showcase"}, {"name": "desk"}, {"name": "calendar"}, {"name": "archive"}},
 		Limits:   map[string]any{"header_bytes": 16384, "body_bytes": 1 << 20},
 		Tenants:  []map[string]any{{"name": "dakar", "api_keys": []string{apiKey}, "rate_per_s": 5000, "burst": 5000}},
 	})
@@ -162,7 +181,7 @@
 	local := func(offset int) string { return fmt.Sprintf("127.0.0.1:%d", port+offset) }
 	m := &machine{name: fmt.Sprintf("%s-%d", service, i), port: port}
 	m.server = &platformtest.Server{
-		ID: "i-" + m.name, Service: service, Zone: fmt.Sprintf("z%d", i%2), Slots: 24, ServiceTime: 8 * time.Millisecond,
+		ID: "i-" + m.name, Service: service, Zone: fmt.Sprintf("z%d", i%2), Slots: 24, ServiceTime: serviceTimes[service],
 		ControlAddress: local(1), OutboundAddress: local(0), NestedCalls: []platformtest.NestedCall{downstream}, HeartbeatInterval: heartbeatInterval, StartUnixMs: time.Now().UnixMilli(),
 	}
 	m.server.Address = serveHTTP(c.t, m.server)
@@ -216,6 +235,7 @@
 	m.expectRunning = false
 	process, exited := m.process, m.exited
 	m.mu.Unlock()
+	s := shutdown{machine: m.name, signal: signal, from: time.Now()}
 	_ = process.Process.Signal(signal)
 	select {
 	case <-exited:
@@ -224,6 +244,10 @@
 		_ = process.Process.Kill()
 		<-exited
 	}
+	s.to = time.Now()
+	c.mu.Lock()
+	c.shutdowns = append(c.shutdowns, s)
+	c.mu.Unlock()
 	if code := process.ProcessState.ExitCode(); signal == syscall.SIGTERM && code != 0 {
 		c.addViolation("node %s exited with code %d after SIGTERM", m.name, code)
 	}
@@ -250,29 +274,97 @@
 	return r.StatusCode == http.StatusOK
 }
 
-// send sends a request to the node. It returns status 0 if no complete response
-// came.
-func (m *machine) send(ctx context.Context, method, path, id string) (status int, body string) {
-	ctx, cancel := context.WithTimeout(ctx, 2500*time.Millisecond)
-	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://127.0.0.1:%d%s", m.port, path), nil)
+// result is the result of sending a request. status is 0 if no complete response came.
+type result struct {
+	status int
+	body   string
+	// cut reports whether the connection was closed without a complete response. It is
+	// false if the client gave the request up or the connection was refused.
+	cut bool
+}
+
+func resultOf(response *http.Response, err error) result {
+	if err != nil {
+		return result{cut: isCut(err)}
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return result{cut: isCut(err)}
+	}
+	return result{status: response.StatusCode, body: string(data)}
+}
+
+func isCut(err error) bool {
+	var netError net.Error
+	timedOut := errors.As(err, &netError) && netError.Timeout()
+	return !timedOut && !errors.Is(err, syscall.ECONNREFUSED)
+}
+
+func (m *machine) callers() string { return fmt.Sprintf("127.0.0.1:%d", m.port) }
+
+func (m *machine) newRequest(ctx context.Context, method, path, id string) (*http.Request, error) {
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+m.callers()+path, nil)
 	if err != nil {
-		return 0, ""
+		return nil, err
 	}
 	r.Host = testHost
 	r.Header.Set("Authorization", "Bearer "+apiKey)
 	r.Header.Set("Plantainramp-Request-Id", id)
-	r.Header.Set("Plantainramp-Deadline-Remaining", "2500")
-	response, err := http.DefaultClient.Do(r)
+	r.Header.Set("Plantainramp-Deadline-Remaining", fmt.Sprint(requestTimeout.Milliseconds()))
+	return r, nil
+}
+
+// send sends a request to the node on a connection of the pool of net/http, which may
+// send it again.
+func (m *machine) send(ctx context.Context, method, path, id string) result {
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	r, err := m.newRequest(ctx, method, path, id)
 	if err != nil {
-		return 0, ""
+		return result{}
 	}
-	defer func() { _ = response.Body.Close() }()
-	data, err := io.ReadAll(response.Body)
-	if err != nil && !errors.Is(err, io.EOF) {
-		return 0, ""
+	return resultOf(http.DefaultClient.Do(r))
+}
+
+// keptConnection is a connection to a node that is kept open between requests, and
+// reopened once it is closed. conn is nil while it is not open.
+type keptConnection struct {
+	machine *machine
+	conn    net.Conn
+	reader  *bufio.Reader
+}
+
+// send sends a request once.
+func (k *keptConnection) send(ctx context.Context, method, path, id string) result {
+	r, err := k.machine.newRequest(ctx, method, path, id)
+	if err != nil {
+		return result{}
+	}
+	if k.conn == nil {
+		if k.conn, err = net.DialTimeout("tcp", k.machine.callers(), requestTimeout); err != nil {
+			k.conn = nil
+			return resultOf(nil, err)
+		}
+		k.reader = bufio.NewReader(k.conn)
+	}
+	var response *http.Response
+	_ = k.conn.SetDeadline(time.Now().Add(requestTimeout))
+	if err = r.Write(k.conn); err == nil {
+		response, err = http.ReadResponse(k.reader, r)
+	}
+	got := resultOf(response, err)
+	if got.status == 0 || response.Close {
+		k.close()
+	}
+	return got
+}
+
+func (k *keptConnection) close() {
+	if k.conn != nil {
+		_ = k.conn.Close()
+		k.conn = nil
 	}
-	return response.StatusCode, string(data)
 }
 
 // executions returns how often each request id was executed, over all servers.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -32,17 +32,26 @@
 	minGoodput      = 0.95
 	// requestInterval is the time between requests to the same machine.
 	requestInterval = 12 * time.Millisecond
+	// keptConnections is the number of kept connections to each machine.
+	keptConnections = 3
+	// cutDelay bounds the time from the exit of a process until a client has seen that
+	// its connection is closed.
+	cutDelay = 200 * time.Millisecond
 )
 
-// outcome is the result of a request as its client saw it. status is 0 if no
-// complete response came.
+// outcome is the result of a request as its client saw it.
 type outcome struct {
-	id, path, body string
-	action         bool
-	status         int
-	start          time.Time
+	result
+
+	// machine is the name of the machine that the request was sent to.
+	id, path, machine string
+	action            bool
+	start, end        time.Time
 }
 
+// sendFunc sends a request to a node.
+type sendFunc func(ctx context.Context, method, path, id string) result
+
 // clients send requests to every machine and record their outcomes.
 type clients struct {
 	cluster *cluster
@@ -52,27 +61,39 @@
 	group    sync.WaitGroup
 }
 
-// run starts the clients, which send reads and actions in turn until ctx ends. It
-// returns at once; group waits for the requests.
+// run starts the clients, which send reads and actions in turn until ctx ends, and on
+// kept connections also slow reads. It returns at once; group waits for the requests.
 func (c *clients) run(ctx context.Context) {
 	for i, m := range c.cluster.machines {
 		c.group.Go(func() {
 			for n := 0; ctx.Err() == nil; n++ {
-				c.group.Go(func() { c.sendRequest(m, fmt.Sprintf("s%d-%d", i, n), n%2 == 1) })
+				prefix := []string{"/homes/", "/swaps/"}[n%2]
+				c.group.Go(func() { c.sendRequest(m.send, m.name, fmt.Sprintf("s%d-%d", i, n), prefix) })
 				time.Sleep(requestInterval)
 			}
 		})
+		for j := range keptConnections {
+			c.group.Go(func() {
+				k := &keptConnection{machine: m}
+				defer k.close()
+				for n := 0; ctx.Err() == nil; n++ {
+					c.sendRequest(k.send, m.name, fmt.Sprintf("k%d-%d-%d", i, j, n), []string{"/homes/", "/swaps/", "/archive/"}[(j+n)%3])
+					time.Sleep(requestInterval)
+				}
+			})
+		}
 	}
 }
 
 // sendRequest sends a read, or an action, and records its outcome.
-func (c *clients) sendRequest(m *machine, id string, action bool) {
-	o := outcome{id: id, action: action, start: time.Now(), path: "/homes/" + id}
+func (c *clients) sendRequest(send sendFunc, machine, id, prefix string) {
+	o := outcome{id: id, machine: machine, action: prefix == "/swaps/", path: prefix + id, start: time.Now()}
 	method := "GET"
-	if action {
-		method, o.path = "POST", "/swaps/"+id
+	if o.action {
+		method = "POST"
 	}
-	o.status, o.body = m.send(context.Background(), method, o.path, id)
+	o.result = send(context.Background(), method, o.path, id)
+	o.end = time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.outcomes = append(c.outcomes, o)
@@ -115,6 +136,16 @@
 			c.stopNode(m, syscall.SIGTERM)
 			c.startNode(m)
 		},
+		"stops": func() {
+			var group sync.WaitGroup
+			for _, i := range r.Perm(len(c.machines))[:2+r.IntN(2)] {
+				group.Go(func() {
+					c.stopNode(c.machines[i], syscall.SIGTERM)
+					c.startNode(c.machines[i])
+				})
+			}
+			group.Wait()
+		},
 		"pause": func() { randomMachine().pause(randomDuration()) },
 		"store": func() {
 			c.store.SetFault(platformtest.StoreFault(1 + r.IntN(3)))
@@ -139,7 +170,7 @@
 // their times and names.
 func injectFaults(c *cluster, r *rand.Rand, d time.Duration) []string {
 	functions := faultFunctions(c, r)
-	names := []string{"kill", "stop", "pause", "store", "forget", "lost", "configure", "herd", "kill", "stop", "pause"}
+	names := []string{"kill", "stop", "pause", "store", "forget", "lost", "configure", "herd", "kill", "stop", "pause", "stops", "stops"}
 	var history []string
 	for start := time.Now(); time.Since(start) < d; {
 		name := names[r.IntN(len(names))]
@@ -192,15 +223,41 @@
 			c.addViolation("request %s got the response of another request: %q", o.id, o.body)
 		case o.status >= 400 && o.status < 429 && o.status != 408 && o.status != 421:
 			c.addViolation("request %s was denied with status %d", o.id, o.status)
+		case n > 0 && o.cut && c.cutByStop(o):
+			c.addViolation("request %s was executed but its connection was closed without a response, while node %s was being stopped", o.id, o.machine)
 		}
 	}
 }
 
+// cutByStop reports whether the connection of a request was closed while its node was
+// being stopped by SIGTERM, and the node was not killed during the request.
+func (c *cluster) cutByStop(o outcome) bool {
+	stopped := false
+	for _, s := range c.shutdowns {
+		if s.machine != o.machine || o.start.After(s.to) || o.end.Before(s.from) {
+			continue
+		}
+		if s.signal != syscall.SIGTERM {
+			return false
+		}
+		stopped = stopped || o.end.Before(s.to.Add(cutDelay))
+	}
+	return stopped
+}
+
 // Guards against a soak test that passes because checkOutcomes misses a violation:
 // each kind of violation must be reported, and valid outcomes must not be.
 func TestCheckOutcomes(t *testing.T) {
 	action := func(id string, status int) outcome {
-		return outcome{id: id, path: "/swaps/" + id, action: true, status: status, body: "i POST /swaps/" + id + " " + id + " 0"}
+		return outcome{id: id, path: "/swaps/" + id, action: true, result: result{status: status, body: "i POST /swaps/" + id + " " + id + " 0"}}
+	}
+	// The node m is stopped in the seconds 10 to 14, and killed in those 14.5 to 15.
+	at := func(seconds float64) time.Time {
+		return time.Unix(100, 0).Add(time.Duration(seconds * float64(time.Second)))
+	}
+	shutdowns := []shutdown{{"m", syscall.SIGTERM, at(10), at(14)}, {"m", syscall.SIGKILL, at(14.5), at(15)}}
+	unanswered := func(cut bool, machine string, start, end float64) outcome {
+		return outcome{id: "a", path: "/homes/a", machine: machine, start: at(start), end: at(end), result: result{cut: cut}}
 	}
 	for name, test := range map[string]struct {
 		executions int
@@ -213,11 +270,18 @@
 		"twice":                       {2, action("a", 502), 1},
 		"rejected but executed":       {1, action("a", 503), 1},
 		"success without execution":   {0, action("a", 200), 1},
-		"response of another request": {1, outcome{id: "a", path: "/swaps/a", status: 200, body: "i POST /swaps/b b 0"}, 1},
+		"response of another request": {1, outcome{id: "a", path: "/swaps/a", result: result{status: 200, body: "i POST /swaps/b b 0"}}, 1},
 		"denied":                      {0, action("a", 401), 1},
+		"cut by stop":                 {1, unanswered(true, "m", 9, 11), 1},
+		"cut by exit after stop":      {1, unanswered(true, "m", 13, 14.1), 1},
+		"cut but not executed":        {0, unanswered(true, "m", 9, 11), 0},
+		"given up during stop":        {1, unanswered(false, "m", 9, 11), 0},
+		"cut before stop":             {1, unanswered(true, "m", 9, 9.5), 0},
+		"cut by kill":                 {1, unanswered(true, "m", 13.9, 14.6), 0},
+		"cut at another machine":      {1, unanswered(true, "n", 9, 11), 0},
 	} {
 		t.Run(name, func(t *testing.T) {
-			c := &cluster{}
+			c := &cluster{shutdowns: shutdowns}
 			checkOutcomes(c, map[string]int{"a": test.executions}, []outcome{test.outcome})
 			is.New(t).Equal(len(c.violations), test.want)
 		})
@@ -227,8 +291,9 @@
 // Node processes are killed, stopped, suspended and restarted while the store
 // fails and responses are lost. Guards against an action that is executed twice,
 // a rejected action that is executed, a success without execution, a node that
-// exits unexpectedly or takes longer than its grace period to stop, and goodput
-// that has not recovered 5 s after the last fault.
+// exits unexpectedly or takes longer than its grace period to stop, an executed
+// request that a stopping node does not answer, and goodput that has not recovered
+// 5 s after the last fault.
 func TestSoak(t *testing.T) {
 	is := is.New(t)
 	seed := faultSeed(t)
@@ -240,8 +305,8 @@
 	})
 	is.True(platformtest.Await(15*time.Second, func() bool {
 		for _, m := range c.machines {
-			status, _ := m.send(t.Context(), "POST", "/swaps/first", fmt.Sprintf("first-%d", time.Now().UnixNano()))
-			if !m.ready() || status != 200 {
+			got := m.send(t.Context(), "POST", "/swaps/first", fmt.Sprintf("first-%d", time.Now().UnixNano()))
+			if !m.ready() || got.status != 200 {
 				return false
 			}
 		}
