soak: a store that is restored from an older copy

Its store failed and forgot history, but never came back from an older copy, and no client saw which configuration is in force. Change: new fault 'restore': the store is copied; none to two configurations are written meanwhile and perhaps a node is killed and started; the store is made busy and restored from the copy, the newest configuration is written again, sometimes with a further one, and 0.2 to 1.5 s later it answers again. Each configuration adds a route whose path has its version; within 5 s of each restore, and at the end of the soak, each node must answer it with 200. At the end each node's entry must stand in the directory.

--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -102,6 +102,8 @@
 	binary   string
 	store    *platformtest.Store
 	machines []*machine
+	// version is the version of the newest configuration.
+	version int
 
 	// mu guards the fields below. violations are the texts of the violations found so
 	// far.
@@ -145,8 +147,8 @@
 // the showcase make two downstream calls each to the calendar.
 func newCluster(t *testing.T) *cluster {
 	t.Helper()
-	c := &cluster{t: t, binary: buildNode(t), store: platformtest.NewStore()}
-	c.putConfig(1)
+	c := &cluster{t: t, binary: buildNode(t), store: platformtest.NewStore(), version: 1}
+	c.putConfig()
 	address := serveHTTP(t, c.store.Handler())
 	downstream := platformtest.NestedCall{Prefix: "/homes/", Host: testHost, Path: "/days/x", Times: 2}
 	for i, service := range []string{"showcase", "showcase", "desk", "desk", "calendar", "calendar", "archive", "archive"} {
@@ -155,15 +157,17 @@
 	return c
 }
 
-// putConfig writes a configuration with this version into the store.
-func (c *cluster) putConfig(version int) {
+// putConfig writes the newest configuration into the store. One of its routes is that
+// of its version.
+func (c *cluster) putConfig() {
 	text, err := json.Marshal(platformtest.Manifest{
-		Version: uint64(version),
+		Version: uint64(c.version),
 		Routes: []map[string]any{
 			{"name": "browse", "host": testHost, "path_prefix": "/homes/", "kind": "idempotent", "timeout": "2000ms", "target_latency": "500ms", "priority": 2, "service": "showcase", "max_attempts": 2},
 			{"name": "commit", "host": testHost, "path_prefix": "/swaps/", "kind": "non_idempotent", "timeout": "2000ms", "target_latency": "500ms", "priority": 0, "service": "desk", "max_attempts": 1},
 			{"name": "peek", "host": testHost, "path_prefix": "/days/", "kind": "idempotent", "timeout": "1000ms", "target_latency": "300ms", "priority": 1, "service": "calendar", "allow_anonymous": true},
 			{"name": "search", "host": testHost, "path_prefix": "/archive/", "kind": "idempotent", "timeout": "2000ms", "target_latency": "1500ms", "priority": 2, "service": "archive", "max_attempts": 2},
+			{"name": "version", "host": testHost, "path_prefix": c.versionPath(), "kind": "idempotent", "timeout": "1000ms", "target_latency": "300ms", "priority": 1, "service": "calendar", "allow_anonymous": true},
 		},
 		Services: []map[string]any{{"name": "showcase"}, {"name": "desk"}, {"name": "calendar"}, {"name": "archive"}},
 		Limits:   map[string]any{"header_bytes": 16384, "body_bytes": 1 << 20},
@@ -175,6 +179,31 @@
 	c.store.Put(platform.TopicConfig, platform.ConfigKey, text)
 }
 
+// versionPath is the path that only the newest configuration has a route for.
+func (c *cluster) versionPath() string { return fmt.Sprintf("/version-%d/", c.version) }
+
+// lackingConfig returns the names of the machines whose nodes do not answer a request to
+// the route of the newest configuration.
+func (c *cluster) lackingConfig(ctx context.Context) []string {
+	var names []string
+	for _, m := range c.machines {
+		if m.send(ctx, "GET", c.versionPath(), fmt.Sprintf("version-%d", time.Now().UnixNano())).status != http.StatusOK {
+			names = append(names, m.name)
+		}
+	}
+	return names
+}
+
+// checkDirectory records a violation for each machine whose node has no entry among the
+// newest records of the directory.
+func (c *cluster) checkDirectory(newest map[string]string) {
+	for _, m := range c.machines {
+		if newest[m.peers()] == "" {
+			c.addViolation("the directory lacks the entry of node %s", m.name)
+		}
+	}
+}
+
 // addMachine starts machine i with a server of this service and its node.
 func (c *cluster) addMachine(i int, service, store string, downstream platformtest.NestedCall) {
 	port := firstPort + i*portsPerMachine
@@ -302,6 +331,7 @@
 }
 
 func (m *machine) callers() string { return fmt.Sprintf("127.0.0.1:%d", m.port) }
+func (m *machine) peers() string   { return fmt.Sprintf("127.0.0.1:%d", m.port+3) }
 
 func (m *machine) newRequest(ctx context.Context, method, path, id string) (*http.Request, error) {
 	r, err := http.NewRequestWithContext(ctx, method, "http://"+m.callers()+path, nil)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -123,7 +123,6 @@
 func faultFunctions(c *cluster, r *rand.Rand) map[string]func() {
 	randomMachine := func() *machine { return c.machines[r.IntN(len(c.machines))] }
 	randomDuration := func() time.Duration { return time.Duration(200+r.IntN(1200)) * time.Millisecond }
-	version := 1
 	return map[string]func(){
 		"kill": func() {
 			m := randomMachine()
@@ -154,7 +153,8 @@
 		},
 		"forget":    func() { c.store.Truncate(platform.TopicDirectory) },
 		"lost":      func() { randomMachine().server.ResponsesToAbort.Store(int64(1 + r.IntN(5))) },
-		"configure": func() { version++; c.putConfig(version) },
+		"configure": func() { c.version++; c.putConfig() },
+		"restore":   func() { restoreStore(c, r, randomMachine(), randomDuration) },
 		"herd": func() {
 			for _, m := range c.machines {
 				c.stopNode(m, syscall.SIGKILL)
@@ -166,11 +166,41 @@
 	}
 }
 
+// restoreStore restores the store from a copy that lacks what was written in the
+// meantime: up to two configurations, and perhaps the entry of a restarted node. The
+// newest configuration is written again, perhaps with a further one, before a node
+// reaches the store again. It must then come into force at all nodes.
+func restoreStore(c *cluster, r *rand.Rand, restarted *machine, randomDuration func() time.Duration) {
+	earlier := c.store.Copy()
+	if r.IntN(2) == 0 {
+		c.stopNode(restarted, syscall.SIGKILL)
+		c.startNode(restarted)
+	}
+	time.Sleep(randomDuration())
+	for range r.IntN(3) {
+		c.version++
+		c.putConfig()
+		time.Sleep(randomDuration() / 4)
+	}
+	c.store.SetFault(platformtest.FaultBusy)
+	c.store.Restore(earlier)
+	c.putConfig()
+	if r.IntN(2) == 0 {
+		c.version++
+		c.putConfig()
+	}
+	time.Sleep(time.Duration(200+r.IntN(1300)) * time.Millisecond)
+	c.store.SetFault(platformtest.FaultNone)
+	if !platformtest.Await(recoveryTimeout, func() bool { return len(c.lackingConfig(context.Background())) == 0 }) {
+		c.addViolation("configuration %d is not in force %s after the store was restored", c.version, recoveryTimeout)
+	}
+}
+
 // injectFaults injects random faults one after another for about d, and returns
 // their times and names.
 func injectFaults(c *cluster, r *rand.Rand, d time.Duration) []string {
 	functions := faultFunctions(c, r)
-	names := []string{"kill", "stop", "pause", "store", "forget", "lost", "configure", "herd", "kill", "stop", "pause", "stops", "stops"}
+	names := []string{"kill", "stop", "pause", "store", "forget", "lost", "configure", "herd", "kill", "stop", "pause", "stops", "stops", "restore", "restore"}
 	var history []string
 	for start := time.Now(); time.Since(start) < d; {
 		name := names[r.IntN(len(names))]
@@ -288,12 +318,23 @@
 	}
 }
 
-// Node processes are killed, stopped, suspended and restarted while the store
-// fails and responses are lost. Guards against an action that is executed twice,
-// a rejected action that is executed, a success without execution, a node that
-// exits unexpectedly or takes longer than its grace period to stop, an executed
-// request that a stopping node does not answer, and goodput that has not recovered
-// 5 s after the last fault.
+// Guards against a soak test that passes although the directory lacks an entry.
+func TestCheckDirectory(t *testing.T) {
+	is := is.New(t)
+	c := &cluster{machines: []*machine{{name: "a", port: 10}, {name: "b", port: 20}}}
+	c.checkDirectory(map[string]string{"127.0.0.1:13": "{}", "127.0.0.1:23": "{}"})
+	is.Equal(len(c.violations), 0)
+	c.checkDirectory(map[string]string{"127.0.0.1:13": "{}", "127.0.0.1:20": "{}"})
+	is.Equal(c.violations, []string{"the directory lacks the entry of node b"})
+}
+
+// Node processes are killed, stopped, suspended and restarted while the store fails
+// or is restored from an older copy, and responses are lost. Guards against an action
+// that is executed twice, a rejected action that is executed, a success without
+// execution, a node that exits unexpectedly or takes longer than its grace period to
+// stop, an executed request that a stopping node does not answer, a configuration that
+// is not in force or an entry that the directory lacks after a restore, and goodput
+// that has not recovered 5 s after the last fault.
 func TestSoak(t *testing.T) {
 	is := is.New(t)
 	seed := faultSeed(t)
@@ -324,6 +365,10 @@
 	fraction, total := load.goodput(recovered, recovered.Add(2*time.Second))
 	t.Logf("SOAK_SEED=%d: %v; %d requests; %.4f of %d succeeded after the recovery timeout", seed, history, len(load.outcomes), fraction, total)
 	checkOutcomes(c, c.executions(), load.outcomes)
+	c.checkDirectory(c.store.Newest(platform.TopicDirectory))
+	if lacking := c.lackingConfig(t.Context()); len(lacking) > 0 {
+		c.addViolation("configuration %d is not in force at %v", c.version, lacking)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, violation := range c.violations {
