soak: a crash shows its log, and two soaks on one host take turns

And a soak in another folder used the same ports during a trial: its clients (s0 to s5, no kept ones) reached our nodes with the same request ids, which showed as actions executed twice. Change: a violation about an exit has the last 10,000 bytes of the node's log. A soak holds the port below its first one, and waits up to 2 minutes for a soak that holds it. No check or bound changes.

--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -38,6 +38,10 @@
 	// heartbeatInterval is the interval between heartbeats of a server, as in
 	// settingsTemplate.
 	heartbeatInterval = 300 * time.Millisecond
+	// lockTimeout is how long a soak test waits for another one to end.
+	lockTimeout = 2 * time.Minute
+	// crashLogBytes is how much of a node's log a violation shows if the node crashed.
+	crashLogBytes = 10000
 	// requestTimeout is the time after which clients give a request up.
 	requestTimeout = 2500 * time.Millisecond
 )
@@ -132,6 +136,21 @@
 	return l.Addr().String()
 }
 
+// lockPorts waits until no other soak test on this host uses the ports, and keeps others
+// waiting until the test ends.
+func lockPorts(t *testing.T) {
+	t.Helper()
+	var l net.Listener
+	listen := func() (err error) {
+		l, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort-1))
+		return err
+	}
+	if !platformtest.Await(lockTimeout, func() bool { return listen() == nil }) {
+		t.Fatalf("another soak test has used the ports for %s", lockTimeout)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+}
+
 // buildNode builds the node's program and returns its path.
 func buildNode(t *testing.T) string {
 	t.Helper()
@@ -148,6 +167,7 @@
 func newCluster(t *testing.T) *cluster {
 	t.Helper()
 	c := &cluster{t: t, binary: buildNode(t), store: platformtest.NewStore(), version: 1}
+	lockPorts(t)
 	c.putConfig()
 	address := serveHTTP(t, c.store.Handler())
 	downstream := platformtest.NestedCall{Prefix: "/homes/", Host: testHost, Path: "/days/x", Times: 2}
@@ -251,7 +271,7 @@
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		if m.expectRunning && m.process == process {
-			c.addViolation("node %s exited unexpectedly: %v", m.name, err)
+			c.addViolation("node %s exited unexpectedly: %v: %s", m.name, err, m.logTail(crashLogBytes))
 		}
 	}()
 }
@@ -278,7 +298,7 @@
 	c.shutdowns = append(c.shutdowns, s)
 	c.mu.Unlock()
 	if code := process.ProcessState.ExitCode(); signal == syscall.SIGTERM && code != 0 {
-		c.addViolation("node %s exited with code %d after SIGTERM", m.name, code)
+		c.addViolation("node %s exited with code %d after SIGTERM: %s", m.name, code, m.logTail(crashLogBytes))
 	}
 }
 
@@ -408,15 +428,20 @@
 	return executions
 }
 
+// logTail returns the last n bytes of the node's log.
+func (m *machine) logTail(n int) string {
+	data, err := os.ReadFile(m.log.Name())
+	if err != nil {
+		return err.Error()
+	}
+	return string(data[max(0, len(data)-n):])
+}
+
 // logTails returns the last 2000 bytes of each node's log.
 func (c *cluster) logTails() string {
 	var text strings.Builder
 	for _, m := range c.machines {
-		data, err := os.ReadFile(m.log.Name())
-		if err != nil {
-			continue
-		}
-		fmt.Fprintf(&text, "== %s\n%s\n", m.name, data[max(0, len(data)-2000):])
+		fmt.Fprintf(&text, "== %s\n%s\n", m.name, m.logTail(2000))
 	}
 	return text.String()
 }
