meshcmd: handle signals before anything else

Seen: once in a soak trial a node that got SIGTERM within 10 ms of its start died by the signal (exit code -1). Cause: the handler was installed after the settings had been read. Change: it is installed first; the node then drains and ends at once. Measured: ./internal/meshcmd passes. The window before Main is as it was.

--- a/internal/meshcmd/meshcmd.go
+++ b/internal/meshcmd/meshcmd.go
@@ -39,6 +39,8 @@
 
 // Main runs the daemon until SIGTERM or SIGINT and returns its exit code.
 func Main(args []string, out, errOut io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
 	app := kingpin.New("plantainmesh", "Run a mesh node on a platform that provides a store and whose instances send heartbeats.")
 	app.UsageWriter(out).ErrorWriter(errOut).Terminate(nil)
 	app.Version(build.Version)
@@ -54,8 +56,6 @@
 	}
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(maxMemoryBytes)
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	if err := serve(ctx, *path, s, out); err != nil {
 		_, _ = fmt.Fprintf(errOut, "plantainmesh: %s\n", err)
 		return ExitFailed
