CONFIG: a restored topic takes no living instance out of use

An entry that its node had not to write again stayed unused for good where no status of the node arrived; a second restore could bring a gone node back, or take a living one out. Cause: every entry that differed from what was known was in doubt, without an end, and only a status or a record ended it. Change: only an open entry of a node that was not known as open is in doubt, until a record, a status or the link to the node shows that it lives; what was in doubt is not kept over a second restore, and what was kept counts as known.

--- a/pkg/directory/converge_test.go
+++ b/pkg/directory/converge_test.go
@@ -22,6 +22,8 @@
 
 const (
 	nodeCount = 3
+	// deafNode is a node that no status reaches.
+	deafNode = 0
 	// statusInterval is how often each node sends its entry to the others.
 	statusInterval = time.Second
 	// convergeTimeout is the time within which all nodes must agree once the store is
@@ -183,7 +185,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	o.starts++
 	self := NodeAddress(fmt.Sprintf("node-%d", i))
-	d := &Directory{Self: self, Clock: clock.System{}, Logger: logs.Discard(), Put: o.store.put}
+	d := &Directory{Self: self, Clock: clock.System{}, Logger: logs.Discard(), Put: o.store.put, Connected: func(NodeAddress) bool { return true }}
 	d.Init()
 	began := time.Now()
 	f := &topic.Follower{
@@ -208,7 +210,7 @@
 	others := o.nodes
 	o.mu.Unlock()
 	for j, d := range others {
-		if j != i && d != nil {
+		if j != i && d != nil && j != deafNode {
 			d.UpdatePeer(e)
 		}
 	}
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -22,8 +22,8 @@
 	writeTimeout = time.Second
 	// minWriteInterval is the minimum delay between two writes of the local entry.
 	minWriteInterval = 150 * time.Millisecond
-	// recheckInterval is how often the local entry is compared with the topic, and
-	// expired entries are removed.
+	// recheckInterval is how often the local entry is compared with the topic, expired
+	// entries are removed, and those of reached nodes are confirmed.
 	recheckInterval = 500 * time.Millisecond
 	// missingEntryRetention is how long an entry that a restored topic lacks is kept. A
 	// server that lives has its entry back within about two seconds.
@@ -71,6 +71,9 @@
 	Logger *logs.Logger
 	// Put writes a record to the topic.
 	Put func(ctx context.Context, r topic.Record) error
+	// Connected reports whether a node answers on the link to it; nil means that none
+	// does.
+	Connected func(node NodeAddress) bool
 	// OnChange receives each new snapshot; nil is allowed. It is called with mu held
 	// and must not call methods of the Directory other than Snapshot.
 	OnChange func(*Snapshot)
@@ -84,7 +87,8 @@
 	// are not in nodes.
 	missing map[NodeAddress]missingEntry
 	// unconfirmed holds the keys of nodes whose entry came back with a restored topic.
-	// Their instances are not used until a record or the node itself confirms them.
+	// Their instances are not used until a record, a status or the link to the node
+	// confirms that it lives.
 	unconfirmed map[NodeAddress]bool
 	// restored reports whether the next full list of records is of a restored topic.
 	restored bool
@@ -123,18 +127,42 @@
 
 // replace replaces the entries by those of a full list of records. The caller holds mu.
 func (d *Directory) replace(records []topic.Record) {
-	before, unconfirmed, restored := d.nodes, d.unconfirmed, d.restored
+	before, used, restored := d.nodes, d.usable(), d.restored
 	if restored {
 		d.keepMissing()
 	}
+	unconfirmed := d.unconfirmed
 	d.nodes, d.unconfirmed, d.restored = map[NodeAddress]Entry{}, map[NodeAddress]bool{}, false
 	d.applyRecords(records)
 	for address, e := range d.nodes {
-		known := before[address] == e
-		if known && unconfirmed[address] || !known && restored {
+		stillUnconfirmed := unconfirmed[address] && before[address] == e
+		cameBack := restored && e.Open && !used[address]
+		if stillUnconfirmed || cameBack {
 			d.unconfirmed[address] = true
 		}
 	}
+	d.confirmConnected()
+}
+
+// confirmConnected confirms the entries of the nodes that answer on their link, and
+// reports whether there were any. The caller holds mu.
+func (d *Directory) confirmConnected() bool {
+	count := len(d.unconfirmed)
+	maps.DeleteFunc(d.unconfirmed, func(node NodeAddress, _ bool) bool { return d.Connected != nil && d.Connected(node) })
+	return len(d.unconfirmed) < count
+}
+
+// usable returns the nodes whose instance accepts calls, as far as is known. The caller
+// holds mu.
+func (d *Directory) usable() map[NodeAddress]bool {
+	usable := map[NodeAddress]bool{}
+	for address, e := range d.missing {
+		usable[address] = e.Open
+	}
+	for address, e := range d.nodes {
+		usable[address] = e.Open && !d.unconfirmed[address]
+	}
+	return usable
 }
 
 func (d *Directory) applyRecords(records []topic.Record) {
@@ -145,32 +173,35 @@
 
 // HandleRestore must be called when the topic was found restored from a copy, before its
 // newest records are applied. Entries that these lack are kept for
-// missingEntryRetention, as their nodes may live and write them again. Entries that
-// differ from what was known may be older, and their nodes gone.
+// missingEntryRetention, as their nodes may live and write them again. Open entries of
+// nodes that were not known as open may be older, and their nodes gone.
 func (d *Directory) HandleRestore() {
 	d.mu.Lock()
 	d.restored = true
 	d.mu.Unlock()
 }
 
-// keepMissing keeps all entries but the local one until a record of their key is applied.
-// The caller holds mu. Entries that are missing since an earlier restore keep their time.
+// keepMissing keeps all confirmed entries but the local one until a record of their key
+// is applied. The caller holds mu. Entries that are missing since an earlier restore keep
+// their time.
 func (d *Directory) keepMissing() {
 	until := d.Clock.Now().Add(missingEntryRetention)
 	for address, e := range d.nodes {
-		if address != d.Self {
+		if address != d.Self && !d.unconfirmed[address] {
 			d.missing[address] = missingEntry{Entry: e, until: until}
 		}
 	}
 }
 
-// dropExpired removes the missing entries whose time has passed.
-func (d *Directory) dropExpired() {
+// recheck removes the missing entries whose time has passed, and confirms entries of
+// nodes that have been reached.
+func (d *Directory) recheck() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	count, now := len(d.missing), d.Clock.Now()
 	maps.DeleteFunc(d.missing, func(_ NodeAddress, e missingEntry) bool { return !now.Before(e.until) })
-	if len(d.missing) < count {
+	expired := len(d.missing) < count
+	if d.confirmConnected() || expired {
 		d.publish()
 	}
 }
@@ -285,7 +316,7 @@
 		case <-d.writeSignal:
 		case <-d.Clock.After(recheckInterval):
 		}
-		d.dropExpired()
+		d.recheck()
 		e := d.pendingWrite()
 		if e == nil {
 			continue
--- a/pkg/directory/restore_test.go
+++ b/pkg/directory/restore_test.go
@@ -119,17 +119,17 @@
 	d.Apply([]topic.Record{record(entry("a", true)), record(entry("b", true))}, true)
 	d.HandleRestore()
 	fake.Advance(2 * missingEntryRetention)
-	d.dropExpired()
+	d.recheck()
 	is.Equal(nodesOf(d), []NodeAddress{"a", "b"})
 	d.Apply([]topic.Record{record(entry("a", true))}, true)
 	fake.Advance(missingEntryRetention - 1)
-	d.dropExpired()
+	d.recheck()
 	is.Equal(nodesOf(d), []NodeAddress{"a", "b"})
 	fake.Advance(1)
 	changes := 0
 	d.OnChange = func(*Snapshot) { changes++ }
-	d.dropExpired()
-	d.dropExpired()
+	d.recheck()
+	d.recheck()
 	is.Equal(nodesOf(d), []NodeAddress{"a"})
 	is.Equal(changes, 1)
 	d.Apply([]topic.Record{record(entry("c", true))}, true)
@@ -175,3 +175,54 @@
 	d.Apply([]topic.Record{record(entry("a", true)), record(entry("b", false))}, true)
 	is.Equal(openNodes(d), []NodeAddress{"a"})
 }
+
+// The copy holds an older entry of each instance of a service. Guards against a service
+// without instances until their nodes have confirmed them.
+func TestOpenEntriesStayInUseAfterARestore(t *testing.T) {
+	is := is.New(t)
+	d, _ := newDirectory()
+	var current, older []topic.Record
+	for _, node := range []NodeAddress{"a", "b", "c"} {
+		e := entry(node, true)
+		current = append(current, record(e))
+		e.Slots++
+		older = append(older, record(e))
+	}
+	d.Apply(current, true)
+	d.HandleRestore()
+	d.Apply(older, true)
+	is.Equal(openNodes(d), []NodeAddress{"a", "b", "c"})
+}
+
+// Guards against an entry that is used, or unused, only because the store was restored
+// twice: one that nobody confirmed stays unused, one that was kept stays in use.
+func TestSecondRestoreChangesNoUse(t *testing.T) {
+	is := is.New(t)
+	a, b, c := record(entry("a", true)), record(entry("b", true)), record(entry("c", true))
+	d, _ := newDirectory()
+	d.Apply([]topic.Record{a, record(entry("b", false)), c}, true)
+	d.HandleRestore()
+	d.Apply([]topic.Record{a, b}, true)
+	is.Equal(openNodes(d), []NodeAddress{"a", "c"})
+	d.HandleRestore()
+	d.Apply([]topic.Record{a, c}, true)
+	is.Equal(openNodes(d), []NodeAddress{"a", "c"})
+}
+
+// No status of a living node arrives, and its entry is the same as in the copy. Guards
+// against an instance that stays unused although its node answers.
+func TestEntryOfAConnectedNodeIsUsed(t *testing.T) {
+	is := is.New(t)
+	d, _ := newDirectory()
+	connected := map[NodeAddress]bool{"b": true}
+	d.Connected = func(node NodeAddress) bool { return connected[node] }
+	d.Apply([]topic.Record{record(entry("a", true))}, true)
+	d.HandleRestore()
+	d.Apply([]topic.Record{record(entry("a", true)), record(entry("b", true)), record(entry("c", true))}, true)
+	is.Equal(openNodes(d), []NodeAddress{"a", "b"})
+	d.recheck()
+	is.Equal(openNodes(d), []NodeAddress{"a", "b"})
+	connected["c"] = true
+	d.recheck()
+	is.Equal(openNodes(d), []NodeAddress{"a", "b", "c"})
+}
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -151,7 +151,7 @@
 		LocalNode: self, DataCentre: n.settings.DataCentre, Clock: n.clock, Logger: logs.WithComponent(n.logger, logs.ComponentPeer), Gate: n.gate, Hello: n.hello,
 	}
 	n.directory = &directory.Directory{
-		Self: self, Clock: n.clock, Logger: logs.WithComponent(n.logger, logs.ComponentMember), Put: n.platform.PutEntry, OnChange: n.onDirectoryChange,
+		Self: self, Clock: n.clock, Logger: logs.WithComponent(n.logger, logs.ComponentMember), Put: n.platform.PutEntry, Connected: n.peers.Connected, OnChange: n.onDirectoryChange,
 	}
 	n.directory.Init()
 	n.directoryFollower = &topic.Follower{
--- a/pkg/peering/peering.go
+++ b/pkg/peering/peering.go
@@ -155,6 +155,14 @@
 	return max(len(p.peers), 1)
 }
 
+// Connected reports whether a connection to the node is open.
+func (p *Peers) Connected(node directory.NodeAddress) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	peer := p.peers[node]
+	return peer != nil && peer.link != nil && peer.link.Connected()
+}
+
 // CheckLiveness checks all connections for unresponsive peers, and closes those to
 // removed nodes that nothing holds.
 func (p *Peers) CheckLiveness() {
