--- a/pkg/topic/topic.go
+++ b/pkg/topic/topic.go
@@ -108,9 +108,11 @@
 	confirmedAt atomic.Int64
 	// synced reports whether any read has succeeded.
 	synced atomic.Bool
-	// failing reports whether the last read failed, and interrupted whether Interrupt
-	// cancelled it; only Run uses them.
+	// failing reports whether the last read failed, and interrupted whether Interrupt was
+	// called since it began; only Run uses them.
 	failing, interrupted bool
+	// interruptWanted is set by Interrupt until the next read begins.
+	interruptWanted atomic.Bool
 	// cancelRead cancels the read in progress.
 	cancelRead atomic.Pointer[context.CancelCauseFunc]
 }
@@ -128,6 +130,7 @@
 // Interrupt cancels the read in progress, whose connection may be unresponsive, so
 // that Run reads again. It is safe for concurrent use.
 func (f *Follower) Interrupt() {
+	f.interruptWanted.Store(true)
 	if cancel := f.cancelRead.Load(); cancel != nil {
 		(*cancel)(&InterruptedError{})
 	}
@@ -137,7 +140,7 @@
 // key, and again whenever the records to read next have been removed or the log has
 // been restored from a copy.
 func (f *Follower) Run(ctx context.Context) {
-	next, hasSnapshot := Position{}, false
+	next, hasSnapshot, hasReadOn := Position{}, false, false
 	retryDelay := minRetryDelay
 	for ctx.Err() == nil {
 		sentAt := f.Uptime()
@@ -146,12 +149,19 @@
 			return
 		}
 		var interrupted *InterruptedError
-		f.interrupted = errors.As(err, &interrupted)
 		switch {
-		case f.interrupted:
+		case errors.As(err, &interrupted):
 		case hasSnapshot && needsSnapshot(err):
 			f.Logger.WithError(err).WithField("era", next.Era).WithField("from", next.Offset).Info("the log cannot be read on; reading the newest record of each key")
 			hasSnapshot = false
+			if hasReadOn {
+				continue
+			}
+			// The log could not be read on after a snapshot either.
+			if clock.Sleep(ctx, f.Clock, retryDelay) != nil {
+				return
+			}
+			retryDelay = min(2*retryDelay, maxRetryDelay)
 		case err != nil:
 			f.recordFailure(err)
 			if clock.Sleep(ctx, f.Clock, retryDelay) != nil {
@@ -160,7 +170,10 @@
 			retryDelay = min(2*retryDelay, maxRetryDelay)
 		default:
 			batch := hasSnapshot && end != next
-			next, hasSnapshot, retryDelay = end, true, minRetryDelay
+			if hasReadOn = hasSnapshot; hasReadOn {
+				retryDelay = minRetryDelay
+			}
+			next, hasSnapshot = end, true
 			f.recordSuccess(sentAt, next)
 			if batch && f.BatchDelay > 0 && clock.Sleep(ctx, f.Clock, f.BatchDelay) != nil {
 				return
@@ -182,6 +195,7 @@
 	ctx, interrupt := context.WithCancelCause(ctx)
 	defer interrupt(nil)
 	f.cancelRead.Store(&interrupt)
+	f.interrupted = f.interruptWanted.Swap(false)
 	ctx, cancel := context.WithTimeout(ctx, f.PollWait+f.PollMargin)
 	defer cancel()
 	end, err := f.read(ctx, next, hasSnapshot)
--- a/pkg/topic/topic_test.go
+++ b/pkg/topic/topic_test.go
@@ -265,3 +265,60 @@
 	is.Equal(failures, 0)
 	is.True(time.Since(started) < minRetryDelay)
 }
+
+// Guards against a follower that reads without a pause from a log that its position is
+// never one in, such as a store whose responses disagree about the era.
+func TestSnapshotsThatCannotBeReadOnArePaced(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 2*minRetryDelay)
+	defer cancel()
+	reads := 0
+	f := &Follower{
+		Source: Source{
+			Newest: func(context.Context) ([]Record, Position, error) { return nil, Position{}, nil },
+			Read: func(context.Context, Position, time.Duration) ([]Record, Position, error) {
+				reads++
+				return nil, Position{}, &RestoredError{Now: 1}
+			},
+		},
+		Clock: clock.System{}, Uptime: func() time.Duration { return time.Second }, Logger: logs.Discard(),
+		PollWait: time.Second, PollMargin: time.Second, Apply: func([]Record, bool) {},
+	}
+	f.Run(ctx)
+	is.True(reads <= 3)
+}
+
+// The store fails once, and Interrupt is called while no read is in progress. Guards
+// against a next read that waits for records, and so does not show the state of the log.
+func TestReadAfterFailureOrInterruptDoesNotWait(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var waits []time.Duration
+	f := &Follower{
+		Clock: clock.System{}, Uptime: func() time.Duration { return time.Second }, Logger: logs.Discard(),
+		PollWait: time.Second, PollMargin: time.Second, BatchDelay: time.Millisecond,
+	}
+	f.Apply = func(records []Record, _ bool) {
+		if len(records) > 0 {
+			f.Interrupt()
+		}
+	}
+	f.Source = Source{
+		Newest: func(context.Context) ([]Record, Position, error) { return nil, Position{}, nil },
+		Read: func(_ context.Context, from Position, wait time.Duration) ([]Record, Position, error) {
+			waits = append(waits, wait)
+			switch len(waits) {
+			case 1:
+				return nil, Position{}, errors.ErrUnsupported
+			case 2:
+				return []Record{{Key: "k"}}, Position{Offset: from.Offset + 1}, nil
+			case 4:
+				cancel()
+			}
+			return nil, from, nil
+		},
+	}
+	f.Run(ctx)
+	is.Equal(waits, []time.Duration{time.Second, 0, 0, time.Second})
+}
