--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -72,7 +72,7 @@
 	// Put writes a record to the topic.
 	Put func(ctx context.Context, r topic.Record) error
 	// Connected reports whether a node answers on the link to it; nil means that none
-	// does.
+	// does. It is called with mu held and must not call methods of the Directory.
 	Connected func(node NodeAddress) bool
 	// OnChange receives each new snapshot; nil is allowed. It is called with mu held
 	// and must not call methods of the Directory other than Snapshot.
