GONE: logs and metrics tell when a request was sent and when its caller left

The lines could not tell the hypotheses apart: at which hop a request was sent on after its caller had left, whether the close lay unread in the node then, and how long the node's goroutines waited for the processor. Ruled out: more lines a second, as they cost what is short here; counters by stage count all.

No logic is changed. Tests of the packages concerned pass.

--- a/pkg/connection/connection.go
+++ b/pkg/connection/connection.go
@@ -48,9 +48,11 @@
 	dropped int
 }
 
-// conn is one connection. Its fields are guarded by Tracker.mu.
+// conn is one connection. Its fields other than netConn are guarded by Tracker.mu.
 type conn struct {
-	busy bool
+	// netConn is set when the connection is accepted and not changed.
+	netConn net.Conn
+	busy    bool
 	// closed reports whether the tracker has closed the connection. It is never busy
 	// afterwards.
 	closed bool
@@ -105,7 +107,7 @@
 }
 
 func (t *Tracker) accept(ctx context.Context, netConn net.Conn) context.Context {
-	c := &conn{waitingSince: t.Clock.Now()}
+	c := &conn{netConn: netConn, waitingSince: t.Clock.Now()}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.conns[netConn] = c
--- /dev/null
+++ b/pkg/connection/peerclosed.go
@@ -0,0 +1,37 @@
+package connection
+
+import (
+	"context"
+	"net"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// PeerClosed reports whether the caller has closed the connection on which the request
+// with this context was read, or its sending direction. It asks the kernel, so it knows of a
+// close that the server has not read yet, also behind unread data. It returns false for
+// a connection that is not tracked.
+func PeerClosed(ctx context.Context) bool {
+	c, tracked := ctx.Value(contextKey{}).(*conn)
+	return tracked && isPeerClosed(c.netConn)
+}
+
+func isPeerClosed(netConn net.Conn) bool {
+	syscallConn, ok := netConn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := syscallConn.SyscallConn()
+	if err != nil {
+		return true
+	}
+	closed := false
+	// Read would wait for the read that the server has in progress; Control does not.
+	err = raw.Control(func(fd uintptr) {
+		polled := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, pollErr := unix.Poll(polled, 0)
+		closed = pollErr == nil && n > 0 && polled[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	})
+	return closed || err != nil
+}
--- a/pkg/entrance/dispatch.go
+++ b/pkg/entrance/dispatch.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/plantainramp/plantainramp/pkg/clock"
+	"github.com/plantainramp/plantainramp/pkg/connection"
 	"github.com/plantainramp/plantainramp/pkg/gate"
 	"github.com/plantainramp/plantainramp/pkg/link"
 	"github.com/plantainramp/plantainramp/pkg/peering"
@@ -101,7 +102,11 @@
 	message := &r.message
 	message.Attempt = e.Incarnation ^ e.attemptCount.Add(1)
 	message.Instance = string(target.Entry.Instance)
-	remaining := r.Deadline.Sub(e.Clock.Now())
+	now := e.Clock.Now()
+	if r.FirstSent.IsZero() {
+		r.FirstSent, r.CallerLeftUnseen = now, connection.PeerClosed(ctx)
+	}
+	remaining := r.Deadline.Sub(now)
 	message.RemainingUs, message.PatienceUs = remaining.Microseconds(), maxWaitOf(r, remaining).Microseconds()
 	outcome, incarnation, err := target.Peer.Run(ctx, message)
 	var notSent *link.NotSentError
--- a/pkg/entrance/entrance.go
+++ b/pkg/entrance/entrance.go
@@ -117,10 +117,11 @@
 	} else {
 		status = int(outcome.Status)
 	}
+	r.CallerLeft = refusal != nil && callerLeft(hr.Context(), refusal)
 	if e.OnFinish != nil {
 		e.OnFinish(r, status, outcome, refusal)
 	}
-	if refusal != nil && callerLeft(hr.Context(), refusal) {
+	if r.CallerLeft {
 		// Returning would send an empty success.
 		panic(http.ErrAbortHandler)
 	}
--- a/pkg/entrance/request.go
+++ b/pkg/entrance/request.go
@@ -48,6 +48,13 @@
 	// Dispatches is the number of gates that the request was sent to, and
 	// InstancesReached the number of instances that it may have reached.
 	Dispatches, InstancesReached int
+	// FirstSent is when the request was first sent to a gate; zero if it was not.
+	FirstSent time.Time
+	// CallerLeft reports whether the caller closed its connection before the response.
+	CallerLeft bool
+	// CallerLeftUnseen reports whether the caller had closed its connection when the
+	// request was first sent to a gate, although its context had not ended.
+	CallerLeftUnseen bool
 	// AdmittedFraction is the fraction of the request's class that was admitted
 	// when it arrived.
 	AdmittedFraction float64
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -63,9 +63,8 @@
 	// call expires. The function that it returns is called when the call ends.
 	// OnStart may be nil.
 	OnStart func(run *linkrpc.Run, expires time.Time) (ended func())
-	// OnDecision is called with the outcome of each call, the times that it waited
-	// and ran, and the cause of a failure; nil is allowed.
-	OnDecision func(run *linkrpc.Run, outcome *linkrpc.Outcome, waited, ran time.Duration, cause error)
+	// OnDecision is called at the end of each call; nil is allowed.
+	OnDecision func(d *Decision)
 
 	Slots    Slots
 	attempts attemptTable
@@ -87,6 +86,26 @@
 // Unwrap returns the cause.
 func (e *GivenUpError) Unwrap() error { return e.Cause }
 
+// Decision describes a call that has ended at the gate.
+type Decision struct {
+	Run     *linkrpc.Run
+	Outcome *linkrpc.Outcome
+	// Waited is how long the call waited for a slot, and Ran how long it held one.
+	Waited, Ran time.Duration
+	// Cause is the error of a call that the instance did not answer, or nil.
+	Cause error
+	// Arrived is when the gate began to handle the call. SentAt is when the call was
+	// first sent to the instance, and CancelledAt when the node read that its caller had
+	// left; they are zero for a call that was not sent, or not cancelled.
+	Arrived, SentAt, CancelledAt time.Time
+}
+
+// SentCancelled reports whether the call was sent although its caller was known to have
+// left.
+func (d *Decision) SentCancelled() bool {
+	return !d.SentAt.IsZero() && !d.CancelledAt.IsZero() && d.CancelledAt.Before(d.SentAt)
+}
+
 // Init prepares the gate. It must be called once, before any other method.
 func (g *Gate) Init() {
 	g.Slots.Clock = g.Clock
@@ -164,7 +183,7 @@
 	}
 	stopWatching := context.AfterFunc(ctx, func() { g.handleOrphan(ctx, a, cancel) })
 	defer stopWatching()
-	outcome := g.process(callCtx, run)
+	outcome := g.process(callCtx, ctx, run)
 	outcome.Load = g.Load()
 	g.attempts.end(run.Attempt, a, outcome)
 	return outcome
@@ -203,23 +222,28 @@
 	}
 }
 
-// process admits a call, runs it and reports its outcome to OnDecision.
-func (g *Gate) process(ctx context.Context, run *linkrpc.Run) *linkrpc.Outcome {
-	arrived := g.Clock.Now()
-	outcome, started, cause := g.admit(ctx, run, arrived)
-	waited := started.Sub(arrived)
-	runTime := time.Duration(0)
+// process admits a call, runs it and reports its outcome to OnDecision. callerCtx is the
+// context of the request that carried the call.
+func (g *Gate) process(ctx, callerCtx context.Context, run *linkrpc.Run) *linkrpc.Outcome {
+	d := &Decision{Run: run, Arrived: g.Clock.Now()}
+	outcome, started, cause := g.admit(ctx, run, d.Arrived)
+	d.Waited = started.Sub(d.Arrived)
 	if outcome == nil {
-		outcome, cause = g.execute(ctx, run, arrived)
-		runTime = g.Clock.Now().Sub(started)
-		slotTime := runTime
+		outcome, cause = g.execute(ctx, d)
+		d.Ran = g.Clock.Now().Sub(started)
+		slotTime := d.Ran
 		if outcome.Fate != linkrpc.Fate_FATE_ANSWERED {
 			slotTime = 0
 		}
 		g.Slots.Release(slotTime)
 	}
 	if g.OnDecision != nil {
-		g.OnDecision(run, outcome, waited, runTime, cause)
+		var cancelled *link.CancelledError
+		if errors.As(context.Cause(callerCtx), &cancelled) {
+			d.CancelledAt = cancelled.At
+		}
+		d.Outcome, d.Cause = outcome, cause
+		g.OnDecision(d)
 	}
 	return outcome
 }
@@ -295,8 +319,9 @@
 }
 
 // execute sends the call to the instance and returns the outcome.
-func (g *Gate) execute(ctx context.Context, run *linkrpc.Run, arrived time.Time) (*linkrpc.Outcome, error) {
-	remaining := time.Duration(run.RemainingUs)*time.Microsecond - g.Clock.Now().Sub(arrived)
+func (g *Gate) execute(ctx context.Context, d *Decision) (*linkrpc.Outcome, error) {
+	run := d.Run
+	remaining := time.Duration(run.RemainingUs)*time.Microsecond - g.Clock.Now().Sub(d.Arrived)
 	if remaining < minRemaining {
 		return NotRunOutcome(linkrpc.Reason_REASON_EXPIRED), nil
 	}
@@ -309,6 +334,11 @@
 	call := &instance.Call{
 		Method: run.Method, Target: run.Target, Host: run.Host, Body: run.Body,
 		Idempotent: run.Idempotent, RequestID: run.Request, ExpectedInstance: string(local.ID), Headers: g.instanceHeaders(run, local, remaining),
+		OnSend: func() {
+			if d.SentAt.IsZero() {
+				d.SentAt = g.Clock.Now()
+			}
+		},
 	}
 	response, err := g.Instance.Do(ctx, call)
 	var notSent *instance.NotSentError
--- a/pkg/gate/giveup_test.go
+++ b/pkg/gate/giveup_test.go
@@ -24,8 +24,8 @@
 	upstream := &countingUpstream{}
 	g := newGate(t, upstream)
 	var causes []error
-	g.OnDecision = func(_ *linkrpc.Run, _ *linkrpc.Outcome, _, _ time.Duration, cause error) {
-		causes = append(causes, cause)
+	g.OnDecision = func(d *Decision) {
+		causes = append(causes, d.Cause)
 	}
 	is.Equal(g.Run(t.Context(), newRun(answered)).Fate, linkrpc.Fate_FATE_ANSWERED)
 	is.Equal(g.QueryOutcome(t.Context(), &linkrpc.Ask{Attempt: fenced}).Fate, linkrpc.Fate_FATE_NOT_RUN)
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -86,6 +86,9 @@
 	// Idempotent reports whether the call may be repeated. Such a call skips the check
 	// of a recently used connection and may be lost if that has just been closed.
 	Idempotent bool
+	// OnSend is called each time before the first byte is written on a connection; nil
+	// is allowed.
+	OnSend func()
 }
 
 // Response is a complete HTTP response.
@@ -127,6 +130,9 @@
 // roundTrip sends a call, reads its response, and reports whether the connection may
 // be reused. On a reused connection it skips late responses to earlier calls.
 func (c *Client) roundTrip(k *conn, call *Call, request []byte) (*Response, bool, error) {
+	if call.OnSend != nil {
+		call.OnSend()
+	}
 	written := make(chan error, 1)
 	if len(request) > asyncWriteBytes {
 		// The instance may respond before it has read the whole request.
--- a/pkg/link/server.go
+++ b/pkg/link/server.go
@@ -53,7 +53,10 @@
 }
 
 // CancelledError is the cause of a context whose request was cancelled.
-type CancelledError struct{}
+type CancelledError struct {
+	// At is when the cancellation was read.
+	At time.Time
+}
 
 // Error implements error.
 func (e *CancelledError) Error() string { return "request cancelled by the caller" }
@@ -228,7 +231,7 @@
 	cancel := c.cancel[stream]
 	c.mu.Unlock()
 	if cancel != nil {
-		cancel(&CancelledError{})
+		cancel(&CancelledError{At: c.clock.Now()})
 	}
 }
 
--- a/pkg/mesh/events.go
+++ b/pkg/mesh/events.go
@@ -10,6 +10,7 @@
 	"github.com/plantainramp/plantainramp/pkg/clock"
 	"github.com/plantainramp/plantainramp/pkg/entrance"
 	"github.com/plantainramp/plantainramp/pkg/fleet"
+	"github.com/plantainramp/plantainramp/pkg/gate"
 	"github.com/plantainramp/plantainramp/pkg/logs"
 	"github.com/plantainramp/plantainramp/pkg/peering"
 	"github.com/plantainramp/plantainramp/pkg/problem"
@@ -63,6 +64,12 @@
 		if age, known := n.configFollower.Age(); known {
 			f["configAgeMs"] = milliseconds(age)
 		}
+		if r.CallerLeft {
+			f["sentUnseen"], f["schedDelayMs"] = r.CallerLeftUnseen, milliseconds(n.processor.Delay())
+			if !r.FirstSent.IsZero() {
+				f["sentMs"] = milliseconds(r.FirstSent.Sub(r.Arrived))
+			}
+		}
 		if n.stopping.Load() {
 			f["sinceStopMs"] = milliseconds(n.sinceStop())
 			f["connIdleMs"], f["connRequests"] = milliseconds(r.Connection.Idle), r.Connection.Requests
@@ -95,6 +102,9 @@
 	if r.Inner {
 		class = fleet.ClassHigh
 	}
+	if r.CallerLeft {
+		n.meter.CountAbandoned("entrance", stageOf(!r.FirstSent.IsZero(), r.CallerLeftUnseen))
+	}
 	if rejection != nil {
 		n.meter.ObserveRefusal(organisation, class, rejection.Kind)
 		return
@@ -103,31 +113,55 @@
 }
 
 // onDecided meters the gate's outcome of a call, and logs it unless the instance
-// answered. cause is nil if no error occurred.
-func (n *Node) onDecided(call *linkrpc.Run, outcome *linkrpc.Outcome, waitTime, executionTime time.Duration, cause error) {
-	if errors.Is(cause, syscall.ECONNREFUSED) {
+// answered.
+func (n *Node) onDecided(d *gate.Decision) {
+	if errors.Is(d.Cause, syscall.ECONNREFUSED) {
 		n.heartbeats.MarkUnreachable()
 	}
-	n.meter.ObserveDecision(outcomeLabel(outcome), waitTime)
-	if outcome.Fate == linkrpc.Fate_FATE_ANSWERED {
-		n.demand.ObserveSlotTime(routing.RouteName(call.Route), executionTime)
+	n.meter.ObserveDecision(outcomeLabel(d.Outcome), d.Waited)
+	if !d.CancelledAt.IsZero() {
+		n.meter.CountAbandoned("gate", stageOf(!d.SentAt.IsZero(), d.SentCancelled()))
+	}
+	if d.Outcome.Fate == linkrpc.Fate_FATE_ANSWERED {
+		n.demand.ObserveSlotTime(routing.RouteName(d.Run.Route), d.Ran)
 		return
 	}
 	kind := eventNotExecuted
-	if outcome.Fate == linkrpc.Fate_FATE_LOST {
+	if d.Outcome.Fate == linkrpc.Fate_FATE_LOST {
 		kind = eventExecutionLost
 	}
-	n.events.Log(kind, func() logrus.Fields {
-		load := n.gate.Slots.Load()
-		f := logrus.Fields{
-			"request": call.Request, "route": call.Route, "inner": call.Inner, "reason": outcome.Reason.String(), "waitedMs": milliseconds(waitTime),
-			"ranMs": milliseconds(executionTime), "inFlight": load.InFlight, "limit": load.Limit, "queued": load.Queued, "runMs": milliseconds(load.MeanSlotTime),
-		}
-		if cause != nil {
-			f["cause"] = cause.Error()
-		}
-		return f
-	})
+	n.events.Log(kind, func() logrus.Fields { return n.decisionFields(d) })
+}
+
+func (n *Node) decisionFields(d *gate.Decision) logrus.Fields {
+	load := n.gate.Slots.Load()
+	f := logrus.Fields{
+		"request": d.Run.Request, "route": d.Run.Route, "inner": d.Run.Inner, "reason": d.Outcome.Reason.String(), "waitedMs": milliseconds(d.Waited),
+		"ranMs": milliseconds(d.Ran), "inFlight": load.InFlight, "limit": load.Limit, "queued": load.Queued, "runMs": milliseconds(load.MeanSlotTime),
+		"schedDelayMs": milliseconds(n.processor.Delay()),
+	}
+	if d.Cause != nil {
+		f["cause"] = d.Cause.Error()
+	}
+	if !d.SentAt.IsZero() {
+		f["sentMs"] = milliseconds(d.SentAt.Sub(d.Arrived))
+	}
+	if !d.CancelledAt.IsZero() {
+		f["cancelledMs"] = milliseconds(d.CancelledAt.Sub(d.Arrived))
+	}
+	return f
+}
+
+// stageOf returns the value of the label stage of a request whose caller left: whether
+// it was sent on, and whether the caller had left before that.
+func stageOf(sent, leftBeforeSend bool) string {
+	switch {
+	case leftBeforeSend:
+		return "sent_after"
+	case sent:
+		return "sent_before"
+	}
+	return "not_sent"
 }
 
 // onBorrowFailed logs a failed request for tokens to a peer. No tokens are added to
--- a/pkg/mesh/gauges.go
+++ b/pkg/mesh/gauges.go
@@ -32,6 +32,7 @@
 	n.meter.Gauge("entrance_in_flight").Update(float64(n.entrance.InFlight()))
 	n.meter.Gauge("repeated_part").Update(n.executions.repeatedFraction())
 	n.meter.Gauge("peers").Update(float64(n.peers.NodeCount() - 1))
+	n.meter.Gauge("scheduling_delay_seconds").Update(n.processor.Delay().Seconds())
 	if age, known := n.configFollower.Age(); known {
 		n.meter.Gauge("config_age_seconds").Update(age.Seconds())
 	}
--- a/pkg/mesh/load.go
+++ b/pkg/mesh/load.go
@@ -71,6 +71,7 @@
 // demand.PlanInterval, until ctx ends.
 func (n *Node) runPlanner(ctx context.Context) {
 	clock.Every(ctx, n.clock, clock.FixedPeriod(demand.PlanInterval), func(context.Context) {
+		n.processor.Update()
 		status := n.demand.Tick()
 		if status == nil {
 			return
@@ -115,6 +116,6 @@
 		for _, c := range classes {
 			rates[c.Route], costs[c.Route] = c.Rate, c.Cost
 		}
-		return logrus.Fields{"parts": admitted, "fullness": fullness, "ratesPerS": rates, "costsS": costs, "ownRunsPerS": executionRates, "ownHeld": held, "ownMatched": n.demand.MatchedFractions()}
+		return logrus.Fields{"schedDelayMs": milliseconds(n.processor.Delay()), "parts": admitted, "fullness": fullness, "ratesPerS": rates, "costsS": costs, "ownRunsPerS": executionRates, "ownHeld": held, "ownMatched": n.demand.MatchedFractions()}
 	})
 }
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -27,6 +27,7 @@
 	"github.com/plantainramp/plantainramp/pkg/logs"
 	"github.com/plantainramp/plantainramp/pkg/meter"
 	"github.com/plantainramp/plantainramp/pkg/peering"
+	"github.com/plantainramp/plantainramp/pkg/processor"
 	"github.com/plantainramp/plantainramp/pkg/quota"
 	"github.com/plantainramp/plantainramp/pkg/routing"
 	"github.com/plantainramp/plantainramp/pkg/topic"
@@ -117,6 +118,7 @@
 	links             *link.Server
 	demand            *demand.Monitor
 	executions        executionCounter
+	processor         processor.Monitor
 }
 
 // New returns a node that is not yet running.
--- a/pkg/meter/meter.go
+++ b/pkg/meter/meter.go
@@ -117,3 +117,10 @@
 	}
 	found.(tally.Counter).Inc(1)
 }
+
+// CountAbandoned counts a request whose caller left before the response, at the part of
+// the node that noticed it. Stage tells whether the part had sent the request on, and
+// whether it did so after the caller had left.
+func (m *Meter) CountAbandoned(part, stage string) {
+	m.scope.Tagged(map[string]string{"part": part, "stage": stage}).Counter("requests_abandoned").Inc(1)
+}
--- a/pkg/peering/peering.go
+++ b/pkg/peering/peering.go
@@ -297,7 +297,7 @@
 func (p *Peer) runLocally(ctx context.Context, run *linkrpc.Run) (*linkrpc.Outcome, uint64, error) {
 	callCtx, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
 	defer cancel(nil)
-	stopWatching := context.AfterFunc(ctx, func() { cancel(&link.CancelledError{}) })
+	stopWatching := context.AfterFunc(ctx, func() { cancel(&link.CancelledError{At: p.gate.Clock.Now()}) })
 	defer stopWatching()
 	outcome := p.gate.Run(callCtx, run)
 	return outcome, 0, ctx.Err()
