--- /dev/null
+++ b/pkg/entrance/left_test.go
@@ -0,0 +1,84 @@
+package entrance
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/plantainramp/plantainramp/pkg/clock"
+	"github.com/plantainramp/plantainramp/pkg/connection"
+	"github.com/plantainramp/plantainramp/pkg/routing"
+)
+
+// serveTracked serves the entrance with tracked connections, as a node does.
+func serveTracked(t *testing.T, e *Entrance, listener net.Listener) {
+	t.Helper()
+	server := &http.Server{Handler: e}
+	tracker := &connection.Tracker{Clock: clock.System{}}
+	tracker.Track(server)
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+}
+
+// Callers send requests and close their connections while the node accepts none. Guards
+// against requests that the entrance sends on although the close lies unread behind
+// them.
+func TestUnreadRequestOfCallerThatLeftIsNotSent(t *testing.T) {
+	const callers = 50
+	for name, request := range map[string]string{
+		"without body":       "GET /x HTTP/1.1\r\nHost: h\r\nId: %d\r\nLeft: 3000\r\n\r\n",
+		"with body":          "POST /x HTTP/1.1\r\nHost: h\r\nId: %d\r\nLeft: 3000\r\nContent-Length: 4\r\n\r\nbody",
+		"further bytes sent": "GET /x HTTP/1.1\r\nHost: h\r\nId: %d\r\nLeft: 3000\r\n\r\nGET",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			cluster := newTestCluster(t, 1, routing.Route{AllowAnonymous: true, MaxAttempts: 1})
+			is.Equal(cluster.sendRequest(t.Context()).Code, http.StatusOK)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			for i := range callers {
+				conn, err := net.Dial("tcp", listener.Addr().String())
+				is.NoErr(err)
+				_, err = fmt.Fprintf(conn, request, i)
+				is.NoErr(err)
+				is.NoErr(conn.Close())
+			}
+			serveTracked(t, cluster.entrance, listener)
+			time.Sleep(300 * time.Millisecond)
+			is.Equal(cluster.executions.Load(), int64(1))
+		})
+	}
+}
+
+// A caller that still waits is not taken for one that has left.
+func TestRequestOfWaitingCallerIsSent(t *testing.T) {
+	is := is.New(t)
+	cluster := newTestCluster(t, 1, routing.Route{AllowAnonymous: true, MaxAttempts: 1})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	serveTracked(t, cluster.entrance, listener)
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	for range 2 {
+		_, err = io.WriteString(conn, "GET /x HTTP/1.1\r\nHost: h\r\nId: 1\r\nLeft: 3000\r\n\r\n")
+		is.NoErr(err)
+		is.True(readStatus(t, conn) == http.StatusOK)
+	}
+}
+
+func readStatus(t *testing.T, conn net.Conn) int {
+	t.Helper()
+	buffer := make([]byte, 4096)
+	n, err := conn.Read(buffer)
+	is.New(t).NoErr(err)
+	var status int
+	_, err = fmt.Sscanf(string(buffer[:n]), "HTTP/1.1 %d", &status)
+	is.New(t).NoErr(err)
+	return status
+}
