GONE: a call that was cancelled is not sent to the instance

Cause: a cancellation reached the goroutine that sends the call by way of others. The link server read it, a goroutine of the gate's watch passed it on, a third closed the connection. The sending one looked at nothing, so with a short processor it ran first.

Change: the context of a call ends in the moment in which its cancellation is read, and is looked at before the wait for a slot, after a dial and before the first byte. Requests are handled once all that has arrived is read, so a cancellation behind them counts. A request of the entrance that is not written yet is withdrawn in place of being cancelled, a call whose context has ended is not sent, and a full queue still takes cancellations. A connection that was dialled for a call that is not sent any more is kept for the next.

Ruled out: a look from the gate at the connection of the link before each call, as it costs a system call each and the reader knows it already.

Evidence: TestCancelledCallIsNotSent, TestCallCancelledWhileItConnectsIsNotSent, TestCallWithEndedContextIsNotSent, TestRequestReadWithItsCancellationIsCancelled and the gate's part of TestRequestsOfCallersThatLeftAreNotExecuted failed before and pass.

--- a/pkg/entrance/entrance_test.go
+++ b/pkg/entrance/entrance_test.go
@@ -134,7 +134,7 @@
 func handleRequest(ctx context.Context, g *gate.Gate, r link.Request) proto.Message {
 	run, query := &linkrpc.Run{}, &linkrpc.Ask{}
 	if r.Kind == link.KindRun && proto.Unmarshal(r.Payload, run) == nil {
-		return g.Run(ctx, run)
+		return g.Run(r.Wanted, ctx, run)
 	}
 	if r.Kind == link.KindAsk && proto.Unmarshal(r.Payload, query) == nil {
 		if outcome := g.QueryOutcome(ctx, query); outcome != nil {
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -171,33 +171,28 @@
 	return &linkrpc.Outcome{Fate: linkrpc.Fate_FATE_LOST, Reason: reason}
 }
 
-// Run runs a call and returns its outcome. If ctx ends because the connection to
-// the caller was lost, the call continues for orphanTimeout, so that the entrance
-// can query its outcome over a new connection.
-func (g *Gate) Run(ctx context.Context, run *linkrpc.Run) *linkrpc.Outcome {
-	callCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+// Run runs a call and returns its outcome. When wanted ends, the caller no longer waits,
+// and the call is not sent to the instance any more, or aborted. When connection ends,
+// the outcome cannot be returned. The call then continues for orphanTimeout, so that the
+// entrance can query its outcome over a new connection.
+func (g *Gate) Run(wanted, connection context.Context, run *linkrpc.Run) *linkrpc.Outcome {
+	ctx, cancel := context.WithCancel(wanted)
 	defer cancel()
 	a, isNew := g.attempts.begin(run.Attempt, cancel)
 	if !isNew {
 		return NotRunOutcome(linkrpc.Reason_REASON_SEALED)
 	}
-	stopWatching := context.AfterFunc(ctx, func() { g.handleOrphan(ctx, a, cancel) })
+	stopWatching := context.AfterFunc(connection, func() { g.handleOrphan(a, cancel) })
 	defer stopWatching()
-	outcome := g.process(callCtx, ctx, run)
+	outcome := g.process(ctx, run)
 	outcome.Load = g.Load()
 	g.attempts.end(run.Attempt, a, outcome)
 	return outcome
 }
 
-// handleOrphan cancels a call whose caller no longer waits: at once if the caller
-// cancelled it, otherwise after orphanTimeout unless a query waits for the
-// outcome.
-func (g *Gate) handleOrphan(ctx context.Context, a *attempt, cancel context.CancelFunc) {
-	var cancelled *link.CancelledError
-	if errors.As(context.Cause(ctx), &cancelled) {
-		cancel()
-		return
-	}
+// handleOrphan cancels a call whose connection was lost after orphanTimeout, unless a
+// query waits for its outcome.
+func (g *Gate) handleOrphan(a *attempt, cancel context.CancelFunc) {
 	g.Clock.AfterFunc(orphanTimeout, func() {
 		if !g.attempts.hasWaiters(a) {
 			cancel()
@@ -222,9 +217,8 @@
 	}
 }
 
-// process admits a call, runs it and reports its outcome to OnDecision. callerCtx is the
-// context of the request that carried the call.
-func (g *Gate) process(ctx, callerCtx context.Context, run *linkrpc.Run) *linkrpc.Outcome {
+// process admits a call, runs it and reports its outcome to OnDecision.
+func (g *Gate) process(ctx context.Context, run *linkrpc.Run) *linkrpc.Outcome {
 	d := &Decision{Run: run, Arrived: g.Clock.Now()}
 	outcome, started, cause := g.admit(ctx, run, d.Arrived)
 	d.Waited = started.Sub(d.Arrived)
@@ -239,7 +233,7 @@
 	}
 	if g.OnDecision != nil {
 		var cancelled *link.CancelledError
-		if errors.As(context.Cause(callerCtx), &cancelled) {
+		if errors.As(context.Cause(ctx), &cancelled) {
 			d.CancelledAt = cancelled.At
 		}
 		d.Outcome, d.Cause = outcome, cause
@@ -251,6 +245,9 @@
 // admit waits for a slot. It returns a nil outcome once the call holds a slot, or
 // the outcome of a rejected call, together with the time of that decision.
 func (g *Gate) admit(ctx context.Context, run *linkrpc.Run, arrived time.Time) (*linkrpc.Outcome, time.Time, error) {
+	if ctx.Err() != nil {
+		return g.unsentOutcome(ctx), arrived, nil
+	}
 	if reason := g.rejectionReason(run); reason != linkrpc.Reason_REASON_NONE {
 		return NotRunOutcome(reason), arrived, nil
 	}
@@ -263,7 +260,7 @@
 	case waitqueue.VerdictClosed:
 		return NotRunOutcome(linkrpc.Reason_REASON_CLOSED), now, nil
 	case waitqueue.VerdictCancelled:
-		return NotRunOutcome(linkrpc.Reason_REASON_CANCELLED), now, nil
+		return g.unsentOutcome(ctx), now, nil
 	}
 	// The configuration or the instance may have changed while the call waited.
 	if reason := g.rejectionReason(run); reason != linkrpc.Reason_REASON_NONE {
@@ -349,7 +346,7 @@
 			Fate: linkrpc.Fate_FATE_ANSWERED, Status: uint32(response.Status), Headers: response.Headers, Body: response.Body,
 		}, nil
 	case errors.As(err, &notSent):
-		return NotRunOutcome(linkrpc.Reason_REASON_BROKEN), err
+		return g.unsentOutcome(ctx), err
 	case errors.As(err, &rejected):
 		return NotRunOutcome(linkrpc.Reason_REASON_REJECTED), err
 	case g.givenUp.Load() && errors.Is(ctx.Err(), context.Canceled):
@@ -360,6 +357,18 @@
 	return LostOutcome(linkrpc.Reason_REASON_BROKEN), err
 }
 
+// unsentOutcome returns the outcome of a call that was not sent to the instance, whose
+// context may have ended.
+func (g *Gate) unsentOutcome(ctx context.Context) *linkrpc.Outcome {
+	switch {
+	case ctx.Err() == nil, g.givenUp.Load():
+		return NotRunOutcome(linkrpc.Reason_REASON_BROKEN)
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return NotRunOutcome(linkrpc.Reason_REASON_EXPIRED)
+	}
+	return NotRunOutcome(linkrpc.Reason_REASON_CANCELLED)
+}
+
 // instanceHeaders returns the headers of a call with those that the gate adds.
 func (g *Gate) instanceHeaders(run *linkrpc.Run, local *LocalInstance, remaining time.Duration) []string {
 	headers := make([]string, len(run.Headers), len(run.Headers)+8)
--- a/pkg/gate/gate_test.go
+++ b/pkg/gate/gate_test.go
@@ -79,7 +79,7 @@
 	upstream := &countingUpstream{}
 	g := newGate(t, upstream)
 	is.Equal(g.QueryOutcome(t.Context(), &linkrpc.Ask{Attempt: 1}).Fate, linkrpc.Fate_FATE_NOT_RUN)
-	is.Equal(g.Run(t.Context(), newRun(1)).Fate, linkrpc.Fate_FATE_NOT_RUN)
+	is.Equal(g.Run(t.Context(), t.Context(), newRun(1)).Fate, linkrpc.Fate_FATE_NOT_RUN)
 	is.Equal(upstream.executions.Load(), int64(0))
 }
 
@@ -88,7 +88,7 @@
 	upstream := &countingUpstream{callTime: 100 * time.Millisecond}
 	g := newGate(t, upstream)
 	ctx, cancel := context.WithCancelCause(t.Context())
-	go g.Run(ctx, newRun(1))
+	go g.Run(t.Context(), ctx, newRun(1))
 	time.Sleep(30 * time.Millisecond)
 	cancel(net.ErrClosed)
 	outcome := g.QueryOutcome(t.Context(), &linkrpc.Ask{Attempt: 1})
@@ -105,7 +105,7 @@
 	ctx, cancel := context.WithCancelCause(t.Context())
 	time.AfterFunc(30*time.Millisecond, func() { cancel(&link.CancelledError{}) })
 	started := time.Now()
-	is.Equal(g.Run(ctx, newRun(1)).Fate, linkrpc.Fate_FATE_LOST)
+	is.Equal(g.Run(ctx, t.Context(), newRun(1)).Fate, linkrpc.Fate_FATE_LOST)
 	is.True(time.Since(started) < 500*time.Millisecond)
 }
 
@@ -133,7 +133,7 @@
 			g := newGate(t, upstream)
 			r := newRun(1)
 			c.change(g, r)
-			outcome := g.Run(t.Context(), r)
+			outcome := g.Run(t.Context(), t.Context(), r)
 			is.Equal(outcome.Fate, linkrpc.Fate_FATE_NOT_RUN)
 			is.Equal(outcome.Reason, c.reason)
 			is.Equal(upstream.executions.Load(), int64(0))
@@ -157,10 +157,10 @@
 	r := newRun(1)
 	r.ConfigVersion, r.Organisation, r.Key = 1, "dakar", digest[:]
 	g.View = view(2, "key")
-	is.Equal(g.Run(t.Context(), r).Fate, linkrpc.Fate_FATE_ANSWERED)
+	is.Equal(g.Run(t.Context(), t.Context(), r).Fate, linkrpc.Fate_FATE_ANSWERED)
 	g.View = view(3, "another")
 	r.Attempt = 2
-	is.Equal(g.Run(t.Context(), r).Reason, linkrpc.Reason_REASON_STALE)
+	is.Equal(g.Run(t.Context(), t.Context(), r).Reason, linkrpc.Reason_REASON_STALE)
 }
 
 // With many more calls than slots, the number of calls that run never exceeds the
@@ -172,7 +172,7 @@
 	var group sync.WaitGroup
 	for i := range 60 {
 		group.Go(func() {
-			is.Equal(g.Run(t.Context(), newRun(uint64(i+1))).Fate, linkrpc.Fate_FATE_ANSWERED)
+			is.Equal(g.Run(t.Context(), t.Context(), newRun(uint64(i+1))).Fate, linkrpc.Fate_FATE_ANSWERED)
 		})
 	}
 	group.Wait()
--- a/pkg/gate/giveup_test.go
+++ b/pkg/gate/giveup_test.go
@@ -27,11 +27,11 @@
 	g.OnDecision = func(d *Decision) {
 		causes = append(causes, d.Cause)
 	}
-	is.Equal(g.Run(t.Context(), newRun(answered)).Fate, linkrpc.Fate_FATE_ANSWERED)
+	is.Equal(g.Run(t.Context(), t.Context(), newRun(answered)).Fate, linkrpc.Fate_FATE_ANSWERED)
 	is.Equal(g.QueryOutcome(t.Context(), &linkrpc.Ask{Attempt: fenced}).Fate, linkrpc.Fate_FATE_NOT_RUN)
 	upstream.callTime = time.Minute
 	outcomes := make(chan *linkrpc.Outcome, 1)
-	go func() { outcomes <- g.Run(t.Context(), newRun(running)) }()
+	go func() { outcomes <- g.Run(t.Context(), t.Context(), newRun(running)) }()
 	for upstream.running.Load() == 0 {
 		time.Sleep(time.Millisecond)
 	}
@@ -49,6 +49,6 @@
 	kept := g.QueryOutcome(t.Context(), &linkrpc.Ask{Attempt: answered})
 	is.Equal(kept.Fate, linkrpc.Fate_FATE_ANSWERED)
 	is.Equal(kept.Status, uint32(http.StatusOK))
-	is.Equal(g.Run(t.Context(), newRun(fenced)).Reason, linkrpc.Reason_REASON_SEALED)
-	is.Equal(g.Run(t.Context(), newRun(late)).Reason, linkrpc.Reason_REASON_CLOSED)
+	is.Equal(g.Run(t.Context(), t.Context(), newRun(fenced)).Reason, linkrpc.Reason_REASON_SEALED)
+	is.Equal(g.Run(t.Context(), t.Context(), newRun(late)).Reason, linkrpc.Reason_REASON_CLOSED)
 }
--- a/pkg/gate/left_test.go
+++ b/pkg/gate/left_test.go
@@ -17,11 +17,11 @@
 	is := is.New(t)
 	upstream := &countingUpstream{}
 	g := newGate(t, upstream)
-	is.Equal(g.Run(t.Context(), newRun(1)).Fate, linkrpc.Fate_FATE_ANSWERED)
+	is.Equal(g.Run(t.Context(), t.Context(), newRun(1)).Fate, linkrpc.Fate_FATE_ANSWERED)
 	for i := range 200 {
 		ctx, cancel := context.WithCancelCause(t.Context())
 		cancel(&link.CancelledError{})
-		outcome := g.Run(ctx, newRun(uint64(i+2)))
+		outcome := g.Run(ctx, t.Context(), newRun(uint64(i+2)))
 		is.Equal(outcome.Fate, linkrpc.Fate_FATE_NOT_RUN)
 		is.Equal(outcome.Reason, linkrpc.Reason_REASON_CANCELLED)
 	}
@@ -33,15 +33,16 @@
 func TestCallCancelledWhileItConnectsIsNotSent(t *testing.T) {
 	is := is.New(t)
 	upstream := &countingUpstream{}
-	g := newGate(t, upstream)
-	for i := range 50 {
+	for range 50 {
+		// A new gate has no connection to reuse.
+		g := newGate(t, upstream)
 		ctx, cancel := context.WithCancelCause(t.Context())
 		g.Instance.Dial = func(_ context.Context, address string) (net.Conn, error) {
 			conn, err := net.Dial("tcp", address)
 			cancel(&link.CancelledError{})
 			return conn, err
 		}
-		outcome := g.Run(ctx, newRun(uint64(i+1)))
+		outcome := g.Run(ctx, t.Context(), newRun(1))
 		is.Equal(outcome.Fate, linkrpc.Fate_FATE_NOT_RUN)
 		is.Equal(outcome.Reason, linkrpc.Reason_REASON_CANCELLED)
 	}
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -101,8 +101,9 @@
 
 // Do sends a call and returns its response. Its errors are *NotSentError,
 // *RejectedError and *ResponseError. A call that could not be sent on a reused
-// connection is sent again on another one. When ctx ends, Do closes the connection,
-// which signals the instance to abort the call.
+// connection is sent again on another one. When ctx ends before the call is sent, Do sends
+// nothing. When it ends later, Do closes the connection, which signals the instance to
+// abort the call.
 func (c *Client) Do(ctx context.Context, call *Call) (*Response, error) {
 	request := encodeRequest(call)
 	for {
@@ -110,6 +111,10 @@
 		if err != nil {
 			return nil, &NotSentError{Cause: err}
 		}
+		if err := ctx.Err(); err != nil {
+			c.putIdle(k)
+			return nil, &NotSentError{Cause: err}
+		}
 		// Once k is idle again, another call may use it.
 		reused := k.reused
 		stopWatching := context.AfterFunc(ctx, func() { _ = k.Close() })
--- a/pkg/instance/pool.go
+++ b/pkg/instance/pool.go
@@ -13,9 +13,9 @@
 	// header bounds the bytes that reader reads while it reads a header.
 	header headerLimiter
 	reader *bufio.Reader
-	// reused reports whether the connection has carried an earlier call.
+	// reused reports whether the connection was idle in the pool before this call.
 	reused bool
-	// lastUsed is when the last response was read.
+	// lastUsed is when the connection was opened or the last response was read.
 	lastUsed time.Time
 	// expiresAt is the time from which the connection must not carry another call.
 	expiresAt time.Time
@@ -52,7 +52,8 @@
 	if c.OnConnect != nil {
 		c.OnConnect()
 	}
-	k := &conn{Conn: raw, header: headerLimiter{source: raw}}
+	now := c.Clock.Now()
+	k := &conn{Conn: raw, header: headerLimiter{source: raw}, lastUsed: now, expiresAt: now.Add(defaultIdleTimeout)}
 	k.reader = bufio.NewReaderSize(&k.header, readBufferBytes)
 	return k, nil
 }
--- a/pkg/link/clientconn.go
+++ b/pkg/link/clientconn.go
@@ -58,12 +58,12 @@
 	return len(c.streams.pending) > 0
 }
 
-// markSent records that the requests of the streams are about to be written.
-func (c *clientConn) markSent(streams []StreamID) {
+// markSent records that the requests are about to be written.
+func (c *clientConn) markSent(requests []queuedRequest) {
 	c.streams.Lock()
 	defer c.streams.Unlock()
-	for _, s := range streams {
-		if w := c.streams.pending[s]; w != nil {
+	for _, q := range requests {
+		if w := c.streams.pending[q.stream]; w != nil {
 			w.sent = true
 		}
 	}
--- a/pkg/link/frame.go
+++ b/pkg/link/frame.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -82,16 +83,18 @@
 // framer reads and writes messages on a connection. send may be called
 // concurrently; writeLoop and readMessage each belong to one goroutine.
 type framer struct {
-	conn   net.Conn
-	clock  clock.Clock
+	conn  net.Conn
+	clock clock.Clock
+	// source is what reader reads from.
+	source *waitReader
 	reader *bufio.Reader
 
-	// mu guards pending, pendingStreams, finishing and closeErr.
+	// mu guards pending, pendingRequests, finishing and closeErr.
 	mu sync.Mutex
 	// pending holds the encoded messages that writeLoop has not picked up yet.
 	pending []byte
-	// pendingStreams lists the streams whose requests are in pending.
-	pendingStreams []StreamID
+	// pendingRequests lists the requests in pending, in their order there.
+	pendingRequests []queuedRequest
 	// finishing reports that nothing more is queued, and that writeLoop ends the sending
 	// direction once it has written what is.
 	finishing bool
@@ -100,18 +103,25 @@
 	closeErr error
 	// wake signals writeLoop that pending, finishing or closeErr has changed.
 	wake chan struct{}
-	// beforeWrite receives the streams whose requests are about to be written; nil
-	// is allowed.
-	beforeWrite func([]StreamID)
+	// beforeWrite receives the requests that are about to be written; nil is allowed.
+	beforeWrite func([]queuedRequest)
 }
 
-func newFramer(conn net.Conn, c clock.Clock, beforeWrite func([]StreamID)) *framer {
-	return &framer{conn: conn, clock: c, reader: bufio.NewReaderSize(conn, readBufferBytes), wake: make(chan struct{}, 1), beforeWrite: beforeWrite}
+// queuedRequest is a request in the send queue. Its message lies at [start, end) there.
+type queuedRequest struct {
+	stream     StreamID
+	start, end int
+}
+
+func newFramer(conn net.Conn, c clock.Clock, beforeWrite func([]queuedRequest)) *framer {
+	source := newWaitReader(conn)
+	return &framer{conn: conn, clock: c, source: source, reader: bufio.NewReaderSize(source, readBufferBytes), wake: make(chan struct{}, 1), beforeWrite: beforeWrite}
 }
 
 // send queues a message for writeLoop. On a closed connection it returns the
 // error that closed it, after finishWrites net.ErrClosed, and *BacklogError when the
-// queue is full. With isRequest set, the stream is passed to beforeWrite.
+// queue is full. The queue always takes the cancellation of a request. With isRequest set,
+// the stream is passed to beforeWrite.
 func (f *framer) send(kind Kind, stream StreamID, message proto.Message, isRequest bool) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -121,7 +131,7 @@
 	if f.finishing {
 		return net.ErrClosed
 	}
-	if len(f.pending) > maxPendingBytes {
+	if len(f.pending) > maxPendingBytes && kind != KindCancel {
 		return &BacklogError{}
 	}
 	start := len(f.pending)
@@ -137,12 +147,31 @@
 	}
 	binary.BigEndian.PutUint32(f.pending[start:], uint32(len(f.pending)-start-headerBytes))
 	if isRequest {
-		f.pendingStreams = append(f.pendingStreams, stream)
+		f.pendingRequests = append(f.pendingRequests, queuedRequest{stream: stream, start: start, end: len(f.pending)})
 	}
 	f.wakeWriter()
 	return nil
 }
 
+// withdraw removes a request from the send queue. It returns false if the request is not
+// in the queue any more, so that it may have been written.
+func (f *framer) withdraw(stream StreamID) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	i := slices.IndexFunc(f.pendingRequests, func(q queuedRequest) bool { return q.stream == stream })
+	if i < 0 {
+		return false
+	}
+	q := f.pendingRequests[i]
+	f.pending = slices.Delete(f.pending, q.start, q.end)
+	f.pendingRequests = slices.Delete(f.pendingRequests, i, i+1)
+	for j := range f.pendingRequests[i:] {
+		f.pendingRequests[i+j].start -= q.end - q.start
+		f.pendingRequests[i+j].end -= q.end - q.start
+	}
+	return true
+}
+
 // wakeWriter signals writeLoop, without waiting for it.
 func (f *framer) wakeWriter() {
 	select {
@@ -157,14 +186,14 @@
 	var spare []byte
 	for range f.wake {
 		f.mu.Lock()
-		batch, streams := f.pending, f.pendingStreams
-		f.pending, f.pendingStreams = spare[:0], nil
+		batch, requests := f.pending, f.pendingRequests
+		f.pending, f.pendingRequests = spare[:0], nil
 		closeErr, isLast := f.closeErr, f.finishing
 		f.mu.Unlock()
 		if closeErr != nil {
 			return
 		}
-		if err := f.write(batch, streams); err != nil {
+		if err := f.write(batch, requests); err != nil {
 			f.closeWithError(err)
 			return
 		}
@@ -180,12 +209,12 @@
 }
 
 // write writes a batch of messages, which may be empty.
-func (f *framer) write(batch []byte, streams []StreamID) error {
+func (f *framer) write(batch []byte, requests []queuedRequest) error {
 	if len(batch) == 0 {
 		return nil
 	}
-	if len(streams) > 0 && f.beforeWrite != nil {
-		f.beforeWrite(streams)
+	if len(requests) > 0 && f.beforeWrite != nil {
+		f.beforeWrite(requests)
 	}
 	_ = f.conn.SetWriteDeadline(f.clock.Now().Add(writeTimeout))
 	_, err := f.conn.Write(batch)
--- a/pkg/link/link.go
+++ b/pkg/link/link.go
@@ -114,14 +114,18 @@
 	return !l.closed && !l.Clock.Now().Before(l.retryAt)
 }
 
-// Call sends a request and waits for its reply. When ctx ends first, Call sends a
-// cancellation to the peer and returns the error of ctx. Other errors are
-// *NotSentError and *ConnectionLostError.
+// Call sends a request and waits for its reply. When ctx ends before the request is
+// written, nothing is sent, and Call returns *NotSentError with the error of ctx. When it
+// ends later, Call sends a cancellation to the peer and returns the error of ctx. Other
+// errors are *NotSentError and *ConnectionLostError.
 func (l *Link) Call(ctx context.Context, kind Kind, message proto.Message) (Reply, error) {
 	c, err := l.connect(ctx)
 	if err != nil {
 		return Reply{}, &NotSentError{Cause: err}
 	}
+	if err := ctx.Err(); err != nil {
+		return Reply{}, &NotSentError{Cause: err}
+	}
 	stream, pending := c.openStream()
 	if err := c.send(kind, stream, message, true); err != nil {
 		c.dropStream(stream)
@@ -132,6 +136,10 @@
 		return r, r.err
 	case <-ctx.Done():
 		if c.dropStream(stream) {
+			if c.withdraw(stream) {
+				return Reply{}, &NotSentError{Cause: ctx.Err()}
+			}
+			// On a closed connection the peer knows that nobody waits.
 			_ = c.send(KindCancel, stream, nil, false)
 			return Reply{Incarnation: c.incarnation}, ctx.Err()
 		}
--- a/pkg/link/server.go
+++ b/pkg/link/server.go
@@ -12,19 +12,27 @@
 	"github.com/plantainramp/plantainramp/rpc/linkrpc"
 )
 
-// defaultCloseTimeout is the value of Server.CloseTimeout where none is set.
-const defaultCloseTimeout = 250 * time.Millisecond
+const (
+	// defaultCloseTimeout is the value of Server.CloseTimeout where none is set.
+	defaultCloseTimeout = 250 * time.Millisecond
+	// maxHeldRequests is the number of requests that are read before they are handled.
+	maxHeldRequests = 256
+)
 
 // Request is a message from a peer that expects a reply.
 type Request struct {
 	Kind    Kind
 	Payload []byte
+	// Wanted ends with the cause *CancelledError when the peer cancels the request. It
+	// does not end with the connection.
+	Wanted context.Context
 }
 
-// Handler handles a request and returns the reply; nil sends none. The context is
-// cancelled with the cause *CancelledError when the peer cancels the request, and
-// with another cause when the connection is lost. Requests of one connection are
-// handled concurrently.
+// Handler handles a request and returns the reply; nil sends none. The context is a
+// child of Request.Wanted. It ends with another cause when the connection is lost.
+// Requests of one connection are handled concurrently. A request is handled once
+// what the peer has sent after it was read, so that a cancellation that has arrived
+// counts.
 type Handler func(ctx context.Context, r Request) proto.Message
 
 // Server accepts connections from peers. Set the exported fields before Serve.
@@ -98,17 +106,30 @@
 	ended chan struct{}
 	// handlers counts the requests whose reply is not queued yet.
 	handlers sync.WaitGroup
+	// held holds the requests that were read and are not being handled yet. It belongs to
+	// the reading goroutine.
+	held []*serverRequest
 	// mu guards the fields below.
 	mu sync.Mutex
-	// cancel holds the cancel functions of the requests being handled.
-	cancel map[StreamID]context.CancelCauseFunc
+	// requests holds the requests that were read and whose reply is not queued yet.
+	requests map[StreamID]*serverRequest
 	// greeted reports whether the handshake message of the peer was read, closing
 	// whether no more requests are taken.
 	greeted, closing bool
 }
 
+// serverRequest is a request of a peer.
+type serverRequest struct {
+	Request
+	stream StreamID
+	// ctx is the context of the handler.
+	ctx context.Context
+	// cancel ends Wanted, and lose ends ctx only.
+	cancel, lose context.CancelCauseFunc
+}
+
 func (s *Server) serveConn(netConn net.Conn) {
-	c := &serverConn{framer: newFramer(netConn, s.Clock, nil), ended: make(chan struct{}), cancel: map[StreamID]context.CancelCauseFunc{}}
+	c := &serverConn{framer: newFramer(netConn, s.Clock, nil), ended: make(chan struct{}), requests: map[StreamID]*serverRequest{}}
 	defer close(c.ended)
 	defer c.close()
 	if !s.addConn(c) {
@@ -124,6 +145,8 @@
 	if c.send(KindHello, 0, s.Hello(), false) != nil {
 		return
 	}
+	c.source.beforeWait = func() { s.startHeld(c) }
+	defer c.dropHeld()
 	for {
 		kind, stream, payload, err := c.readMessage()
 		if err != nil {
@@ -154,7 +177,7 @@
 	delete(s.conns, c)
 }
 
-// dispatch handles one message; requests run in goroutines of their own.
+// dispatch handles one message. Requests are held until startHeld.
 func (s *Server) dispatch(c *serverConn, kind Kind, stream StreamID, payload []byte) {
 	switch kind {
 	case KindPing:
@@ -164,19 +187,32 @@
 	case KindStatus:
 		s.handleStatus(payload)
 	case KindRun, KindAsk, KindTokenRequest:
-		if ctx, end := c.takeRequest(stream); ctx != nil {
-			go func() {
-				defer c.handlers.Done()
-				reply := s.Handle(ctx, Request{Kind: kind, Payload: payload})
-				end()
-				if reply != nil {
-					_ = c.send(KindReply, stream, reply, false)
-				}
-			}()
+		if r := c.takeRequest(kind, stream, payload); r != nil {
+			c.held = append(c.held, r)
+		}
+		if len(c.held) >= maxHeldRequests {
+			s.startHeld(c)
 		}
 	}
 }
 
+// startHeld handles the requests that are held, each in a goroutine of its own. Only
+// the reading goroutine calls it.
+func (s *Server) startHeld(c *serverConn) {
+	for _, r := range c.held {
+		go func() {
+			defer c.handlers.Done()
+			reply := s.Handle(r.ctx, r.Request)
+			c.endRequest(r)
+			if reply != nil {
+				_ = c.send(KindReply, r.stream, reply, false)
+			}
+		}()
+	}
+	clear(c.held)
+	c.held = c.held[:0]
+}
+
 // handleStatus decodes a status message and passes it to OnStatus.
 func (s *Server) handleStatus(payload []byte) {
 	status := &linkrpc.Status{}
@@ -206,32 +242,47 @@
 	return c.greeted
 }
 
-// takeRequest registers a request to be handled. It returns the context of the request
-// and the function that ends it, or nil if the connection closes.
-func (c *serverConn) takeRequest(stream StreamID) (ctx context.Context, end func()) {
+// takeRequest registers a request to be handled. It returns nil if the connection
+// closes.
+func (c *serverConn) takeRequest(kind Kind, stream StreamID, payload []byte) *serverRequest {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closing {
-		return nil, nil
+		return nil
 	}
-	ctx, cancel := context.WithCancelCause(context.Background())
-	c.cancel[stream] = cancel
+	r := &serverRequest{stream: stream, Request: Request{Kind: kind, Payload: payload}}
+	r.Wanted, r.cancel = context.WithCancelCause(context.Background())
+	r.ctx, r.lose = context.WithCancelCause(r.Wanted)
+	c.requests[stream] = r
 	c.handlers.Add(1)
-	return ctx, func() {
-		c.mu.Lock()
-		delete(c.cancel, stream)
-		c.mu.Unlock()
-		cancel(nil)
+	return r
+}
+
+// endRequest releases a request that was handled.
+func (c *serverConn) endRequest(r *serverRequest) {
+	c.mu.Lock()
+	delete(c.requests, r.stream)
+	c.mu.Unlock()
+	r.cancel(nil)
+}
+
+// dropHeld drops the requests that are held when the connection is lost: their peer can
+// have no reply, and is told that they have not run if it asks.
+func (c *serverConn) dropHeld() {
+	for _, r := range c.held {
+		c.endRequest(r)
+		c.handlers.Done()
 	}
+	c.held = nil
 }
 
 // cancelRequest cancels the request of a stream, if it is still being handled.
 func (c *serverConn) cancelRequest(stream StreamID) {
 	c.mu.Lock()
-	cancel := c.cancel[stream]
+	r := c.requests[stream]
 	c.mu.Unlock()
-	if cancel != nil {
-		cancel(&CancelledError{At: c.clock.Now()})
+	if r != nil {
+		r.cancel(&CancelledError{At: c.clock.Now()})
 	}
 }
 
@@ -253,13 +304,13 @@
 	}
 }
 
-// close closes the connection and cancels its requests.
+// close closes the connection and ends the contexts of its requests.
 func (c *serverConn) close() {
 	c.closeWithError(net.ErrClosed)
 	cause := c.cause()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, cancel := range c.cancel {
-		cancel(cause)
+	for _, r := range c.requests {
+		r.lose(cause)
 	}
 }
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -285,7 +285,7 @@
 			n.logUnreadable("call", err)
 			return gate.NotRunOutcome(linkrpc.Reason_REASON_BROKEN)
 		}
-		return n.gate.Run(ctx, call)
+		return n.gate.Run(r.Wanted, ctx, call)
 	case link.KindAsk:
 		ask := &linkrpc.Ask{}
 		if err := proto.Unmarshal(r.Payload, ask); err != nil {
--- a/pkg/peering/peering.go
+++ b/pkg/peering/peering.go
@@ -295,11 +295,10 @@
 
 // runLocally runs a call at the local gate. The call is cancelled when ctx ends.
 func (p *Peer) runLocally(ctx context.Context, run *linkrpc.Run) (*linkrpc.Outcome, uint64, error) {
-	callCtx, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
-	defer cancel(nil)
-	stopWatching := context.AfterFunc(ctx, func() { cancel(&link.CancelledError{At: p.gate.Clock.Now()}) })
-	defer stopWatching()
-	outcome := p.gate.Run(callCtx, run)
+	outcome := p.gate.Run(ctx, context.Background(), run)
+	if outcome.Fate == linkrpc.Fate_FATE_NOT_RUN && ctx.Err() != nil {
+		return nil, 0, &link.NotSentError{Cause: ctx.Err()}
+	}
 	return outcome, 0, ctx.Err()
 }
 
