GONE: a request whose caller has closed its connection is not sent on

Cause: a request may lie in its socket behind the close of its caller: the node is short of processor time, or could not accept the connection. net/http learns of the close by a read that another goroutine makes once the handler has begun, and nothing asked at the moment of sending.

Change: before each placement the entrance asks the kernel whether the caller has closed the connection, also behind unread bytes. The request then ends as not sent, and gives back the token of its organisation's rate. Ruled out: a look when the request is read, as time passes in between while tokens are borrowed and instances are full.

--- a/pkg/entrance/dispatch.go
+++ b/pkg/entrance/dispatch.go
@@ -59,7 +59,7 @@
 	tried := map[*peering.Peer]bool{}
 	anyFull := false
 	for r.Dispatches < maxDispatches {
-		if ctx.Err() != nil {
+		if hasLeft(ctx, r) {
 			return nil, unsentError(ctx)
 		}
 		target := e.Peers.Choose(service, tried)
@@ -93,6 +93,16 @@
 	return nil, retryLaterError(problem.KindUnreachable, "no instance of the service takes the request", time.Second)
 }
 
+// hasLeft reports whether the context of a request has ended. It ends it if the caller
+// has closed its connection, which the server may not have read yet.
+func hasLeft(ctx context.Context, r *Request) bool {
+	if ctx.Err() == nil && connection.PeerClosed(ctx) {
+		r.CloseUnread = true
+		r.leave(&CallerLeftError{})
+	}
+	return ctx.Err() != nil
+}
+
 // sendCall sends the request to one gate and returns the outcome.
 func (e *Entrance) sendCall(ctx context.Context, r *Request, target *peering.Target) (*linkrpc.Outcome, *problem.Error) {
 	if !target.Peer.Hold() {
@@ -104,7 +114,7 @@
 	message.Instance = string(target.Entry.Instance)
 	now := e.Clock.Now()
 	if r.FirstSent.IsZero() {
-		r.FirstSent, r.CallerLeftUnseen = now, connection.PeerClosed(ctx)
+		r.FirstSent = now
 	}
 	remaining := r.Deadline.Sub(now)
 	message.RemainingUs, message.PatienceUs = remaining.Microseconds(), maxWaitOf(r, remaining).Microseconds()
@@ -114,10 +124,12 @@
 	switch {
 	case err == nil:
 		return outcome, nil
-	case ctx.Err() != nil:
-		return nil, abandonedError(ctx)
+	case errors.As(err, &notSent) && ctx.Err() != nil:
+		return nil, unsentError(ctx)
 	case errors.As(err, &notSent):
 		return gate.NotRunOutcome(linkrpc.Reason_REASON_BROKEN), nil
+	case ctx.Err() != nil:
+		return nil, abandonedError(ctx)
 	case errors.As(err, &connectionLost):
 		return e.resolveOutcome(ctx, r, target.Peer, incarnation)
 	}
--- a/pkg/entrance/entrance.go
+++ b/pkg/entrance/entrance.go
@@ -38,6 +38,13 @@
 // Error implements error.
 func (e *StoppedError) Error() string { return "the node has stopped" }
 
+// CallerLeftError is the cause of the context of a request whose caller has closed its
+// connection.
+type CallerLeftError struct{}
+
+// Error implements error.
+func (e *CallerLeftError) Error() string { return "the caller has closed its connection" }
+
 // Entrance is the HTTP handler for the requests that enter at this node. Set the
 // exported fields before calling Init. Its other methods are safe for concurrent
 // use.
@@ -106,10 +113,13 @@
 func (e *Entrance) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
 	e.inFlight.Add(1)
 	defer e.inFlight.Add(-1)
+	ctx, leave := context.WithCancelCause(hr.Context())
+	defer leave(nil)
 	r, refusal := e.newRequest(hr)
+	r.leave = leave
 	var outcome *linkrpc.Outcome
 	if refusal == nil {
-		outcome, refusal = e.handle(hr.Context(), w, hr, r)
+		outcome, refusal = e.handle(ctx, w, hr, r)
 	}
 	status := 0
 	if refusal != nil {
@@ -117,7 +127,7 @@
 	} else {
 		status = int(outcome.Status)
 	}
-	r.CallerLeft = refusal != nil && callerLeft(hr.Context(), refusal)
+	r.CallerLeft = refusal != nil && callerLeft(ctx, refusal)
 	if e.OnFinish != nil {
 		e.OnFinish(r, status, outcome, refusal)
 	}
--- a/pkg/entrance/request.go
+++ b/pkg/entrance/request.go
@@ -1,6 +1,7 @@
 package entrance
 
 import (
+	"context"
 	"errors"
 	"io"
 	"math"
@@ -52,13 +53,15 @@
 	FirstSent time.Time
 	// CallerLeft reports whether the caller closed its connection before the response.
 	CallerLeft bool
-	// CallerLeftUnseen reports whether the caller had closed its connection when the
-	// request was first sent to a gate, although its context had not ended.
-	CallerLeftUnseen bool
+	// CloseUnread reports whether that close lay unread in the node when the request was
+	// about to be sent to a gate.
+	CloseUnread bool
 	// AdmittedFraction is the fraction of the request's class that was admitted
 	// when it arrived.
 	AdmittedFraction float64
 
+	// leave ends the context of the request, with *CallerLeftError as its cause.
+	leave context.CancelCauseFunc
 	// responseLost reports whether the request may have run although no response
 	// arrived.
 	responseLost bool
--- a/pkg/mesh/events.go
+++ b/pkg/mesh/events.go
@@ -65,7 +65,7 @@
 			f["configAgeMs"] = milliseconds(age)
 		}
 		if r.CallerLeft {
-			f["sentUnseen"], f["schedDelayMs"] = r.CallerLeftUnseen, milliseconds(n.processor.Delay())
+			f["closeUnread"], f["schedDelayMs"] = r.CloseUnread, milliseconds(n.processor.Delay())
 			if !r.FirstSent.IsZero() {
 				f["sentMs"] = milliseconds(r.FirstSent.Sub(r.Arrived))
 			}
@@ -103,7 +103,7 @@
 		class = fleet.ClassHigh
 	}
 	if r.CallerLeft {
-		n.meter.CountAbandoned("entrance", stageOf(!r.FirstSent.IsZero(), r.CallerLeftUnseen))
+		n.meter.CountAbandoned("entrance", stageOf(!r.FirstSent.IsZero(), false))
 	}
 	if rejection != nil {
 		n.meter.ObserveRefusal(organisation, class, rejection.Kind)
