GONE: tokens are neither asked for nor lent once the time to borrow them is over

An entrance whose 30 ms to borrow were over asked the further peers all the same: a message and its cancellation each. A peer that read both lent the tokens, which were lost.

Change: the entrance stops asking when the time is over or the caller has left. A peer lends nothing to a request that is cancelled.

--- a/pkg/entrance/budget.go
+++ b/pkg/entrance/budget.go
@@ -113,6 +113,9 @@
 	ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
 	defer cancel()
 	for _, peer := range e.Peers.ReachablePeers(maxBorrowPeers) {
+		if ctx.Err() != nil {
+			break
+		}
 		granted, err := peer.Borrow(ctx, id, borrowTokens)
 		if err != nil && e.OnBorrowError != nil {
 			e.OnBorrowError(r, peer, err)
--- a/pkg/entrance/left_test.go
+++ b/pkg/entrance/left_test.go
@@ -1,6 +1,7 @@
 package entrance
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +13,9 @@
 
 	"github.com/plantainramp/plantainramp/pkg/clock"
 	"github.com/plantainramp/plantainramp/pkg/connection"
+	"github.com/plantainramp/plantainramp/pkg/fleet"
+	"github.com/plantainramp/plantainramp/pkg/peering"
+	"github.com/plantainramp/plantainramp/pkg/quota"
 	"github.com/plantainramp/plantainramp/pkg/routing"
 )
 
@@ -82,3 +86,30 @@
 	is.New(t).NoErr(err)
 	return status
 }
+
+// Guards against requests for tokens that are sent to further peers after the time to
+// borrow them is over.
+func TestBorrowingEndsWithItsTime(t *testing.T) {
+	is := is.New(t)
+	cluster := newTestCluster(t, 4, routing.Route{MaxAttempts: 1})
+	is.NoErr(connectAll(t, cluster))
+	limited := &routing.Organisation{ID: "dakar", Rate: 1}
+	cluster.entrance.RateLimiter.Update(map[fleet.OrganisationID]quota.Limit{limited.ID: {Rate: 1}}, 1)
+	asked := 0
+	cluster.entrance.OnBorrowError = func(*Request, *peering.Peer, error) { asked++ }
+	// The gates of this cluster answer no request for tokens.
+	is.True(!cluster.entrance.takeRateToken(t.Context(), &Request{Organisation: limited}))
+	is.Equal(asked, 1)
+}
+
+// connectAll opens the connections to all gates.
+func connectAll(t *testing.T, tc *testCluster) error {
+	t.Helper()
+	for range 100 {
+		if len(tc.dialled()) == len(tc.gates) {
+			return nil
+		}
+		tc.sendRequest(t.Context())
+	}
+	return context.DeadlineExceeded
+}
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -297,6 +297,9 @@
 		}
 		return nil
 	case link.KindTokenRequest:
+		if ctx.Err() != nil {
+			return nil // lent tokens would be lost
+		}
 		request := &linkrpc.TokenRequest{}
 		if err := proto.Unmarshal(r.Payload, request); err != nil {
 			n.logUnreadable("request for tokens", err)
