GONE: a gate that was unreachable is told that the caller has left

What callers saw: an execution went on for up to 1.5 s after its caller had left, where the connection between the nodes was lost meanwhile.

Cause: a caller that leaves while the entrance asks for the outcome of a lost call ends the question, and nobody tells the gate, which goes on until its own timeout.

Change: the entrance goes on in the background, at most as long as the gate, until a question has arrived, and cancels it, which ends the attempt.

--- a/pkg/entrance/dispatch.go
+++ b/pkg/entrance/dispatch.go
@@ -32,6 +32,9 @@
 	// idempotentQueryTimeout is how long an unreachable gate is queried for the
 	// outcome of an idempotent call before the call is retried elsewhere.
 	idempotentQueryTimeout = 700 * time.Millisecond
+	// withdrawTimeout is how long an unreachable gate is tried. It then ends the attempt
+	// by itself.
+	withdrawTimeout = gate.OrphanTimeout
 	// retryAfterJitter spreads the retries of callers that were rejected at the
 	// same time.
 	retryAfterJitter = 800 * time.Millisecond
@@ -148,6 +151,7 @@
 		outcome, currentIncarnation, err := peer.QueryOutcome(ctx, query)
 		switch {
 		case ctx.Err() != nil:
+			go e.withdraw(peer, query)
 			return nil, abandonedError(ctx)
 		case currentIncarnation != 0 && currentIncarnation != incarnation:
 			return gate.LostOutcome(linkrpc.Reason_REASON_BROKEN), nil
@@ -157,11 +161,36 @@
 			return gate.LostOutcome(linkrpc.Reason_REASON_BROKEN), nil
 		}
 		if clock.Sleep(ctx, e.Clock, queryInterval) != nil {
+			go e.withdraw(peer, query)
 			return nil, abandonedError(ctx)
 		}
 	}
 }
 
+// withdraw tells a gate that was unreachable that nobody waits for the outcome of an
+// attempt, as soon as it can be reached again: a query that is cancelled ends the attempt.
+// It stops after withdrawTimeout.
+func (e *Entrance) withdraw(peer *peering.Peer, query *linkrpc.Ask) {
+	if !peer.Hold() {
+		return
+	}
+	defer peer.Release()
+	for began := e.Clock.Now(); e.Clock.Now().Sub(began) < withdrawTimeout; {
+		ctx, cancel := context.WithTimeout(context.Background(), queryInterval)
+		_, _, err := peer.QueryOutcome(ctx, query)
+		cancel()
+		if err == nil || errors.Is(err, context.DeadlineExceeded) && !wasNotSent(err) {
+			return
+		}
+		_ = clock.Sleep(context.Background(), e.Clock, queryInterval)
+	}
+}
+
+func wasNotSent(err error) bool {
+	var notSent *link.NotSentError
+	return errors.As(err, &notSent)
+}
+
 // handleNotRun returns the refusal that ends the request, or nil if the request
 // may be sent to another instance.
 func (e *Entrance) handleNotRun(r *Request, target *peering.Target, outcome *linkrpc.Outcome) *problem.Error {
--- a/pkg/entrance/entrance_test.go
+++ b/pkg/entrance/entrance_test.go
@@ -37,6 +37,8 @@
 	peers      *peering.Peers
 	gates      []*gate.Gate
 	executions atomic.Int64
+	// running is the number of calls that run.
+	running atomic.Int64
 	// callTime is the time that each call takes.
 	callTime time.Duration
 	// abortResponses makes instances run calls and abort the response.
@@ -50,6 +52,8 @@
 
 func (tc *testCluster) serve(w http.ResponseWriter, r *http.Request) {
 	tc.executions.Add(1)
+	tc.running.Add(1)
+	defer tc.running.Add(-1)
 	select {
 	case <-time.After(tc.callTime):
 	case <-r.Context().Done():
--- a/pkg/entrance/left_test.go
+++ b/pkg/entrance/left_test.go
@@ -113,3 +113,33 @@
 	}
 	return context.DeadlineExceeded
 }
+
+// A caller leaves while the connection to the gate that executes its request is lost.
+// Guards against an execution that goes on although the gate can be reached again.
+func TestExecutionIsCancelledAfterItsCallerLeftDuringAnOutage(t *testing.T) {
+	cluster := newTestCluster(t, 1, routing.Route{AllowAnonymous: true, MaxAttempts: 1})
+	cluster.callTime = 10 * time.Second
+	ctx, leave := context.WithCancel(t.Context())
+	go func() {
+		// The handler aborts the connection of a caller that left.
+		defer func() { _ = recover() }()
+		cluster.sendRequest(ctx)
+	}()
+	awaitRunning(t, cluster, 1, time.Second)
+	cluster.unreachable.Store(true)
+	cluster.closeConns()
+	time.Sleep(50 * time.Millisecond)
+	leave()
+	time.Sleep(50 * time.Millisecond)
+	cluster.unreachable.Store(false)
+	awaitRunning(t, cluster, 0, 700*time.Millisecond)
+}
+
+func awaitRunning(t *testing.T, tc *testCluster, n int64, timeout time.Duration) {
+	t.Helper()
+	for began := time.Now(); tc.running.Load() != n; time.Sleep(5 * time.Millisecond) {
+		if time.Since(began) > timeout {
+			t.Fatalf("%d calls run after %s, want %d", tc.running.Load(), timeout, n)
+		}
+	}
+}
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -20,9 +20,9 @@
 )
 
 const (
-	// orphanTimeout is how long a call whose connection was lost continues without
+	// OrphanTimeout is how long a call whose connection was lost continues without
 	// a query for its outcome.
-	orphanTimeout = 1500 * time.Millisecond
+	OrphanTimeout = 1500 * time.Millisecond
 	// responseMargin is how long the gate waits for a response after the deadline
 	// that it sends to the instance.
 	responseMargin = 150 * time.Millisecond
@@ -173,7 +173,7 @@
 
 // Run runs a call and returns its outcome. When wanted ends, the caller no longer waits,
 // and the call is not sent to the instance any more, or aborted. When connection ends,
-// the outcome cannot be returned. The call then continues for orphanTimeout, so that the
+// the outcome cannot be returned. The call then continues for OrphanTimeout, so that the
 // entrance can query its outcome over a new connection.
 func (g *Gate) Run(wanted, connection context.Context, run *linkrpc.Run) *linkrpc.Outcome {
 	ctx, cancel := context.WithCancel(wanted)
@@ -190,10 +190,10 @@
 	return outcome
 }
 
-// handleOrphan cancels a call whose connection was lost after orphanTimeout, unless a
+// handleOrphan cancels a call whose connection was lost after OrphanTimeout, unless a
 // query waits for its outcome.
 func (g *Gate) handleOrphan(a *attempt, cancel context.CancelFunc) {
-	g.Clock.AfterFunc(orphanTimeout, func() {
+	g.Clock.AfterFunc(OrphanTimeout, func() {
 		if !g.attempts.hasWaiters(a) {
 			cancel()
 		}
