--- a/pkg/mesh/gauges.go
+++ b/pkg/mesh/gauges.go
@@ -32,6 +32,10 @@
 	n.meter.Gauge("entrance_in_flight").Update(float64(n.entrance.InFlight()))
 	n.meter.Gauge("repeated_part").Update(n.executions.repeatedFraction())
 	n.meter.Gauge("peers").Update(float64(n.peers.NodeCount() - 1))
+	conns := n.callerConns.Counts()
+	for state, count := range map[string]int{"busy": conns.Busy, "idle": conns.Idle, "unused": conns.Unused} {
+		n.meter.LabelledGauge("caller_connections", "state", state).Update(float64(count))
+	}
 	n.meter.Gauge("scheduling_delay_seconds").Update(n.processor.Delay().Seconds())
 	if age, known := n.configFollower.Age(); known {
 		n.meter.Gauge("config_age_seconds").Update(age.Seconds())
--- a/pkg/mesh/load.go
+++ b/pkg/mesh/load.go
@@ -116,6 +116,7 @@
 		for _, c := range classes {
 			rates[c.Route], costs[c.Route] = c.Rate, c.Cost
 		}
-		return logrus.Fields{"schedDelayMs": milliseconds(n.processor.Delay()), "parts": admitted, "fullness": fullness, "ratesPerS": rates, "costsS": costs, "ownRunsPerS": executionRates, "ownHeld": held, "ownMatched": n.demand.MatchedFractions()}
+		conns := n.callerConns.Counts()
+		return logrus.Fields{"busyConns": conns.Busy, "idleConns": conns.Idle, "unusedConns": conns.Unused, "schedDelayMs": milliseconds(n.processor.Delay()), "parts": admitted, "fullness": fullness, "ratesPerS": rates, "costsS": costs, "ownRunsPerS": executionRates, "ownHeld": held, "ownMatched": n.demand.MatchedFractions()}
 	})
 }
