Idle connections of callers leave descriptors for requests, links and instances

Cause: every try of these callers comes on a new connection and leaves it open. The node kept each for two minutes, so that after four seconds 3,700 of 3,900 descriptors were idle connections. Then Accept failed, and the HTTP server waited up to a second each time. Ruled out: a shorter idle timeout alone (callers may reuse connections for most of the configured one), and the processor (mean wait 0 to 20 ms).

Change: at most a quarter of the descriptors are idle connections of callers; those that have waited longest are closed first, never one that carries a request. All connections of callers together leave room for the links, the instance, the store and files. The setting descriptors names the limit.

--- a/pkg/connection/connection.go
+++ b/pkg/connection/connection.go
@@ -4,6 +4,7 @@
 package connection
 
 import (
+	"container/list"
 	"context"
 	"net"
 	"net/http"
@@ -33,16 +34,34 @@
 	// Dropped is the number of requests that were read as their connection was closed
 	// and did not reach the handler.
 	Dropped int
+	// Evicted is the number of idle connections that were closed because there were too
+	// many.
+	Evicted int
 }
 
 // Tracker tracks the connections of one HTTP server. Set Clock, and call Track before
 // the server serves. It is safe for concurrent use.
 type Tracker struct {
 	Clock clock.Clock
+	// MaxIdle bounds the connections that wait for a further request. Those that have
+	// waited longest are closed first. 0 means no bound.
+	MaxIdle int
+	// MaxOpen returns the bound of all open connections that Bound applies; nil means no
+	// bound.
+	MaxOpen func() int
+	// OnAcceptError is called with the error of an Accept that is tried again; nil is
+	// allowed.
+	OnAcceptError func(error)
 
 	// mu guards the fields below and those of the values of conns.
 	mu    sync.Mutex
 	conns map[net.Conn]*conn
+	// idle holds the *conn that wait for a further request, the longest waiting first.
+	idle list.List
+	// closing is the number of values of conns that the tracker has closed.
+	closing int
+	// evicted is the number of connections closed because of MaxIdle or MaxOpen.
+	evicted int
 	// closed reports whether Close was called.
 	closed  bool
 	dropped int
@@ -60,6 +79,8 @@
 	// written. It is not updated while the connection is busy.
 	waitingSince time.Time
 	use          Use
+	// idle is the element in Tracker.idle, or nil.
+	idle *list.Element
 }
 
 type contextKey struct{}
@@ -91,7 +112,7 @@
 func (t *Tracker) Counts() Counts {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	counts := Counts{Dropped: t.dropped}
+	counts := Counts{Dropped: t.dropped, Evicted: t.evicted}
 	for _, c := range t.conns {
 		switch {
 		case c.closed:
@@ -120,14 +141,29 @@
 	now := t.Clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for netConn, c := range t.conns {
+	for _, c := range t.conns {
 		if !c.busy && !c.closed && now.Sub(c.waitingSince) >= minWait {
-			c.closed = true
-			_ = netConn.Close()
+			t.closeConn(c)
 		}
 	}
 }
 
+// closeConn closes a connection that waits for a request. The caller holds mu.
+func (t *Tracker) closeConn(c *conn) {
+	c.closed = true
+	t.closing++
+	t.leaveIdle(c)
+	_ = c.netConn.Close()
+}
+
+// leaveIdle removes a connection from idle. The caller holds mu.
+func (t *Tracker) leaveIdle(c *conn) {
+	if c.idle != nil {
+		t.idle.Remove(c.idle)
+		c.idle = nil
+	}
+}
+
 // Close closes all connections that wait for a request. After it returns, no further
 // request reaches the handler.
 func (t *Tracker) Close() {
@@ -148,6 +184,7 @@
 		return false
 	}
 	c.busy = true
+	t.leaveIdle(c)
 	c.use.Requests++
 	c.use.Idle = now.Sub(c.waitingSince)
 	return true
@@ -160,13 +197,24 @@
 		now := t.Clock.Now()
 		t.mu.Lock()
 		defer t.mu.Unlock()
-		if c := t.conns[netConn]; c != nil {
+		if c := t.conns[netConn]; c != nil && !c.closed {
 			c.busy, c.waitingSince = false, now
+			t.leaveIdle(c)
+			c.idle = t.idle.PushBack(c)
+		}
+		if t.MaxIdle > 0 {
+			t.evict(t.idle.Len() - t.MaxIdle)
 		}
 	case http.StateClosed, http.StateHijacked:
 		t.mu.Lock()
 		defer t.mu.Unlock()
-		delete(t.conns, netConn)
+		if c := t.conns[netConn]; c != nil {
+			t.leaveIdle(c)
+			delete(t.conns, netConn)
+			if c.closed {
+				t.closing--
+			}
+		}
 	}
 }
 
--- /dev/null
+++ b/pkg/mesh/descriptors.go
@@ -0,0 +1,61 @@
+package mesh
+
+import (
+	"math"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// reservedDescriptors is the number of descriptors for files, listeners, the store and
+	// the metrics.
+	reservedDescriptors = 256
+	// linksPerPeer is the number of connections between two nodes: one from each side.
+	linksPerPeer = 2
+	// assumedSlots is the number of connections that the instance is assumed to need until
+	// it has announced its slots.
+	assumedSlots = 512
+	// minCallerPart divides the descriptors: that part is left to callers in any case. Idle
+	// connections of callers may take as many.
+	minCallerPart = 4
+)
+
+// maxDescriptors returns the number of descriptors that the process may have.
+func (n *Node) maxDescriptors() int {
+	if n.settings.MaxDescriptors > 0 {
+		return n.settings.MaxDescriptors
+	}
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > math.MaxInt32 {
+		return math.MaxInt32
+	}
+	return int(limit.Cur)
+}
+
+// maxCallerConns returns the number of connections of callers that leaves descriptors for
+// the links to peers and for the connections to the instance.
+func (n *Node) maxCallerConns() int {
+	slots := assumedSlots
+	if local := n.gate.LocalInstance(); local != nil {
+		slots = local.Slots
+	}
+	reserved := reservedDescriptors + linksPerPeer*n.peers.NodeCount() + slots
+	return max(n.descriptors-reserved, n.descriptors/minCallerPart)
+}
+
+// boundCallerConns sets the bounds of the connections of callers.
+func (n *Node) boundCallerConns() {
+	n.descriptors = n.maxDescriptors()
+	n.callerConns.MaxIdle = n.descriptors / minCallerPart
+	n.callerConns.MaxOpen = n.maxCallerConns
+	n.callerConns.OnAcceptError = n.onAcceptFailed
+}
+
+// onAcceptFailed logs an Accept that failed for lack of resources and is tried again.
+func (n *Node) onAcceptFailed(err error) {
+	n.events.Log(eventNotAccepted, func() logrus.Fields {
+		conns := n.callerConns.Counts()
+		return logrus.Fields{"error": err.Error(), "busyConns": conns.Busy, "idleConns": conns.Idle, "unusedConns": conns.Unused}
+	})
+}
--- a/pkg/mesh/events.go
+++ b/pkg/mesh/events.go
@@ -27,6 +27,7 @@
 	eventLost             logs.EventKind = "request lost"
 	eventNotExecuted      logs.EventKind = "call handed back"
 	eventExecutionLost    logs.EventKind = "call lost at the instance"
+	eventNotAccepted      logs.EventKind = "connection not accepted"
 	// eventBorrowFailed and eventMessageUnreadable concern messages between nodes.
 	eventBorrowFailed      logs.EventKind = "peer not asked for tokens"
 	eventMessageUnreadable logs.EventKind = "message of a peer cannot be read"
--- a/pkg/mesh/gauges.go
+++ b/pkg/mesh/gauges.go
@@ -36,6 +36,7 @@
 	for state, count := range map[string]int{"busy": conns.Busy, "idle": conns.Idle, "unused": conns.Unused} {
 		n.meter.LabelledGauge("caller_connections", "state", state).Update(float64(count))
 	}
+	n.meter.Gauge("caller_connections_evicted").Update(float64(conns.Evicted))
 	n.meter.Gauge("scheduling_delay_seconds").Update(n.processor.Delay().Seconds())
 	if age, known := n.configFollower.Age(); known {
 		n.meter.Gauge("config_age_seconds").Update(age.Seconds())
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -104,6 +104,8 @@
 	// set.
 	stopStartedAt atomic.Int64
 	callerConns   connection.Tracker
+	// descriptors is the number of descriptors that the process may have.
+	descriptors int
 
 	configFollower    *topic.Follower
 	configLogger      *logs.Logger
@@ -131,6 +133,7 @@
 	n.makeDirectory()
 	n.makeEntrance()
 	n.makeConfig()
+	n.boundCallerConns()
 	return n
 }
 
--- a/pkg/mesh/run.go
+++ b/pkg/mesh/run.go
@@ -64,12 +64,12 @@
 		if err != nil {
 			return &settings.ListenError{Key: s.name, Address: s.address, Cause: err}
 		}
-		s.listener = l
-		s.server = &http.Server{Handler: s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
-		s.server.BaseContext = func(net.Listener) context.Context { return requestCtx }
 		if s.tracker == nil {
-			s.tracker = &connection.Tracker{Clock: n.clock}
+			s.tracker = &connection.Tracker{Clock: n.clock, OnAcceptError: n.onAcceptFailed}
 		}
+		s.listener = s.tracker.Bound(l)
+		s.server = &http.Server{Handler: s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+		s.server.BaseContext = func(net.Listener) context.Context { return requestCtx }
 		s.tracker.Track(s.server)
 	}
 	return nil
--- a/pkg/mesh/settings.go
+++ b/pkg/mesh/settings.go
@@ -46,6 +46,9 @@
 	RetryLimits entrance.RetryLimits
 	// GracePeriod is the time between the stop signal and the kill by the platform.
 	GracePeriod time.Duration
+	// MaxDescriptors is the number of descriptors that the process may have; 0 means the
+	// limit that the kernel enforces.
+	MaxDescriptors int
 
 	LogLevel, LogFormat string
 }
@@ -88,6 +91,7 @@
 	s.RetryLimits.Ratio = b.Float("repeatRatio", 0.1, 0, 1)
 	s.RetryLimits.Slack = b.Float("repeatSlack", 10, 0, 1e6)
 	s.GracePeriod = b.Duration("grace", 6*time.Second, 100*time.Millisecond)
+	s.MaxDescriptors = b.Int("descriptors", 0, 0, 1<<30)
 	logging := f.Section("logs")
 	s.LogLevel = logging.OneOf("level", "info", "debug", "info", "warning", "error")
 	s.LogFormat = logging.OneOf("format", logs.FormatJSON, logs.FormatJSON, logs.FormatText)
--- a/pkg/mesh/settings_test.go
+++ b/pkg/mesh/settings_test.go
@@ -30,6 +30,7 @@
 repeatRatio = 0.2
 repeatSlack = 48
 grace = 6s
+descriptors = 4100
 `
 
 func TestSettings(t *testing.T) {
@@ -38,6 +39,7 @@
 	is.NoErr(err)
 	is.Equal(s.MaxRevocationDelay, 5*time.Second)
 	is.True(s.FirstStart)
+	is.Equal(s.MaxDescriptors, 4100)
 	is.Equal(s.MetricsAddress, "")
 	is.Equal(s.RetryLimits.Slack, 48.0)
 }
