link: a lack of descriptors does not end the node

Cause: Serve returned every error of Accept, and the node drains and ends when a server fails. A full table of descriptors is a passing state.

Change: Accept is tried again after 20 ms when descriptors or memory lack, and a line tells it. Other errors end the server as before.

Evidence: TestServerGoesOnAfterAShortageOfDescriptors failed before and passes.

--- a/pkg/link/close_test.go
+++ b/pkg/link/close_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -217,3 +218,33 @@
 	s.Close()
 	s.Close()
 }
+
+// shortListener fails the first calls of Accept for lack of descriptors.
+type shortListener struct {
+	net.Listener
+	failures atomic.Int64
+}
+
+func (l *shortListener) Accept() (net.Conn, error) {
+	if l.failures.Add(-1) >= 0 {
+		return nil, &net.OpError{Op: "accept", Err: syscall.EMFILE}
+	}
+	return l.Listener.Accept()
+}
+
+// Guards against a node that ends because descriptors are used up for a moment.
+func TestServerGoesOnAfterAShortageOfDescriptors(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	short := &shortListener{Listener: listener}
+	short.failures.Store(5)
+	s := &Server{Clock: clock.System{}, Hello: hello, Handle: echo}
+	ended := make(chan error, 1)
+	go func() { ended <- s.Serve(short) }()
+	t.Cleanup(s.Close)
+	_, err = newLink(t, listener.Addr().String()).Call(t.Context(), KindRun, &linkrpc.Run{})
+	is.NoErr(err)
+	is.NoErr(listener.Close())
+	is.True(errors.Is(<-ended, net.ErrClosed))
+}
--- a/pkg/link/server.go
+++ b/pkg/link/server.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/plantainramp/plantainramp/pkg/clock"
+	"github.com/plantainramp/plantainramp/pkg/connection"
 	"github.com/plantainramp/plantainramp/rpc/linkrpc"
 )
 
@@ -17,6 +18,9 @@
 	defaultCloseTimeout = 250 * time.Millisecond
 	// maxHeldRequests is the number of requests that are read before they are handled.
 	maxHeldRequests = 256
+	// acceptRetryInterval is the time after which an Accept that failed for lack of
+	// resources is tried again.
+	acceptRetryInterval = 20 * time.Millisecond
 )
 
 // Request is a message from a peer that expects a reply.
@@ -46,6 +50,8 @@
 	// OnUnreadableStatus receives the error of each status message that cannot be
 	// decoded; nil is allowed.
 	OnUnreadableStatus func(error)
+	// OnAcceptError receives the error of each Accept that is tried again; nil is allowed.
+	OnAcceptError func(error)
 
 	// CloseTimeout bounds how long Close waits for the requests being handled, the
 	// writing of their replies and the peers' receipt of these; 0 means
@@ -70,14 +76,21 @@
 func (e *CancelledError) Error() string { return "request cancelled by the caller" }
 
 // Serve accepts connections until the listener is closed, and returns the error of
-// Accept.
+// Accept. It passes over a lack of descriptors or memory.
 func (s *Server) Serve(l net.Listener) error {
 	for {
 		conn, err := l.Accept()
-		if err != nil {
+		switch {
+		case err == nil:
+			go s.serveConn(conn)
+		case connection.IsResourceShortage(err):
+			if s.OnAcceptError != nil {
+				s.OnAcceptError(err)
+			}
+			<-s.Clock.After(acceptRetryInterval)
+		default:
 			return err
 		}
-		go s.serveConn(conn)
 	}
 }
 
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -165,7 +165,7 @@
 		OnRestore: n.directory.HandleRestore,
 	}
 	n.demand = &demand.Monitor{Clock: n.clock, LocalNode: self, Service: n.settings.Service, Load: n.gate.Load, View: n.view.Load, Directory: n.directory.Snapshot, OnPlan: n.onPlan}
-	n.links = &link.Server{Clock: n.clock, Hello: n.hello, Handle: n.handlePeerRequest, OnStatus: n.handleStatus, OnUnreadableStatus: func(err error) { n.logUnreadable("status", err) }, CloseTimeout: n.partOfGrace(linkCloseFraction)}
+	n.links = &link.Server{Clock: n.clock, Hello: n.hello, Handle: n.handlePeerRequest, OnStatus: n.handleStatus, OnUnreadableStatus: func(err error) { n.logUnreadable("status", err) }, OnAcceptError: n.onAcceptFailed, CloseTimeout: n.partOfGrace(linkCloseFraction)}
 }
 
 func (n *Node) makeEntrance() {
