--- a/pkg/node/stop.go
+++ b/pkg/node/stop.go
@@ -33,17 +33,23 @@
 	// from then on are closed after the response.
 	stopping func() bool
 	// ended is true once new requests are refused.
-	ended atomic.Bool
+	ended  atomic.Bool
+	logger *logs.Logger
 }
 
 func (n *Node) newIntake() *intake {
-	return &intake{tracker: connection.Tracker{Clock: n.clock}, stopping: n.stopping.Load}
+	return &intake{tracker: connection.Tracker{Clock: n.clock}, stopping: n.stopping.Load, logger: n.logger}
 }
 
-// watch puts the intake in front of the server's handler.
+// watch puts the intake in front of the server's handler. A request whose caller has closed
+// the connection before it was read is dropped.
 func (i *intake) watch(server *http.Server) {
 	next := server.Handler
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if connection.PeerClosed(r.Context()) {
+			i.logger.WithField("address", r.RemoteAddr).Debug("request dropped: its caller had left before it was read")
+			panic(http.ErrAbortHandler)
+		}
 		if i.stopping() {
 			w.Header().Set("Connection", "close")
 		}
