LIMIT: an instance gets no more calls than it has said that it takes

Cause: nothing read Server-Limit, so instances got what slots and balance give them.

Change: the gate reads the limit from every response of its instance, rejections included, and paces calls at it (pkg/pacing): a burst of 0.25 s, then evenly; a call that would wait longer than it can is handed back before it is sent. Calls of admitted requests can wait longest, so they go first. A limit counts until a response to a later call names another or none. What cannot be read changes nothing; 0 and what is nearly so lets a call through every two seconds, as only a response can end it; a million and more is none. An instance with another id or start has none. Peers send what they know of the limit with each call, so that a restarted gate begins with it. The load of a limited instance has the calls in flight at that rate as its limit, for the plan of admission, and the used part of the burst as its fullness, for the balance: it has less room and is not failing.

Weighed: shares of the limit at the entrances, alone or besides. All calls pass the gate, so its count is exact; shares would waste what other entrances do not use, and lag by a report. With the calls in flight as the balance's measure alone, an instance that names 12 a second got none at all, and its limit would never have ended.

--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -32,6 +32,9 @@
 	// Limit is the number of calls that the instance can run at once; 0 where
 	// it is unknown.
 	Limit int
+	// RateFullness is the fraction of the calls that the instance takes by its rate limit
+	// that is used up; 0 without a limit. The instance is as full as that, or as its slots.
+	RateFullness float64
 	// OtherDataCentre reports whether the instance is in another data centre.
 	OtherDataCentre bool
 	// Slowdown is the run time of calls as a multiple of that at the service's
@@ -49,7 +52,7 @@
 	if limit <= 0 {
 		limit = defaultLimit
 	}
-	fullness := float64(c.InFlight+1) / float64(limit)
+	fullness := max(float64(c.InFlight+1)/float64(limit), c.RateFullness)
 	cost := fullness + max(0, fullness-overloadFullness)*overloadSlope + randomUnit*jitter
 	if c.Slowdown > 1 {
 		cost += (c.Slowdown - 1) * slowdownPenalty
--- a/pkg/entrance/dispatch.go
+++ b/pkg/entrance/dispatch.go
@@ -115,6 +115,7 @@
 	message := &r.message
 	message.Attempt = e.Incarnation ^ e.attemptCount.Add(1)
 	message.Instance = string(target.Entry.Instance)
+	message.KnownRateLimit = target.Peer.KnownRateLimit(target.Entry.Instance)
 	now := e.Clock.Now()
 	if r.FirstSent.IsZero() {
 		r.FirstSent = now
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -46,6 +46,8 @@
 	ID      fleet.InstanceName
 	Service fleet.ServiceName
 	Slots   int
+	// StartUnixMs tells apart two starts under the same id; 0 if it is not known.
+	StartUnixMs int64
 	// Open reports whether the instance accepts new calls.
 	Open bool
 }
@@ -65,8 +67,13 @@
 	OnStart func(run *linkrpc.Run, expires time.Time) (ended func())
 	// OnDecision is called at the end of each call; nil is allowed.
 	OnDecision func(d *Decision)
+	// OnRateLimit is called when the instance names another rate limit than before, with
+	// the limit in force, in calls per second, or 0, and when it names one that cannot be
+	// read. It may be nil.
+	OnRateLimit func(a instance.Announcement, rate float64)
 
 	Slots    Slots
+	limit    rateLimit
 	attempts attemptTable
 	local    atomic.Pointer[LocalInstance]
 	draining atomic.Bool
@@ -110,6 +117,18 @@
 func (g *Gate) Init() {
 	g.Slots.Clock = g.Clock
 	g.attempts.Clock = g.Clock
+	g.Instance.OnAnnouncement = g.handleAnnouncement
+}
+
+// handleAnnouncement applies what the instance says of itself in a response.
+func (g *Gate) handleAnnouncement(a instance.Announcement) {
+	local := g.local.Load()
+	if local == nil || string(local.ID) != a.Instance {
+		return
+	}
+	if (g.limit.observe(a) || a.Err != nil) && g.OnRateLimit != nil {
+		g.OnRateLimit(a, g.limit.rate())
+	}
 }
 
 // LocalInstance returns the instance, or nil before SetLocalInstance.
@@ -118,7 +137,10 @@
 // SetLocalInstance sets the state of the instance. If it is closed, no further
 // call is admitted after this returns.
 func (g *Gate) SetLocalInstance(local *LocalInstance) {
-	g.local.Store(local)
+	previous := g.local.Swap(local)
+	if previous == nil || previous.ID != local.ID || previous.StartUnixMs != local.StartUnixMs {
+		g.limit.reset(g.Clock.Now())
+	}
 	g.Slots.SetLimit(max(1, int(float64(local.Slots)*usableSlotFraction)))
 	g.updateSlots()
 }
@@ -153,13 +175,18 @@
 
 // Load returns the current load as the message that peers receive.
 func (g *Gate) Load() *linkrpc.Load {
-	load := g.Slots.Load()
-	return &linkrpc.Load{
-		InFlight: uint32(max(load.InFlight, 0)), Limit: uint32(max(load.Limit, 0)), Queued: uint32(load.Queued),
-		RunUs: uint32(load.MeanSlotTime.Microseconds()), Closed: !g.IsOpen(),
+	slots := g.Slots.Load()
+	load := &linkrpc.Load{
+		InFlight: uint32(max(slots.InFlight, 0)), Limit: uint32(max(slots.Limit, 0)), Queued: uint32(slots.Queued),
+		RunUs: uint32(slots.MeanSlotTime.Microseconds()), Closed: !g.IsOpen(),
 	}
+	g.limit.applyTo(load, g.Clock.Now(), slots.MeanSlotTime)
+	return load
 }
 
+// RateLimit returns the rate limit of the instance in calls per second, or 0.
+func (g *Gate) RateLimit() float64 { return g.limit.rate() }
+
 // NotRunOutcome returns the outcome of a call that was not run and never will be.
 func NotRunOutcome(reason linkrpc.Reason) *linkrpc.Outcome {
 	return &linkrpc.Outcome{Fate: linkrpc.Fate_FATE_NOT_RUN, Reason: reason}
@@ -230,6 +257,9 @@
 			slotTime = 0
 		}
 		g.Slots.Release(slotTime)
+		if d.SentAt.IsZero() {
+			g.limit.giveBack()
+		}
 	}
 	if g.OnDecision != nil {
 		var cancelled *link.CancelledError
@@ -242,8 +272,9 @@
 	return outcome
 }
 
-// admit waits for a slot. It returns a nil outcome once the call holds a slot, or
-// the outcome of a rejected call, together with the time of that decision.
+// admit waits until the rate limit of the instance permits the call, and for a slot. It
+// returns a nil outcome once the call holds a slot, or the outcome of a rejected call,
+// together with the time of that decision.
 func (g *Gate) admit(ctx context.Context, run *linkrpc.Run, arrived time.Time) (*linkrpc.Outcome, time.Time, error) {
 	if ctx.Err() != nil {
 		return g.unsentOutcome(ctx), arrived, nil
@@ -252,22 +283,40 @@
 		return NotRunOutcome(reason), arrived, nil
 	}
 	maxWait := time.Duration(min(run.PatienceUs, run.RemainingUs)) * time.Microsecond
-	verdict := g.Slots.Acquire(ctx, waitqueue.RankOf(arrived, maxWait, run.Priority), maxWait)
-	now := g.Clock.Now()
-	switch verdict {
+	g.limit.adopt(run.KnownRateLimit)
+	paceTime, reserved := g.limit.reserve(arrived, maxWait)
+	if !reserved {
+		return NotRunOutcome(linkrpc.Reason_REASON_FULL), arrived, nil
+	}
+	outcome := g.awaitSlot(ctx, run, arrived, paceTime, maxWait)
+	if outcome != nil {
+		g.limit.giveBack()
+	}
+	return outcome, g.Clock.Now(), nil
+}
+
+// awaitSlot waits for paceTime and then for a slot, maxWait in all. It returns a nil
+// outcome once the call holds a slot.
+func (g *Gate) awaitSlot(ctx context.Context, run *linkrpc.Run, arrived time.Time, paceTime, maxWait time.Duration) *linkrpc.Outcome {
+	paced := paceTime <= 0 || clock.Sleep(ctx, g.Clock, paceTime) == nil
+	g.limit.arrive()
+	if !paced {
+		return g.unsentOutcome(ctx)
+	}
+	switch g.Slots.Acquire(ctx, waitqueue.RankOf(arrived, maxWait, run.Priority), maxWait-paceTime) {
 	case waitqueue.VerdictFull:
-		return NotRunOutcome(linkrpc.Reason_REASON_FULL), now, nil
+		return NotRunOutcome(linkrpc.Reason_REASON_FULL)
 	case waitqueue.VerdictClosed:
-		return NotRunOutcome(linkrpc.Reason_REASON_CLOSED), now, nil
+		return NotRunOutcome(linkrpc.Reason_REASON_CLOSED)
 	case waitqueue.VerdictCancelled:
-		return g.unsentOutcome(ctx), now, nil
+		return g.unsentOutcome(ctx)
 	}
 	// The configuration or the instance may have changed while the call waited.
 	if reason := g.rejectionReason(run); reason != linkrpc.Reason_REASON_NONE {
 		g.Slots.Release(0)
-		return NotRunOutcome(reason), now, nil
+		return NotRunOutcome(reason)
 	}
-	return nil, now, nil
+	return nil
 }
 
 // rejectionReason returns why a call must not run here, or REASON_NONE.
--- /dev/null
+++ b/pkg/gate/ratelimit.go
@@ -0,0 +1,112 @@
+package gate
+
+import (
+	"sync"
+	"time"
+
+	"github.com/plantainramp/plantainramp/pkg/instance"
+	"github.com/plantainramp/plantainramp/pkg/pacing"
+	"github.com/plantainramp/plantainramp/rpc/linkrpc"
+)
+
+// rateLimit is the rate limit that the local instance names in its responses. Responses
+// are read in another order than they were written, so one counts only if its call was sent
+// after the response that named the present limit was read. The zero value has no limit. It
+// is safe for concurrent use.
+type rateLimit struct {
+	mu    sync.Mutex
+	pacer pacing.Pacer
+	// named is the limit that the last response that counts named; limited reports whether
+	// it named one.
+	named   float64
+	limited bool
+	// changedAt is when the response that named the present limit was read, or when the
+	// instance started.
+	changedAt time.Time
+	// heard reports whether a response of the instance has counted.
+	heard bool
+	// waiting is the number of calls that wait for their time.
+	waiting int
+}
+
+// reset removes the limit, for a new instance.
+func (l *rateLimit) reset(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.pacer.Unlimit()
+	l.named, l.limited, l.heard, l.changedAt = 0, false, false, now
+}
+
+// observe applies what a response says, and reports whether the limit changed.
+func (l *rateLimit) observe(a instance.Announcement) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if a.Err != nil || a.Sent.Before(l.changedAt) {
+		return false
+	}
+	adopted := !l.heard && l.pacer.Rate() > 0
+	l.heard = true
+	if l.limited == a.Limited && l.named == a.RateLimit && !adopted {
+		return false
+	}
+	l.named, l.limited, l.changedAt = a.RateLimit, a.Limited, a.Read
+	if a.Limited {
+		l.pacer.Limit(a.RateLimit)
+	} else {
+		l.pacer.Unlimit()
+	}
+	return true
+}
+
+// adopt applies a limit that another node knows, until a response of the instance counts.
+// It serves a node that has restarted since.
+func (l *rateLimit) adopt(rate float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.heard && rate > 0 && l.pacer.Rate() == 0 {
+		l.pacer.Limit(rate)
+	}
+}
+
+// rate returns the limit in calls per second, or 0.
+func (l *rateLimit) rate() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.pacer.Rate()
+}
+
+// applyTo lowers the limit of a load to the calls that run at the rate limit, and adds the
+// calls that wait for their time.
+func (l *rateLimit) applyTo(load *linkrpc.Load, now time.Time, runTime time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	load.Limit = uint32(l.pacer.Concurrency(int(load.Limit), runTime))
+	load.Queued += uint32(l.waiting)
+	load.RateLimit, load.RateFullness = l.pacer.Rate(), float32(l.pacer.Fullness(now))
+}
+
+// reserve returns how long a call waits for its time, or false if that is longer than
+// maxWait. The caller calls arrive once the wait is over.
+func (l *rateLimit) reserve(now time.Time, maxWait time.Duration) (time.Duration, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	wait, reserved := l.pacer.Reserve(now, maxWait)
+	if reserved {
+		l.waiting++
+	}
+	return wait, reserved
+}
+
+// arrive ends the wait of a call.
+func (l *rateLimit) arrive() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.waiting--
+}
+
+// giveBack gives back the time of a call that was not sent.
+func (l *rateLimit) giveBack() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.pacer.Return()
+}
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -47,8 +47,9 @@
 // Headers holds the names of the response headers that the client evaluates.
 type Headers struct {
 	// RequestID is the header that repeats the id of the request, NotExecuted the one
-	// that marks a call as not run, InstanceID the one with the id of the instance.
-	RequestID, NotExecuted, InstanceID string
+	// that marks a call as not run, InstanceID the one with the id of the instance,
+	// RateLimit the one with the calls per second that the instance takes.
+	RequestID, NotExecuted, InstanceID, RateLimit string
 }
 
 // Client sends calls to one instance over a pool of connections. Set the exported
@@ -64,6 +65,9 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// OnConnect is called for each new connection; nil is allowed.
 	OnConnect func()
+	// OnAnnouncement is called for each response of the instance that a call is addressed
+	// to, before Do returns; nil is allowed.
+	OnAnnouncement func(a Announcement)
 
 	// mu guards idle.
 	mu sync.Mutex
@@ -138,6 +142,7 @@
 	if call.OnSend != nil {
 		call.OnSend()
 	}
+	sent := c.Clock.Now()
 	written := make(chan error, 1)
 	if len(request) > asyncWriteBytes {
 		// The instance may respond before it has read the whole request.
@@ -152,13 +157,13 @@
 		}
 		written <- err
 	}
-	response, reusable, err := c.readResponse(k, call)
+	response, reusable, err := c.readResponse(k, call, sent)
 	for range maxMismatchedResponses {
 		var mismatch *RequestIDMismatchError
 		if !k.reused || !errors.As(err, &mismatch) {
 			break
 		}
-		response, _, err = c.readResponse(k, call)
+		response, _, err = c.readResponse(k, call, sent)
 		reusable = false
 	}
 	select {
@@ -170,9 +175,9 @@
 	return response, reusable && k.reader.Buffered() == 0, err
 }
 
-// readResponse reads the final response to a call and reports whether the
-// connection may be reused.
-func (c *Client) readResponse(k *conn, call *Call) (*Response, bool, error) {
+// readResponse reads the final response to a call that was sent at the given time, and
+// reports whether the connection may be reused.
+func (c *Client) readResponse(k *conn, call *Call, sent time.Time) (*Response, bool, error) {
 	k.header.limit(maxHeaderBytes)
 	response, err := readFinalResponse(k.reader, &http.Request{Method: call.Method})
 	k.header.unlimit()
@@ -180,6 +185,7 @@
 		return nil, false, &ResponseError{Cause: err}
 	}
 	defer func() { _ = response.Body.Close() }()
+	c.announce(response, call, sent)
 	body, err := readBody(response, c.MaxBodyBytes)
 	if err != nil {
 		// Closing the body of an open connection would read the rest of it.
--- a/pkg/mesh/events.go
+++ b/pkg/mesh/events.go
@@ -11,6 +11,7 @@
 	"github.com/plantainramp/plantainramp/pkg/entrance"
 	"github.com/plantainramp/plantainramp/pkg/fleet"
 	"github.com/plantainramp/plantainramp/pkg/gate"
+	"github.com/plantainramp/plantainramp/pkg/instance"
 	"github.com/plantainramp/plantainramp/pkg/logs"
 	"github.com/plantainramp/plantainramp/pkg/peering"
 	"github.com/plantainramp/plantainramp/pkg/problem"
@@ -27,6 +28,7 @@
 	eventLost             logs.EventKind = "request lost"
 	eventNotExecuted      logs.EventKind = "call handed back"
 	eventExecutionLost    logs.EventKind = "call lost at the instance"
+	eventRateLimit        logs.EventKind = "instance names another rate limit"
 	eventNotAccepted      logs.EventKind = "connection not accepted"
 	// eventBorrowFailed and eventMessageUnreadable concern messages between nodes.
 	eventBorrowFailed      logs.EventKind = "peer not asked for tokens"
@@ -137,7 +139,7 @@
 func (n *Node) decisionFields(d *gate.Decision) logrus.Fields {
 	load := n.gate.Slots.Load()
 	f := logrus.Fields{
-		"request": d.Run.Request, "route": d.Run.Route, "inner": d.Run.Inner, "reason": d.Outcome.Reason.String(), "waitedMs": milliseconds(d.Waited),
+		"rateLimitPerS": n.gate.RateLimit(), "request": d.Run.Request, "route": d.Run.Route, "inner": d.Run.Inner, "reason": d.Outcome.Reason.String(), "waitedMs": milliseconds(d.Waited),
 		"ranMs": milliseconds(d.Ran), "inFlight": load.InFlight, "limit": load.Limit, "queued": load.Queued, "runMs": milliseconds(load.MeanSlotTime),
 		"schedDelayMs": milliseconds(n.processor.Delay()),
 	}
@@ -153,6 +155,17 @@
 	return f
 }
 
+// onRateLimit logs a rate limit that the local instance names, or one that cannot be read.
+func (n *Node) onRateLimit(a instance.Announcement, rate float64) {
+	n.events.Log(eventRateLimit, func() logrus.Fields {
+		f := logrus.Fields{"id": a.Instance, "request": a.RequestID, "ratePerS": rate, "limited": a.Limited}
+		if a.Err != nil {
+			f["error"] = a.Err.Error()
+		}
+		return f
+	})
+}
+
 // stageOf returns the value of the label stage of a request whose caller left: whether
 // it was sent on, and whether the caller had left before that.
 func stageOf(sent, leftBeforeSend bool) string {
--- a/pkg/mesh/gauges.go
+++ b/pkg/mesh/gauges.go
@@ -27,6 +27,7 @@
 	load := n.gate.Slots.Load()
 	n.meter.Gauge("gate_in_flight").Update(float64(load.InFlight))
 	n.meter.Gauge("gate_slots").Update(float64(load.Limit))
+	n.meter.Gauge("gate_rate_limit").Update(n.gate.RateLimit())
 	n.meter.Gauge("gate_queued").Update(float64(load.Queued))
 	n.meter.Gauge("gate_run_seconds").Update(load.MeanSlotTime.Seconds())
 	n.meter.Gauge("entrance_in_flight").Update(float64(n.entrance.InFlight()))
--- a/pkg/mesh/heartbeat.go
+++ b/pkg/mesh/heartbeat.go
@@ -69,7 +69,7 @@
 	}
 	t.current, t.lastSequence, t.lastHeartbeat = sender, h.Sequence, now
 	updated := gate.LocalInstance{
-		ID: h.Instance, Service: h.Service, Slots: h.Slots, Open: !h.Draining && !t.departed[sender],
+		ID: h.Instance, Service: h.Service, Slots: h.Slots, StartUnixMs: h.StartUnixMs, Open: !h.Draining && !t.departed[sender],
 	}
 	if h.Draining {
 		t.markDeparted(sender)
@@ -132,7 +132,7 @@
 }
 
 func (t *HeartbeatTracker) setInstance(updated gate.LocalInstance) {
-	if t.instance.ID == updated.ID && t.instance.Open == updated.Open && t.instance.Slots == updated.Slots {
+	if t.instance == updated {
 		return
 	}
 	t.instance = updated
--- a/pkg/peering/peering.go
+++ b/pkg/peering/peering.go
@@ -72,11 +72,35 @@
 	// ended.
 	pendingCalls atomic.Int64
 	load         atomic.Pointer[linkrpc.Load]
+	// rateLimit is the limit that the last answer from the peer's instance named.
+	rateLimit atomic.Pointer[knownLimit]
 	// avoidUntil is a clock.Monotonic until which the instance is a last resort; 0
 	// if there is no such time.
 	avoidUntil atomic.Int64
 }
 
+// knownLimit is the rate limit of an instance in calls per second; 0 means none.
+type knownLimit struct {
+	instance string
+	rate     float64
+}
+
+// KnownRateLimit returns the limit that the instance has named in the last answer that
+// this node received from it, in calls per second, or 0.
+func (p *Peer) KnownRateLimit(instance fleet.InstanceName) float64 {
+	if known := p.rateLimit.Load(); known != nil && known.instance == string(instance) {
+		return known.rate
+	}
+	return 0
+}
+
+// learn keeps what the outcome of a call says of the instance.
+func (p *Peer) learn(run *linkrpc.Run, outcome *linkrpc.Outcome) {
+	if outcome.Fate == linkrpc.Fate_FATE_ANSWERED {
+		p.rateLimit.Store(&knownLimit{instance: run.Instance, rate: outcome.GetLoad().GetRateLimit()})
+	}
+}
+
 // Target is an instance that a call may be sent to.
 type Target struct {
 	Entry           directory.Entry
@@ -241,7 +265,9 @@
 	candidate := balancer.Candidate{Limit: t.Entry.Slots, OtherDataCentre: t.OtherDataCentre, InFlight: int(t.Peer.pendingCalls.Load())}
 	if load := t.Peer.Load(); load != nil {
 		candidate.InFlight = max(candidate.InFlight, int(load.InFlight+load.Queued))
-		if load.Limit > 0 {
+		candidate.RateFullness = float64(load.RateFullness)
+		// The limit of a load with a rate limit is not that of its slots.
+		if load.Limit > 0 && load.RateLimit == 0 {
 			candidate.Limit = int(load.Limit)
 		}
 		candidate.LastResort = load.Closed
@@ -290,7 +316,11 @@
 	if p.gate != nil {
 		return p.runLocally(ctx, run)
 	}
-	return p.call(ctx, link.KindRun, run)
+	outcome, incarnation, err := p.call(ctx, link.KindRun, run)
+	if err == nil {
+		p.learn(run, outcome)
+	}
+	return outcome, incarnation, err
 }
 
 // runLocally runs a call at the local gate. The call is cancelled when ctx ends.
