DRAIN: an instance that says in its answers that it leaves gets no more calls

Nothing read Server-Leaving.

Cause: only heartbeats and deregistrations closed a gate.

Change: the gate reads it from every response, also of a rejected or failed call, and closes before the response is passed on, for the lifetime of the instance, whatever its heartbeats say. The word goes with each outcome and status to the other nodes, which remember the lifetime (id and start) and choose the instance no more, whatever its directory entry, the store or a restarted node beside it says. So a new instance under the same id is used. Calls that the instance makes go on. The entry in the directory and the status carry the start.

--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -44,6 +44,9 @@
 		Slots      int                `json:"slots"`
 		// Open reports whether the instance accepts new calls.
 		Open bool `json:"open"`
+		// StartUnixMs tells apart two starts of an instance under the same id; 0 if it is
+		// not known.
+		StartUnixMs int64 `json:"startUnixMs,omitempty"`
 	}
 
 	// Snapshot is the directory at one moment. It is immutable.
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -50,6 +50,9 @@
 	StartUnixMs int64
 	// Open reports whether the instance accepts new calls.
 	Open bool
+	// Leaving reports whether the instance has said that it leaves. It is not open then, for
+	// the rest of its lifetime.
+	Leaving bool
 }
 
 // Gate admits calls to the local instance and runs them there. Set the exported
@@ -71,6 +74,9 @@
 	// the limit in force, in calls per second, or 0, and when it names one that cannot be
 	// read. It may be nil.
 	OnRateLimit func(a instance.Announcement, rate float64)
+	// OnLeaving is called for each response in which the instance says that it leaves. It
+	// closes the gate before it returns. It may be nil.
+	OnLeaving func(a instance.Announcement)
 
 	Slots    Slots
 	limit    rateLimit
@@ -126,6 +132,9 @@
 	if local == nil || string(local.ID) != a.Instance {
 		return
 	}
+	if a.Leaving && g.OnLeaving != nil {
+		g.OnLeaving(a)
+	}
 	if (g.limit.observe(a) || a.Err != nil) && g.OnRateLimit != nil {
 		g.OnRateLimit(a, g.limit.rate())
 	}
@@ -180,6 +189,9 @@
 		InFlight: uint32(max(slots.InFlight, 0)), Limit: uint32(max(slots.Limit, 0)), Queued: uint32(slots.Queued),
 		RunUs: uint32(slots.MeanSlotTime.Microseconds()), Closed: !g.IsOpen(),
 	}
+	if local := g.local.Load(); local != nil && local.Leaving {
+		load.LeavingInstance, load.LeavingStartUnixMs = string(local.ID), local.StartUnixMs
+	}
 	g.limit.applyTo(load, g.Clock.Now(), slots.MeanSlotTime)
 	return load
 }
--- a/pkg/instance/announcement.go
+++ b/pkg/instance/announcement.go
@@ -19,6 +19,8 @@
 	// if Limited is set; otherwise the instance names no limit.
 	RateLimit float64
 	Limited   bool
+	// Leaving reports whether the instance leaves.
+	Leaving bool
 	// Err is an *InvalidRateLimitError if a limit is named that cannot be read.
 	Err error
 }
@@ -46,6 +48,8 @@
 		a.RateLimit, a.Err = parseRateLimit(text)
 		a.Limited = a.Err == nil
 	}
+	// Any other text than a true value says nothing.
+	a.Leaving, _ = strconv.ParseBool(response.Header.Get(c.Headers.Leaving))
 	c.OnAnnouncement(a)
 }
 
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -48,8 +48,9 @@
 type Headers struct {
 	// RequestID is the header that repeats the id of the request, NotExecuted the one
 	// that marks a call as not run, InstanceID the one with the id of the instance,
-	// RateLimit the one with the calls per second that the instance takes.
-	RequestID, NotExecuted, InstanceID, RateLimit string
+	// RateLimit the one with the calls per second that the instance takes, and Leaving the
+	// one that is true if the instance leaves.
+	RequestID, NotExecuted, InstanceID, RateLimit, Leaving string
 }
 
 // Client sends calls to one instance over a pool of connections. Set the exported
--- a/pkg/mesh/events.go
+++ b/pkg/mesh/events.go
@@ -166,6 +166,13 @@
 	})
 }
 
+// onLeaving closes the gate of an instance that says in a response that it leaves.
+func (n *Node) onLeaving(a instance.Announcement) {
+	if n.heartbeats.HandleLeaving(fleet.InstanceName(a.Instance), a.Sent) {
+		logs.WithComponent(n.logger, logs.ComponentMember).WithField("id", a.Instance).WithField("request", a.RequestID).Info("instance says that it leaves")
+	}
+}
+
 // stageOf returns the value of the label stage of a request whose caller left: whether
 // it was sent on, and whether the caller had left before that.
 func stageOf(sent, leftBeforeSend bool) string {
--- a/pkg/mesh/heartbeat.go
+++ b/pkg/mesh/heartbeat.go
@@ -46,8 +46,9 @@
 
 	// mu guards the fields below.
 	mu sync.Mutex
-	// current sent the newest heartbeat.
+	// current sent the newest heartbeat, and its first one at currentSince.
 	current       incarnation
+	currentSince  time.Time
 	lastSequence  uint64
 	lastHeartbeat time.Time
 	// instance is the state last passed to OnChange.
@@ -67,14 +68,16 @@
 	if !t.isNewer(sender, h.Sequence) || h.Service != t.Service {
 		return false
 	}
-	t.current, t.lastSequence, t.lastHeartbeat = sender, h.Sequence, now
-	updated := gate.LocalInstance{
-		ID: h.Instance, Service: h.Service, Slots: h.Slots, StartUnixMs: h.StartUnixMs, Open: !h.Draining && !t.departed[sender],
+	if sender != t.current {
+		t.currentSince = now
 	}
+	t.current, t.lastSequence, t.lastHeartbeat = sender, h.Sequence, now
 	if h.Draining {
 		t.markDeparted(sender)
 	}
-	t.setInstance(updated)
+	t.setInstance(gate.LocalInstance{
+		ID: h.Instance, Service: h.Service, Slots: h.Slots, StartUnixMs: h.StartUnixMs, Open: !t.departed[sender], Leaving: t.departed[sender],
+	})
 	return true
 }
 
@@ -101,9 +104,28 @@
 	if id != t.current.id {
 		return
 	}
+	t.closeForGood()
+}
+
+// HandleLeaving closes the gate of an instance that has said in the response to a call that
+// it leaves. It reports whether that was news. It ignores an id other than the current one,
+// and the response to a call that was sent before the instance started.
+func (t *HeartbeatTracker) HandleLeaving(id fleet.InstanceName, sent time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if id != t.current.id || t.departed[t.current] || sent.Before(t.currentSince) {
+		return false
+	}
+	t.closeForGood()
+	return true
+}
+
+// closeForGood closes the gate for the rest of the lifetime of the instance. The caller
+// holds mu.
+func (t *HeartbeatTracker) closeForGood() {
 	t.markDeparted(t.current)
 	updated := t.instance
-	updated.Open = false
+	updated.Open, updated.Leaving = false, true
 	t.setInstance(updated)
 }
 
--- a/pkg/mesh/heartbeat_test.go
+++ b/pkg/mesh/heartbeat_test.go
@@ -90,3 +90,24 @@
 	tracker.HandleHeartbeat(heartbeat("i-1", 10, 3, false))
 	is.True(last.Open)
 }
+
+// An instance that says in a response that it leaves stays closed for its lifetime,
+// whatever its heartbeats say. Responses to calls from before its start, and those of another
+// id, say nothing.
+func TestInstanceThatSaysItLeavesStaysClosed(t *testing.T) {
+	is := is.New(t)
+	tracker, fake, last := newTracker()
+	beforeStart := fake.Now()
+	fake.Advance(time.Second)
+	is.True(tracker.HandleHeartbeat(heartbeat("i-1", 1, 1, false)))
+	is.True(!tracker.HandleLeaving("i-2", fake.Now()))
+	is.True(!tracker.HandleLeaving("i-1", beforeStart))
+	is.True(last.Open && !last.Leaving)
+	is.True(tracker.HandleLeaving("i-1", fake.Now()))
+	is.True(!tracker.HandleLeaving("i-1", fake.Now()))
+	is.True(!last.Open && last.Leaving)
+	tracker.HandleHeartbeat(heartbeat("i-1", 1, 2, false))
+	is.True(!last.Open && last.Leaving)
+	tracker.HandleHeartbeat(heartbeat("i-1", 2, 1, false))
+	is.True(last.Open && !last.Leaving)
+}
--- a/pkg/mesh/load.go
+++ b/pkg/mesh/load.go
@@ -78,7 +78,7 @@
 		}
 		local := n.directory.Local()
 		status.Instance, status.DataCentre = string(local.Instance), string(local.DataCentre)
-		status.Slots, status.Open = uint32(max(local.Slots, 0)), local.Open
+		status.Slots, status.Open, status.StartUnixMs = uint32(max(local.Slots, 0)), local.Open, local.StartUnixMs
 		for _, p := range n.peers.ReachablePeers(n.peers.NodeCount()) {
 			p.SendStatus(ctx, status)
 		}
@@ -89,9 +89,10 @@
 // may be newer than the one in the store or missing there.
 func (n *Node) handleStatus(status *linkrpc.Status) {
 	n.demand.HandleStatus(status)
+	n.peers.NoteLeaving(status.GetLoad())
 	n.directory.UpdatePeer(directory.Entry{
 		Node: directory.NodeAddress(status.Node), Instance: fleet.InstanceName(status.Instance),
-		Service: fleet.ServiceName(status.Service), DataCentre: fleet.DataCentre(status.DataCentre), Slots: int(status.Slots), Open: status.Open,
+		Service: fleet.ServiceName(status.Service), DataCentre: fleet.DataCentre(status.DataCentre), Slots: int(status.Slots), Open: status.Open, StartUnixMs: status.StartUnixMs,
 	})
 }
 
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -145,7 +145,7 @@
 
 func (n *Node) makeGate() {
 	n.instance = &instance.Client{Address: n.settings.InstanceAddress, Clock: n.clock, Headers: n.platform.InstanceHeaders, MaxBodyBytes: maxResponseBytes}
-	n.gate = &gate.Gate{Clock: n.clock, Headers: n.platform.GateHeaders, Instance: n.instance, View: n.view.Load, OnStart: n.onExecutionStarted, OnDecision: n.onDecided, OnRateLimit: n.onRateLimit}
+	n.gate = &gate.Gate{Clock: n.clock, Headers: n.platform.GateHeaders, Instance: n.instance, View: n.view.Load, OnStart: n.onExecutionStarted, OnDecision: n.onDecided, OnRateLimit: n.onRateLimit, OnLeaving: n.onLeaving}
 	n.gate.Init()
 	n.heartbeats = &HeartbeatTracker{Clock: n.clock, Service: n.settings.Service, Interval: n.settings.HeartbeatInterval, OnChange: n.onInstanceChange}
 }
@@ -274,7 +274,7 @@
 	}
 	n.directory.SetLocal(directory.Entry{
 		Node: directory.NodeAddress(n.settings.PeerAddress), Service: n.settings.Service, DataCentre: n.settings.DataCentre,
-		Instance: s.ID, Slots: s.Slots, Open: n.gate.IsOpen(),
+		Instance: s.ID, Slots: s.Slots, Open: n.gate.IsOpen(), StartUnixMs: s.StartUnixMs,
 	})
 }
 
--- a/pkg/peering/peering.go
+++ b/pkg/peering/peering.go
@@ -56,6 +56,7 @@
 	leaving map[directory.NodeAddress]*Peer
 	// services is replaced as a whole by Update, so that reading it needs no lock.
 	services atomic.Pointer[map[fleet.ServiceName][]*Target]
+	departed departedInstances
 }
 
 // Peer is a node that runs calls: another node or the local one.
@@ -65,6 +66,9 @@
 	link *link.Link
 	gate *gate.Gate
 
+	// noteLeaving is Peers.NoteLeaving.
+	noteLeaving func(*linkrpc.Load)
+
 	// holds is the number of holds that have not been released, or negative once the
 	// link is closed.
 	holds atomic.Int64
@@ -157,9 +161,9 @@
 
 func (p *Peers) newPeer(entry directory.Entry) *Peer {
 	if entry.Node == p.LocalNode {
-		return &Peer{Node: entry.Node, gate: p.Gate}
+		return &Peer{Node: entry.Node, gate: p.Gate, noteLeaving: p.NoteLeaving}
 	}
-	peer := &Peer{Node: entry.Node}
+	peer := &Peer{Node: entry.Node, noteLeaving: p.NoteLeaving}
 	peer.link = &link.Link{Address: string(entry.Node), Clock: p.Clock, Hello: p.Hello, Dial: p.Dial, OnStateChange: func(connected bool, cause error) {
 		logger := p.Logger.WithField("peer", entry.Node)
 		if connected {
@@ -240,7 +244,7 @@
 	untried := make([]*Target, 0, len(targets))
 	fastest := uint32(0)
 	for _, t := range targets {
-		if tried[t.Peer] {
+		if tried[t.Peer] || p.departed.has(lifetimeOf(t.Entry)) {
 			continue
 		}
 		untried = append(untried, t)
@@ -326,6 +330,7 @@
 // runLocally runs a call at the local gate. The call is cancelled when ctx ends.
 func (p *Peer) runLocally(ctx context.Context, run *linkrpc.Run) (*linkrpc.Outcome, uint64, error) {
 	outcome := p.gate.Run(ctx, context.Background(), run)
+	p.noteLeaving(outcome.Load)
 	if outcome.Fate == linkrpc.Fate_FATE_NOT_RUN && ctx.Err() != nil {
 		return nil, 0, &link.NotSentError{Cause: ctx.Err()}
 	}
@@ -350,6 +355,7 @@
 	}
 	if outcome.Load != nil {
 		p.load.Store(outcome.Load)
+		p.noteLeaving(outcome.Load)
 	}
 	return outcome, reply.Incarnation, nil
 }
--- a/pkg/peering/peering_test.go
+++ b/pkg/peering/peering_test.go
@@ -11,6 +11,7 @@
 	"github.com/plantainramp/plantainramp/pkg/fleet"
 	"github.com/plantainramp/plantainramp/pkg/gate"
 	"github.com/plantainramp/plantainramp/pkg/logs"
+	"github.com/plantainramp/plantainramp/rpc/linkrpc"
 )
 
 func newPeers(stepped *clocktest.Stepped) *Peers {
@@ -81,3 +82,41 @@
 	is.True(peers.Choose("desk", nil).Peer != peer)
 	is.Equal(len(peers.ReachablePeers(10)), 1)
 }
+
+// An instance that has said that it leaves gets no more calls, also if its entry says again
+// that it is open. One that starts anew under its id does.
+func TestInstanceThatLeavesIsNotChosen(t *testing.T) {
+	is := is.New(t)
+	peers := newPeers(&clocktest.Stepped{})
+	chosen := func() map[fleet.InstanceName]bool {
+		names := map[fleet.InstanceName]bool{}
+		for range 100 {
+			if target := peers.Choose("desk", nil); target != nil {
+				names[target.Entry.Instance] = true
+			}
+		}
+		return names
+	}
+	is.Equal(chosen(), map[fleet.InstanceName]bool{"a": true, "b": true})
+	peers.NoteLeaving(&linkrpc.Load{LeavingInstance: "a"})
+	is.Equal(chosen(), map[fleet.InstanceName]bool{"b": true})
+	entries := []directory.Entry{{Node: "a", Instance: "a", Service: "desk", Slots: 10, Open: true}}
+	open := &directory.Snapshot{Nodes: map[directory.NodeAddress]directory.Entry{"a": entries[0]}, Services: map[fleet.ServiceName][]directory.Entry{"desk": entries}}
+	peers.Update(open)
+	is.Equal(chosen(), map[fleet.InstanceName]bool{})
+	entries[0].StartUnixMs = 7
+	peers.Update(open)
+	is.Equal(chosen(), map[fleet.InstanceName]bool{"a": true})
+}
+
+// The memory of departed instances is bounded; the oldest are forgotten.
+func TestDepartedInstancesAreBounded(t *testing.T) {
+	is := is.New(t)
+	d := &departedInstances{}
+	for i := range maxDeparted + 10 {
+		is.True(d.add(lifetime{instance: "a", startUnixMs: int64(i)}))
+	}
+	is.Equal(len(*d.lifetimes.Load()), maxDeparted)
+	is.True(!d.has(lifetime{instance: "a", startUnixMs: 9}))
+	is.True(d.has(lifetime{instance: "a", startUnixMs: 10}))
+}
