--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"errors"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -15,7 +14,6 @@
 	"github.com/plantainramp/plantainramp/pkg/instance"
 	"github.com/plantainramp/plantainramp/pkg/link"
 	"github.com/plantainramp/plantainramp/pkg/routing"
-	"github.com/plantainramp/plantainramp/pkg/waitqueue"
 	"github.com/plantainramp/plantainramp/rpc/linkrpc"
 )
 
@@ -87,18 +85,6 @@
 	givenUp atomic.Bool
 }
 
-// GivenUpError is the cause of the outcome of a call that GiveUp ended.
-type GivenUpError struct {
-	// Cause is the error of the call.
-	Cause error
-}
-
-// Error implements error.
-func (e *GivenUpError) Error() string { return "given up as the node stops: " + e.Cause.Error() }
-
-// Unwrap returns the cause.
-func (e *GivenUpError) Unwrap() error { return e.Cause }
-
 // Decision describes a call that has ended at the gate.
 type Decision struct {
 	Run     *linkrpc.Run
@@ -259,13 +245,14 @@
 // process admits a call, runs it and reports its outcome to OnDecision.
 func (g *Gate) process(ctx context.Context, run *linkrpc.Run) *linkrpc.Outcome {
 	d := &Decision{Run: run, Arrived: g.Clock.Now()}
-	outcome, started, cause := g.admit(ctx, run, d.Arrived)
+	var started time.Time
+	d.Outcome, started = g.admit(ctx, run, d.Arrived)
 	d.Waited = started.Sub(d.Arrived)
-	if outcome == nil {
-		outcome, cause = g.execute(ctx, d)
+	if d.Outcome == nil {
+		d.Outcome, d.Cause = g.execute(ctx, d)
 		d.Ran = g.Clock.Now().Sub(started)
 		slotTime := d.Ran
-		if outcome.Fate != linkrpc.Fate_FATE_ANSWERED {
+		if d.Outcome.Fate != linkrpc.Fate_FATE_ANSWERED {
 			slotTime = 0
 		}
 		g.Slots.Release(slotTime)
@@ -278,166 +265,7 @@
 		if errors.As(context.Cause(ctx), &cancelled) {
 			d.CancelledAt = cancelled.At
 		}
-		d.Outcome, d.Cause = outcome, cause
 		g.OnDecision(d)
 	}
-	return outcome
-}
-
-// admit waits until the rate limit of the instance permits the call, and for a slot. It
-// returns a nil outcome once the call holds a slot, or the outcome of a rejected call,
-// together with the time of that decision.
-func (g *Gate) admit(ctx context.Context, run *linkrpc.Run, arrived time.Time) (*linkrpc.Outcome, time.Time, error) {
-	if ctx.Err() != nil {
-		return g.unsentOutcome(ctx), arrived, nil
-	}
-	if reason := g.rejectionReason(run); reason != linkrpc.Reason_REASON_NONE {
-		return NotRunOutcome(reason), arrived, nil
-	}
-	maxWait := time.Duration(min(run.PatienceUs, run.RemainingUs)) * time.Microsecond
-	g.limit.adopt(run.KnownRateLimit)
-	paceTime, reserved := g.limit.reserve(arrived, maxWait)
-	if !reserved {
-		return NotRunOutcome(linkrpc.Reason_REASON_FULL), arrived, nil
-	}
-	outcome := g.awaitSlot(ctx, run, arrived, paceTime, maxWait)
-	if outcome != nil {
-		g.limit.giveBack()
-	}
-	return outcome, g.Clock.Now(), nil
-}
-
-// awaitSlot waits for paceTime and then for a slot, maxWait in all. It returns a nil
-// outcome once the call holds a slot.
-func (g *Gate) awaitSlot(ctx context.Context, run *linkrpc.Run, arrived time.Time, paceTime, maxWait time.Duration) *linkrpc.Outcome {
-	paced := paceTime <= 0 || clock.Sleep(ctx, g.Clock, paceTime) == nil
-	g.limit.arrive()
-	if !paced {
-		return g.unsentOutcome(ctx)
-	}
-	switch g.Slots.Acquire(ctx, waitqueue.RankOf(arrived, maxWait, run.Priority), maxWait-paceTime) {
-	case waitqueue.VerdictFull:
-		return NotRunOutcome(linkrpc.Reason_REASON_FULL)
-	case waitqueue.VerdictClosed:
-		return NotRunOutcome(linkrpc.Reason_REASON_CLOSED)
-	case waitqueue.VerdictCancelled:
-		return g.unsentOutcome(ctx)
-	}
-	// The configuration or the instance may have changed while the call waited.
-	if reason := g.rejectionReason(run); reason != linkrpc.Reason_REASON_NONE {
-		g.Slots.Release(0)
-		return NotRunOutcome(reason)
-	}
-	return nil
-}
-
-// rejectionReason returns why a call must not run here, or REASON_NONE.
-func (g *Gate) rejectionReason(run *linkrpc.Run) linkrpc.Reason {
-	local := g.local.Load()
-	switch {
-	case !g.IsOpen():
-		return linkrpc.Reason_REASON_CLOSED
-	case string(local.Service) != run.Service, run.Instance != "" && string(local.ID) != run.Instance:
-		return linkrpc.Reason_REASON_NOT_HERE
-	case !g.allowedByConfig(run):
-		return linkrpc.Reason_REASON_STALE
-	}
-	return linkrpc.Reason_REASON_NONE
-}
-
-// allowedByConfig reports whether the active configuration permits a call that its
-// entrance accepted with an older one.
-func (g *Gate) allowedByConfig(run *linkrpc.Run) bool {
-	view := g.View()
-	if view == nil || uint64(view.Version) <= run.ConfigVersion {
-		return true
-	}
-	path := pathOf(run.Target)
-	route := view.Lookup(run.Host, path)
-	if route == nil || !route.RoutesTo(fleet.ServiceName(run.Service)) {
-		return false
-	}
-	if !view.NeedsKey(route) {
-		return true
-	}
-	if len(run.Key) != len(routing.KeyDigest{}) {
-		return false
-	}
-	holder := view.OrganisationByKey(routing.KeyDigest(run.Key))
-	return holder != nil && string(holder.ID) == run.Organisation
-}
-
-func pathOf(target string) string {
-	for i := range len(target) {
-		if target[i] == '?' {
-			return target[:i]
-		}
-	}
-	return target
-}
-
-// execute sends the call to the instance and returns the outcome.
-func (g *Gate) execute(ctx context.Context, d *Decision) (*linkrpc.Outcome, error) {
-	run := d.Run
-	remaining := time.Duration(run.RemainingUs)*time.Microsecond - g.Clock.Now().Sub(d.Arrived)
-	if remaining < minRemaining {
-		return NotRunOutcome(linkrpc.Reason_REASON_EXPIRED), nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, remaining+responseMargin)
-	defer cancel()
-	if g.OnStart != nil {
-		defer g.OnStart(run, g.Clock.Now().Add(remaining))()
-	}
-	local := g.local.Load()
-	call := &instance.Call{
-		Method: run.Method, Target: run.Target, Host: run.Host, Body: run.Body,
-		Idempotent: run.Idempotent, RequestID: run.Request, ExpectedInstance: string(local.ID), Headers: g.instanceHeaders(run, local, remaining),
-		OnSend: func() {
-			if d.SentAt.IsZero() {
-				d.SentAt = g.Clock.Now()
-			}
-		},
-	}
-	response, err := g.Instance.Do(ctx, call)
-	var notSent *instance.NotSentError
-	var rejected *instance.RejectedError
-	switch {
-	case err == nil:
-		return &linkrpc.Outcome{
-			Fate: linkrpc.Fate_FATE_ANSWERED, Status: uint32(response.Status), Headers: response.Headers, Body: response.Body,
-		}, nil
-	case errors.As(err, &notSent):
-		return g.unsentOutcome(ctx), err
-	case errors.As(err, &rejected):
-		return NotRunOutcome(linkrpc.Reason_REASON_REJECTED), err
-	case g.givenUp.Load() && errors.Is(ctx.Err(), context.Canceled):
-		return LostOutcome(linkrpc.Reason_REASON_BROKEN), &GivenUpError{Cause: err}
-	case ctx.Err() != nil:
-		return LostOutcome(linkrpc.Reason_REASON_EXPIRED), err
-	}
-	return LostOutcome(linkrpc.Reason_REASON_BROKEN), err
-}
-
-// unsentOutcome returns the outcome of a call that was not sent to the instance, whose
-// context may have ended.
-func (g *Gate) unsentOutcome(ctx context.Context) *linkrpc.Outcome {
-	switch {
-	case ctx.Err() == nil, g.givenUp.Load():
-		return NotRunOutcome(linkrpc.Reason_REASON_BROKEN)
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return NotRunOutcome(linkrpc.Reason_REASON_EXPIRED)
-	}
-	return NotRunOutcome(linkrpc.Reason_REASON_CANCELLED)
-}
-
-// instanceHeaders returns the headers of a call with those that the gate adds.
-func (g *Gate) instanceHeaders(run *linkrpc.Run, local *LocalInstance, remaining time.Duration) []string {
-	headers := make([]string, len(run.Headers), len(run.Headers)+8)
-	copy(headers, run.Headers)
-	headers = append(headers, g.Headers.Deadline, strconv.FormatInt(remaining.Milliseconds(), 10),
-		g.Headers.ExpectedInstance, string(local.ID), g.Headers.CallerService, run.CallerService)
-	if run.Organisation != "" {
-		headers = append(headers, g.Headers.Organisation, run.Organisation)
-	}
-	return headers
+	return d.Outcome
 }
--- a/pkg/mesh/descriptors.go
+++ b/pkg/mesh/descriptors.go
@@ -16,9 +16,9 @@
 	// assumedSlots is the number of connections that the instance is assumed to need until
 	// it has announced its slots.
 	assumedSlots = 512
-	// minCallerPart divides the descriptors: that part is left to callers in any case. Idle
-	// connections of callers may take as many.
-	minCallerPart = 4
+	// callerFraction is the fraction of the descriptors that connections of callers may
+	// take in any case. Idle ones take no more.
+	callerFraction = 0.25
 )
 
 // maxDescriptors returns the number of descriptors that the process may have.
@@ -41,13 +41,15 @@
 		slots = local.Slots
 	}
 	reserved := reservedDescriptors + linksPerPeer*n.peers.NodeCount() + slots
-	return max(n.descriptors-reserved, n.descriptors/minCallerPart)
+	return max(n.descriptors-reserved, n.minCallerConns())
 }
 
+func (n *Node) minCallerConns() int { return int(callerFraction * float64(n.descriptors)) }
+
 // boundCallerConns sets the bounds of the connections of callers.
 func (n *Node) boundCallerConns() {
 	n.descriptors = n.maxDescriptors()
-	n.callerConns.MaxIdle = n.descriptors / minCallerPart
+	n.callerConns.MaxIdle = n.minCallerConns()
 	n.callerConns.MaxOpen = n.maxCallerConns
 	n.callerConns.OnAcceptError = n.onAcceptFailed
 }
