soak: callers that leave

Callers leave within 0.25 s of their requests, while processes are stopped, paused and killed. At most three of their requests may reach a server over half a second later, as the users' rule says.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -37,6 +37,13 @@
 	// cutDelay bounds the time from the exit of a process until a client has seen that
 	// its connection is closed.
 	cutDelay = 200 * time.Millisecond
+	// leaveInterval is the time between two callers of a machine that leave.
+	leaveInterval = 300 * time.Millisecond
+	// maxNoticeTime is the time from the close of a caller's connection within which its
+	// request may still reach a server, and maxLateArrivals the number of requests that may
+	// do so later. Both are requirements of the users.
+	maxNoticeTime   = 500 * time.Millisecond
+	maxLateArrivals = 3
 )
 
 // outcome is the result of a request as its client saw it.
@@ -55,10 +62,12 @@
 // clients send requests to every machine and record their outcomes.
 type clients struct {
 	cluster *cluster
-	// mu guards outcomes.
+	// mu guards outcomes and left.
 	mu       sync.Mutex
 	outcomes []outcome
-	group    sync.WaitGroup
+	// left holds when callers closed their connections, by the ids of their requests.
+	left  map[string]time.Time
+	group sync.WaitGroup
 }
 
 // run starts the clients, which send reads and actions in turn until ctx ends, and on
@@ -72,6 +81,12 @@
 				time.Sleep(requestInterval)
 			}
 		})
+		c.group.Go(func() {
+			for n := 0; ctx.Err() == nil; n++ {
+				c.group.Go(func() { c.leave(m, fmt.Sprintf("l%d-%d", i, n), time.Duration(n%6)*50*time.Millisecond) })
+				time.Sleep(leaveInterval)
+			}
+		})
 		for j := range keptConnections {
 			c.group.Go(func() {
 				k := &keptConnection{machine: m}
@@ -99,6 +114,36 @@
 	c.outcomes = append(c.outcomes, o)
 }
 
+// leave sends a slow read, closes its connection after the given time and records when.
+func (c *clients) leave(m *machine, id string, wait time.Duration) {
+	if sendAndLeave(context.Background(), m, "/archive/"+id, id, wait) != nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.left == nil {
+		c.left = map[string]time.Time{}
+	}
+	c.left[id] = time.Now()
+}
+
+// checkLeft records a violation if more than a few requests reached a server long after
+// their callers had left.
+func (c *clients) checkLeft() {
+	late := 0
+	for _, m := range c.cluster.machines {
+		for id, arrived := range m.server.Arrivals() {
+			left, hasLeft := c.left[id]
+			if hasLeft && arrived.Sub(left) > maxNoticeTime {
+				late++
+			}
+		}
+	}
+	if late > maxLateArrivals {
+		c.cluster.addViolation("%d of %d requests reached a server over %s after their callers had left", late, len(c.left), maxNoticeTime)
+	}
+}
+
 // goodput returns the fraction of the requests started in [from, to) that
 // succeeded, and their total.
 func (c *clients) goodput(from, to time.Time) (fraction float64, total int) {
@@ -331,7 +376,8 @@
 // Node processes are killed, stopped, suspended and restarted while the store fails
 // or is restored from an older copy, and responses are lost. Guards against an action
 // that is executed twice, a rejected action that is executed, a success without
-// execution, a node that exits unexpectedly or takes longer than its grace period to
+// execution, requests that reach a server after their callers have left, a node that exits
+// unexpectedly or takes longer than its grace period to
 // stop, an executed request that a stopping node does not answer, a configuration that
 // is not in force or an entry that the directory lacks after a restore, and goodput
 // that has not recovered 5 s after the last fault.
@@ -365,6 +411,7 @@
 	fraction, total := load.goodput(recovered, recovered.Add(2*time.Second))
 	t.Logf("SOAK_SEED=%d: %v; %d requests; %.4f of %d succeeded after the recovery timeout", seed, history, len(load.outcomes), fraction, total)
 	checkOutcomes(c, c.executions(), load.outcomes)
+	load.checkLeft()
 	c.checkDirectory(c.store.Newest(platform.TopicDirectory))
 	if lacking := c.lackingConfig(t.Context()); len(lacking) > 0 {
 		c.addViolation("configuration %d is not in force at %v", c.version, lacking)
