--- a/pkg/connection/connection.go
+++ b/pkg/connection/connection.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/plantainramp/plantainramp/pkg/clock"
@@ -67,10 +68,12 @@
 	dropped int
 }
 
-// conn is one connection. Its fields other than netConn are guarded by Tracker.mu.
+// conn is one connection. Its fields other than netConn and raw are guarded by Tracker.mu.
 type conn struct {
-	// netConn is set when the connection is accepted and not changed.
+	// netConn and raw are set when the connection is accepted and not changed. raw is nil
+	// for a connection that is no socket.
 	netConn net.Conn
+	raw     syscall.RawConn
 	busy    bool
 	// closed reports whether the tracker has closed the connection. It is never busy
 	// afterwards.
@@ -128,7 +131,7 @@
 }
 
 func (t *Tracker) accept(ctx context.Context, netConn net.Conn) context.Context {
-	c := &conn{netConn: netConn, waitingSince: t.Clock.Now()}
+	c := &conn{netConn: netConn, raw: rawConn(netConn), waitingSince: t.Clock.Now()}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.conns[netConn] = c
--- a/pkg/connection/peerclosed.go
+++ b/pkg/connection/peerclosed.go
@@ -14,24 +14,29 @@
 // a connection that is not tracked.
 func PeerClosed(ctx context.Context) bool {
 	c, tracked := ctx.Value(contextKey{}).(*conn)
-	return tracked && isPeerClosed(c.netConn)
+	return tracked && c.raw != nil && isPeerClosed(c.raw)
 }
 
-func isPeerClosed(netConn net.Conn) bool {
-	syscallConn, ok := netConn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := syscallConn.SyscallConn()
-	if err != nil {
-		return true
-	}
+func isPeerClosed(raw syscall.RawConn) bool {
 	closed := false
 	// Read would wait for the read that the server has in progress; Control does not.
-	err = raw.Control(func(fd uintptr) {
+	err := raw.Control(func(fd uintptr) {
 		polled := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
 		n, pollErr := unix.Poll(polled, 0)
 		closed = pollErr == nil && n > 0 && polled[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
 	})
 	return closed || err != nil
 }
+
+// rawConn returns the raw connection of a socket, or nil.
+func rawConn(netConn net.Conn) syscall.RawConn {
+	syscallConn, ok := netConn.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := syscallConn.SyscallConn()
+	if err != nil {
+		return nil
+	}
+	return raw
+}
--- a/pkg/entrance/dispatch.go
+++ b/pkg/entrance/dispatch.go
@@ -61,7 +61,7 @@
 	tried := map[*peering.Peer]bool{}
 	anyFull := false
 	for r.Dispatches < maxDispatches {
-		if hasLeft(ctx, r) {
+		if isAbandoned(ctx, r) {
 			return nil, unsentError(ctx)
 		}
 		target := e.Peers.Choose(service, tried)
@@ -95,14 +95,14 @@
 	return nil, retryLaterError(problem.KindUnreachable, "no instance of the service takes the request", time.Second)
 }
 
-// hasLeft reports whether the context of a request has ended. It ends it if the caller
-// has closed its connection, which the server may not have read yet.
-func hasLeft(ctx context.Context, r *Request) bool {
-	if ctx.Err() == nil && connection.PeerClosed(ctx) {
-		r.CloseUnread = true
-		r.leave(&CallerLeftError{})
+// isAbandoned reports whether the context of a request has ended, or its caller has closed
+// the connection, which the server may not have read yet.
+func isAbandoned(ctx context.Context, r *Request) bool {
+	if ctx.Err() != nil {
+		return true
 	}
-	return ctx.Err() != nil
+	r.CloseUnread = connection.PeerClosed(ctx)
+	return r.CloseUnread
 }
 
 // sendCall sends the request to one gate and returns the outcome.
--- a/pkg/entrance/entrance.go
+++ b/pkg/entrance/entrance.go
@@ -38,13 +38,6 @@
 // Error implements error.
 func (e *StoppedError) Error() string { return "the node has stopped" }
 
-// CallerLeftError is the cause of the context of a request whose caller has closed its
-// connection.
-type CallerLeftError struct{}
-
-// Error implements error.
-func (e *CallerLeftError) Error() string { return "the caller has closed its connection" }
-
 // Entrance is the HTTP handler for the requests that enter at this node. Set the
 // exported fields before calling Init. Its other methods are safe for concurrent
 // use.
@@ -113,13 +106,10 @@
 func (e *Entrance) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
 	e.inFlight.Add(1)
 	defer e.inFlight.Add(-1)
-	ctx, leave := context.WithCancelCause(hr.Context())
-	defer leave(nil)
 	r, refusal := e.newRequest(hr)
-	r.leave = leave
 	var outcome *linkrpc.Outcome
 	if refusal == nil {
-		outcome, refusal = e.handle(ctx, w, hr, r)
+		outcome, refusal = e.handle(hr.Context(), w, hr, r)
 	}
 	status := 0
 	if refusal != nil {
@@ -127,7 +117,7 @@
 	} else {
 		status = int(outcome.Status)
 	}
-	r.CallerLeft = refusal != nil && callerLeft(ctx, refusal)
+	r.CallerLeft = r.CloseUnread || refusal != nil && callerLeft(hr.Context(), refusal)
 	if e.OnFinish != nil {
 		e.OnFinish(r, status, outcome, refusal)
 	}
--- a/pkg/entrance/request.go
+++ b/pkg/entrance/request.go
@@ -1,7 +1,6 @@
 package entrance
 
 import (
-	"context"
 	"errors"
 	"io"
 	"math"
@@ -60,8 +59,6 @@
 	// when it arrived.
 	AdmittedFraction float64
 
-	// leave ends the context of the request, with *CallerLeftError as its cause.
-	leave context.CancelCauseFunc
 	// responseLost reports whether the request may have run although no response
 	// arrived.
 	responseLost bool
--- a/pkg/gate/execute.go
+++ b/pkg/gate/execute.go
@@ -38,13 +38,9 @@
 	call := &instance.Call{
 		Method: run.Method, Target: run.Target, Host: run.Host, Body: run.Body,
 		Idempotent: run.Idempotent, RequestID: run.Request, ExpectedInstance: string(local.ID), Headers: g.instanceHeaders(run, local, remaining),
-		OnSend: func() {
-			if d.SentAt.IsZero() {
-				d.SentAt = g.Clock.Now()
-			}
-		},
 	}
 	response, err := g.Instance.Do(ctx, call)
+	d.SentAt = call.SentAt
 	var notSent *instance.NotSentError
 	var rejected *instance.RejectedError
 	switch {
--- a/pkg/instance/announcement.go
+++ b/pkg/instance/announcement.go
@@ -38,18 +38,20 @@
 
 // announce passes on what the instance says of itself. A response to another request, or
 // of another instance, says nothing about the one that the call is addressed to.
-func (c *Client) announce(response *http.Response, call *Call, sent time.Time) {
+func (c *Client) announce(response *http.Response, call *Call) {
 	id := response.Header.Get(c.Headers.RequestID)
 	if c.OnAnnouncement == nil || id != "" && id != call.RequestID || response.StatusCode == http.StatusMisdirectedRequest {
 		return
 	}
-	a := Announcement{Instance: call.ExpectedInstance, RequestID: call.RequestID, Sent: sent, Read: c.Clock.Now()}
+	a := Announcement{Instance: call.ExpectedInstance, RequestID: call.RequestID, Sent: call.SentAt, Read: c.Clock.Now()}
 	if text := response.Header.Get(c.Headers.RateLimit); text != "" {
 		a.RateLimit, a.Err = parseRateLimit(text)
 		a.Limited = a.Err == nil
 	}
-	// Any other text than a true value says nothing.
-	a.Leaving, _ = strconv.ParseBool(response.Header.Get(c.Headers.Leaving))
+	if text := response.Header.Get(c.Headers.Leaving); text != "" {
+		// Any other text than a true value says nothing.
+		a.Leaving, _ = strconv.ParseBool(text)
+	}
 	c.OnAnnouncement(a)
 }
 
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -91,9 +91,8 @@
 	// Idempotent reports whether the call may be repeated. Such a call skips the check
 	// of a recently used connection and may be lost if that has just been closed.
 	Idempotent bool
-	// OnSend is called each time before the first byte is written on a connection; nil
-	// is allowed.
-	OnSend func()
+	// SentAt is set by Do before the first byte is written; zero if nothing was.
+	SentAt time.Time
 }
 
 // Response is a complete HTTP response.
@@ -140,10 +139,7 @@
 // roundTrip sends a call, reads its response, and reports whether the connection may
 // be reused. On a reused connection it skips late responses to earlier calls.
 func (c *Client) roundTrip(k *conn, call *Call, request []byte) (*Response, bool, error) {
-	if call.OnSend != nil {
-		call.OnSend()
-	}
-	sent := c.Clock.Now()
+	call.SentAt = c.Clock.Now()
 	written := make(chan error, 1)
 	if len(request) > asyncWriteBytes {
 		// The instance may respond before it has read the whole request.
@@ -158,13 +154,13 @@
 		}
 		written <- err
 	}
-	response, reusable, err := c.readResponse(k, call, sent)
+	response, reusable, err := c.readResponse(k, call)
 	for range maxMismatchedResponses {
 		var mismatch *RequestIDMismatchError
 		if !k.reused || !errors.As(err, &mismatch) {
 			break
 		}
-		response, _, err = c.readResponse(k, call, sent)
+		response, _, err = c.readResponse(k, call)
 		reusable = false
 	}
 	select {
@@ -176,9 +172,9 @@
 	return response, reusable && k.reader.Buffered() == 0, err
 }
 
-// readResponse reads the final response to a call that was sent at the given time, and
-// reports whether the connection may be reused.
-func (c *Client) readResponse(k *conn, call *Call, sent time.Time) (*Response, bool, error) {
+// readResponse reads the final response to a call and reports whether the
+// connection may be reused.
+func (c *Client) readResponse(k *conn, call *Call) (*Response, bool, error) {
 	k.header.limit(maxHeaderBytes)
 	response, err := readFinalResponse(k.reader, &http.Request{Method: call.Method})
 	k.header.unlimit()
@@ -186,7 +182,7 @@
 		return nil, false, &ResponseError{Cause: err}
 	}
 	defer func() { _ = response.Body.Close() }()
-	c.announce(response, call, sent)
+	c.announce(response, call)
 	body, err := readBody(response, c.MaxBodyBytes)
 	if err != nil {
 		// Closing the body of an open connection would read the rest of it.
--- a/pkg/link/read.go
+++ b/pkg/link/read.go
@@ -8,16 +8,25 @@
 )
 
 // waitReader reads from a connection and calls beforeWait each time that it has read all
-// that has arrived, before it waits for more. The zero value of beforeWait is not called.
+// that has arrived, before it waits for more. It belongs to one goroutine.
 type waitReader struct {
 	conn net.Conn
 	// raw is nil for a connection that is no socket. Each Read then counts as a wait.
-	raw        syscall.RawConn
+	raw syscall.RawConn
+	// beforeWait is not called while it is nil.
 	beforeWait func()
+
+	// read is readAvailable as a function value, so that Read needs no new one. It uses the
+	// fields below.
+	read   func(fd uintptr) bool
+	buffer []byte
+	n      int
+	err    error
 }
 
 func newWaitReader(conn net.Conn) *waitReader {
 	r := &waitReader{conn: conn}
+	r.read = r.readAvailable
 	if c, ok := conn.(syscall.Conn); ok {
 		if raw, err := c.SyscallConn(); err == nil {
 			r.raw = raw
@@ -32,24 +41,17 @@
 		r.notify()
 		return r.conn.Read(buffer)
 	}
-	n, readErr := 0, error(nil)
-	err := r.raw.Read(func(fd uintptr) bool {
-		n, readErr = readAvailable(int(fd), buffer)
-		if errors.Is(readErr, syscall.EAGAIN) {
-			r.notify()
-			return false
-		}
-		return true
-	})
+	r.buffer = buffer
+	err := r.raw.Read(r.read)
 	switch {
 	case err != nil:
 		return 0, err
-	case readErr != nil:
-		return 0, &net.OpError{Op: "read", Net: "tcp", Source: r.conn.LocalAddr(), Addr: r.conn.RemoteAddr(), Err: readErr}
-	case n == 0 && len(buffer) > 0:
+	case r.err != nil:
+		return 0, &net.OpError{Op: "read", Net: "tcp", Source: r.conn.LocalAddr(), Addr: r.conn.RemoteAddr(), Err: r.err}
+	case r.n == 0 && len(buffer) > 0:
 		return 0, io.EOF
 	}
-	return n, nil
+	return r.n, nil
 }
 
 func (r *waitReader) notify() {
@@ -58,16 +60,18 @@
 	}
 }
 
-// readAvailable reads what has arrived, without waiting for more.
-func readAvailable(fd int, buffer []byte) (int, error) {
+// readAvailable reads what has arrived. It returns false if that is nothing, so that its
+// caller waits.
+func (r *waitReader) readAvailable(fd uintptr) bool {
 	for {
-		n, err := syscall.Read(fd, buffer)
-		if errors.Is(err, syscall.EINTR) {
-			continue
-		}
-		if err != nil {
-			return 0, err
+		r.n, r.err = syscall.Read(int(fd), r.buffer)
+		switch {
+		case errors.Is(r.err, syscall.EINTR):
+		case errors.Is(r.err, syscall.EAGAIN):
+			r.notify()
+			return false
+		default:
+			return true
 		}
-		return n, nil
 	}
 }
--- a/pkg/peering/peering.go
+++ b/pkg/peering/peering.go
@@ -100,8 +100,9 @@
 
 // learn keeps what the outcome of a call says of the instance.
 func (p *Peer) learn(run *linkrpc.Run, outcome *linkrpc.Outcome) {
-	if outcome.Fate == linkrpc.Fate_FATE_ANSWERED {
-		p.rateLimit.Store(&knownLimit{instance: run.Instance, rate: outcome.GetLoad().GetRateLimit()})
+	rate := outcome.GetLoad().GetRateLimit()
+	if outcome.Fate == linkrpc.Fate_FATE_ANSWERED && rate != p.KnownRateLimit(fleet.InstanceName(run.Instance)) {
+		p.rateLimit.Store(&knownLimit{instance: run.Instance, rate: rate})
 	}
 }
 
