--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -48,8 +48,8 @@
 	StartUnixMs int64
 	// Open reports whether the instance accepts new calls.
 	Open bool
-	// Leaving reports whether the instance has said that it leaves. It is not open then, for
-	// the rest of its lifetime.
+	// Leaving reports whether the instance has said that it leaves. It is not open then, and
+	// does not open again before it has started anew.
 	Leaving bool
 }
 
--- a/pkg/mesh/heartbeat.go
+++ b/pkg/mesh/heartbeat.go
@@ -120,7 +120,7 @@
 	return true
 }
 
-// closeForGood closes the gate for the rest of the lifetime of the instance. The caller
+// closeForGood closes the gate until the instance starts anew. The caller
 // holds mu.
 func (t *HeartbeatTracker) closeForGood() {
 	t.markDeparted(t.current)
--- a/pkg/peering/departed.go
+++ b/pkg/peering/departed.go
@@ -10,57 +10,57 @@
 	"github.com/plantainramp/plantainramp/rpc/linkrpc"
 )
 
-// maxDeparted bounds the lifetimes that are remembered as departed.
+// maxDeparted bounds the incarnations that are remembered as departed.
 const maxDeparted = 4096
 
-// lifetime is one start of an instance.
-type lifetime struct {
+// incarnation is one start of an instance.
+type incarnation struct {
 	instance    fleet.InstanceName
 	startUnixMs int64
 }
 
-func lifetimeOf(e directory.Entry) lifetime {
-	return lifetime{instance: e.Instance, startUnixMs: e.StartUnixMs}
+func incarnationOf(e directory.Entry) incarnation {
+	return incarnation{instance: e.Instance, startUnixMs: e.StartUnixMs}
 }
 
 // departedInstances remembers the instances that have said that they leave. They take no
-// calls for the rest of their lifetime, whatever their directory entry or a restarted node
+// calls until they end, whatever their directory entry or a restarted node
 // beside them says. The zero value is empty. It is safe for concurrent use.
 type departedInstances struct {
-	// lifetimes is replaced as a whole, so that reading it needs no lock.
-	lifetimes atomic.Pointer[map[lifetime]bool]
+	// incarnations is replaced as a whole, so that reading it needs no lock.
+	incarnations atomic.Pointer[map[incarnation]bool]
 
-	// mu guards order, which holds the same lifetimes, the oldest first.
+	// mu guards order, which holds the same incarnations, the oldest first.
 	mu    sync.Mutex
-	order []lifetime
+	order []incarnation
 }
 
-func (d *departedInstances) has(l lifetime) bool {
-	lifetimes := d.lifetimes.Load()
-	return lifetimes != nil && (*lifetimes)[l]
+func (d *departedInstances) has(i incarnation) bool {
+	incarnations := d.incarnations.Load()
+	return incarnations != nil && (*incarnations)[i]
 }
 
-// add remembers a lifetime, and reports whether it was new.
-func (d *departedInstances) add(l lifetime) bool {
-	if d.has(l) {
+// add remembers an incarnation, and reports whether it was new.
+func (d *departedInstances) add(i incarnation) bool {
+	if d.has(i) {
 		return false
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.has(l) {
+	if d.has(i) {
 		return false
 	}
-	updated := map[lifetime]bool{}
-	if lifetimes := d.lifetimes.Load(); lifetimes != nil {
-		updated = maps.Clone(*lifetimes)
+	updated := map[incarnation]bool{}
+	if incarnations := d.incarnations.Load(); incarnations != nil {
+		updated = maps.Clone(*incarnations)
 	}
 	if len(d.order) >= maxDeparted {
 		delete(updated, d.order[0])
 		d.order = d.order[1:]
 	}
-	updated[l] = true
-	d.order = append(d.order, l)
-	d.lifetimes.Store(&updated)
+	updated[i] = true
+	d.order = append(d.order, i)
+	d.incarnations.Store(&updated)
 	return true
 }
 
@@ -69,8 +69,8 @@
 	if load.GetLeavingInstance() == "" {
 		return
 	}
-	l := lifetime{instance: fleet.InstanceName(load.LeavingInstance), startUnixMs: load.LeavingStartUnixMs}
-	if p.departed.add(l) {
-		p.Logger.WithField("id", l.instance).WithField("startUnixMs", l.startUnixMs).Info("instance leaves; no more calls are sent to it")
+	i := incarnation{instance: fleet.InstanceName(load.LeavingInstance), startUnixMs: load.LeavingStartUnixMs}
+	if p.departed.add(i) {
+		p.Logger.WithField("id", i.instance).WithField("startUnixMs", i.startUnixMs).Info("instance leaves; no more calls are sent to it")
 	}
 }
