DRAIN: a deregistration before the first heartbeat counts

Cause: the node (sidecar-centro-b-2) had restarted at 9.57 s. At 10.225 s it acknowledged the deregistration of its instance, of which it had heard no heartbeat yet, and so ignored it: its id was not the current one. At 12.416 s a late heartbeat of the instance said ready, and the gate opened until the instance was gone (12.73 s).

Change: a deregistration that comes before any heartbeat is kept, and the first heartbeat of that id starts closed, for its incarnation. Later ones of other ids are ignored as before.

--- a/pkg/mesh/heartbeat.go
+++ b/pkg/mesh/heartbeat.go
@@ -51,6 +51,8 @@
 	currentSince  time.Time
 	lastSequence  uint64
 	lastHeartbeat time.Time
+	// deregistered is the instance that was deregistered before the first heartbeat.
+	deregistered fleet.InstanceName
 	// instance is the state last passed to OnChange.
 	instance gate.LocalInstance
 	// departed holds the incarnations that have announced their shutdown. They stay
@@ -68,11 +70,12 @@
 	if !t.isNewer(sender, h.Sequence) || h.Service != t.Service {
 		return false
 	}
+	deregistered := t.current.id == "" && h.Instance == t.deregistered
 	if sender != t.current {
 		t.currentSince = now
 	}
 	t.current, t.lastSequence, t.lastHeartbeat = sender, h.Sequence, now
-	if h.Draining {
+	if h.Draining || deregistered {
 		t.markDeparted(sender)
 	}
 	t.setInstance(gate.LocalInstance{
@@ -97,10 +100,14 @@
 }
 
 // HandleDeregistration closes the gate of an instance that has announced its shutdown.
-// An id other than the current one is ignored.
+// Before the first heartbeat it is kept for that: a node that has restarted may hear of the
+// shutdown first. Later, an id other than the current one is ignored.
 func (t *HeartbeatTracker) HandleDeregistration(id fleet.InstanceName) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.current.id == "" {
+		t.deregistered = id
+	}
 	if id != t.current.id {
 		return
 	}
--- a/pkg/mesh/heartbeat_test.go
+++ b/pkg/mesh/heartbeat_test.go
@@ -111,3 +111,17 @@
 	tracker.HandleHeartbeat(heartbeat("i-1", 2, 1, false))
 	is.True(last.Open && !last.Leaving)
 }
+
+// A node restarts beside an instance that leaves, and acknowledges its deregistration before
+// it has heard a heartbeat. Guards against a later heartbeat that opens the gate again.
+func TestDeregistrationBeforeTheFirstHeartbeatCounts(t *testing.T) {
+	is := is.New(t)
+	tracker, _, last := newTracker()
+	tracker.HandleDeregistration("i-1")
+	is.True(tracker.HandleHeartbeat(heartbeat("i-1", 1, 7, false)))
+	is.True(!last.Open && last.Leaving)
+	tracker.HandleHeartbeat(heartbeat("i-1", 1, 8, false))
+	is.True(!last.Open)
+	tracker.HandleHeartbeat(heartbeat("i-2", 2, 1, false))
+	is.True(last.Open && !last.Leaving)
+}
