--- a/pkg/entrance/left_test.go
+++ b/pkg/entrance/left_test.go
@@ -132,8 +132,7 @@
 	leave()
 	time.Sleep(50 * time.Millisecond)
 	cluster.unreachable.Store(false)
-	// The gate ends it by itself only gate.OrphanTimeout after the loss.
-	awaitRunning(t, cluster, 0, time.Second)
+	awaitRunning(t, cluster, 0, 700*time.Millisecond)
 }
 
 func awaitRunning(t *testing.T, tc *testCluster, n int64, timeout time.Duration) {
