Links: large messages go in parts, between which others are sent

Cause: a message was one frame, so each call behind an upload on the link between two nodes waited for all of it, and one write of all that was queued had two seconds. A body cut off in the middle counted as possibly run, though the peer never had it whole. Change: messages over 32 KB go in parts to peers that say in their handshake that they read them; small messages go between the parts. Each write of 64 KB has its own two seconds. A request whose last part was not written counts as not sent. The server bounds the memory for messages in parts and passes those beyond it on without their payload. With parts switched off TestSmallCallOvertakesUpload, TestUploadEndsInTheMiddle and TestUploadsBeyondBudgetAreDiscarded fail.

--- a/pkg/link/frame.go
+++ b/pkg/link/frame.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/binary"
 	"fmt"
 	"io"
@@ -16,6 +17,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/plantainramp/plantainramp/pkg/clock"
+	"github.com/plantainramp/plantainramp/pkg/memory"
 )
 
 // Kind is the type of a message.
@@ -39,6 +41,9 @@
 	KindCancel
 	// KindReply is the reply to the request of the same stream.
 	KindReply
+	// KindPart carries a part of a message that is too long for one frame. The last part
+	// has the kind of the message.
+	KindPart
 )
 
 // StreamID identifies a request on its connection. Messages that belong to no
@@ -50,17 +55,25 @@
 	headerBytes = 4 + 1 + 4
 	// maxMessageBytes bounds the payload of a received message.
 	maxMessageBytes = 80 << 20
+	// partBytes is the payload of a part. Messages with more are sent in parts.
+	partBytes = 32 << 10
+	// partHeaderBytes is the size of the length of the whole message, which each part
+	// begins with except the last.
+	partHeaderBytes = 4
+	// maxWriteBytes bounds the data that is written under one writeTimeout.
+	maxWriteBytes = 64 << 10
 	// maxPendingBytes bounds the send queue of a connection whose peer does not read.
 	maxPendingBytes = 16 << 20
 	// maxReusedBufferBytes is the largest write buffer that is kept for reuse.
 	maxReusedBufferBytes = 64 << 10
 	readBufferBytes      = 16 << 10
-	// writeTimeout bounds one write, which blocks while the peer does not read.
+	// writeTimeout bounds the time to write maxWriteBytes, which takes longer while the
+	// peer does not read.
 	writeTimeout = 2 * time.Second
 )
 
-// FrameError reports a message that is too large or that is not the expected
-// handshake message.
+// FrameError reports a message that is too large, whose parts do not fit together, or that
+// is not the expected handshake message.
 type FrameError struct {
 	// Length is the payload length in bytes.
 	Length int
@@ -68,7 +81,7 @@
 
 // Error implements error.
 func (e *FrameError) Error() string {
-	return fmt.Sprintf("invalid message of %d bytes from peer: too large, or not a handshake message", e.Length)
+	return fmt.Sprintf("invalid message of %d bytes from peer: too large, in parts that do not fit together, or not a handshake message", e.Length)
 }
 
 // BacklogError reports that the send queue is full because the peer does not
@@ -89,12 +102,25 @@
 	source *waitReader
 	reader *bufio.Reader
 
-	// mu guards pending, pendingRequests, finishing and closeErr.
+	// partial holds the messages of which some parts were read. It belongs to the reading
+	// goroutine.
+	partial map[StreamID]*partialMessage
+	// budget bounds the bytes of the messages that are read in parts; nil means no bound.
+	budget *memory.Budget
+
+	// mu guards pending, pendingRequests, large, largeBytes, sendsParts, finishing and
+	// closeErr.
 	mu sync.Mutex
 	// pending holds the encoded messages that writeLoop has not picked up yet.
 	pending []byte
 	// pendingRequests lists the requests in pending, in their order there.
 	pendingRequests []queuedRequest
+	// large holds the messages that are sent in parts, the one whose part is next first,
+	// and largeBytes is the number of their bytes that are not written yet.
+	large      []*largeMessage
+	largeBytes int
+	// sendsParts reports whether the peer accepts messages in parts.
+	sendsParts bool
 	// finishing reports that nothing more is queued, and that writeLoop ends the sending
 	// direction once it has written what is.
 	finishing bool
@@ -131,7 +157,7 @@
 	if f.finishing {
 		return net.ErrClosed
 	}
-	if len(f.pending) > maxPendingBytes && kind != KindCancel {
+	if len(f.pending)+f.largeBytes > maxPendingBytes && kind != KindCancel {
 		return &BacklogError{}
 	}
 	start := len(f.pending)
@@ -145,6 +171,12 @@
 		}
 		f.pending = encoded
 	}
+	if len(f.pending)-start-headerBytes > partBytes && f.sendsParts && stream != 0 {
+		f.queueLarge(&largeMessage{kind: kind, stream: stream, isRequest: isRequest, payload: bytes.Clone(f.pending[start+headerBytes:])})
+		f.pending = f.pending[:start]
+		f.wakeWriter()
+		return nil
+	}
 	binary.BigEndian.PutUint32(f.pending[start:], uint32(len(f.pending)-start-headerBytes))
 	if isRequest {
 		f.pendingRequests = append(f.pendingRequests, queuedRequest{stream: stream, start: start, end: len(f.pending)})
@@ -158,6 +190,9 @@
 func (f *framer) withdraw(stream StreamID) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.withdrawLarge(stream) {
+		return true
+	}
 	i := slices.IndexFunc(f.pendingRequests, func(q queuedRequest) bool { return q.stream == stream })
 	if i < 0 {
 		return false
@@ -185,40 +220,45 @@
 func (f *framer) writeLoop() {
 	var spare []byte
 	for range f.wake {
-		f.mu.Lock()
-		batch, requests := f.pending, f.pendingRequests
-		f.pending, f.pendingRequests = spare[:0], nil
-		closeErr, isLast := f.closeErr, f.finishing
-		f.mu.Unlock()
-		if closeErr != nil {
-			return
+		for more := true; more; {
+			f.mu.Lock()
+			batch, requests := f.pending, f.pendingRequests
+			f.pending, f.pendingRequests = spare[:0], nil
+			batch, requests = f.appendPart(batch, requests)
+			more = len(f.large) > 0
+			closeErr, isLast := f.closeErr, f.finishing && !more
+			f.mu.Unlock()
+			if closeErr != nil {
+				return
+			}
+			if err := f.write(batch, requests); err != nil {
+				f.closeWithError(err)
+				return
+			}
+			if isLast {
+				f.endSending()
+				return
+			}
+			if cap(batch) > maxReusedBufferBytes {
+				batch = nil
+			}
+			spare = batch
 		}
-		if err := f.write(batch, requests); err != nil {
-			f.closeWithError(err)
-			return
-		}
-		if isLast {
-			f.endSending()
-			return
-		}
-		if cap(batch) > maxReusedBufferBytes {
-			batch = nil
-		}
-		spare = batch
 	}
 }
 
 // write writes a batch of messages, which may be empty.
 func (f *framer) write(batch []byte, requests []queuedRequest) error {
-	if len(batch) == 0 {
-		return nil
-	}
 	if len(requests) > 0 && f.beforeWrite != nil {
 		f.beforeWrite(requests)
 	}
-	_ = f.conn.SetWriteDeadline(f.clock.Now().Add(writeTimeout))
-	_, err := f.conn.Write(batch)
-	return err
+	for chunk := range slices.Chunk(batch, maxWriteBytes) {
+		_ = f.conn.SetWriteDeadline(f.clock.Now().Add(writeTimeout))
+		if _, err := f.conn.Write(chunk); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // finishWrites makes writeLoop write what is queued and then end the sending
@@ -249,22 +289,42 @@
 	f.wakeWriter()
 }
 
-// readMessage blocks until it has read a message, and returns its kind, stream
-// and payload.
-func (f *framer) readMessage() (Kind, StreamID, []byte, error) {
+// message is a message that was read.
+type message struct {
+	kind    Kind
+	stream  StreamID
+	payload []byte
+	// reserved is the number of bytes that the reader of the message must release from the
+	// budget.
+	reserved int64
+	// discarded reports that the payload was skipped, as the budget had no room for it.
+	discarded bool
+}
+
+// readMessage blocks until it has read a message. A message in parts is returned once it
+// is whole; each part before the last is returned as a message of KindPart.
+func (f *framer) readMessage() (message, error) {
 	var header [headerBytes]byte
 	if _, err := io.ReadFull(f.reader, header[:]); err != nil {
-		return 0, 0, nil, err
+		return message{}, err
 	}
 	length := int(binary.BigEndian.Uint32(header[:]))
-	if length > maxMessageBytes {
-		return 0, 0, nil, &FrameError{Length: length}
+	m := message{kind: Kind(header[4]), stream: StreamID(binary.BigEndian.Uint32(header[5:]))}
+	switch {
+	case length > maxMessageBytes:
+		return message{}, &FrameError{Length: length}
+	case m.kind == KindPart:
+		return m, f.readPart(m.stream, length)
+	case m.kind == KindCancel:
+		f.dropPartial(m.stream)
+	case f.partial[m.stream] != nil:
+		return f.readLastPart(m, length)
 	}
-	payload := make([]byte, length)
-	if _, err := io.ReadFull(f.reader, payload); err != nil {
-		return 0, 0, nil, err
+	m.payload = make([]byte, length)
+	if _, err := io.ReadFull(f.reader, m.payload); err != nil {
+		return message{}, err
 	}
-	return Kind(header[4]), StreamID(binary.BigEndian.Uint32(header[5:])), payload, nil
+	return m, nil
 }
 
 // cause returns the error that closed the connection, or nil while it is open.
--- a/pkg/link/link.go
+++ b/pkg/link/link.go
@@ -242,20 +242,21 @@
 	c.framer = newFramer(conn, l.Clock, c.markSent)
 	c.streams.pending = map[StreamID]*pendingReply{}
 	go c.writeLoop()
-	if err := c.send(KindHello, 0, l.Hello(), false); err != nil {
+	if err := c.send(KindHello, 0, acceptingParts(l.Hello()), false); err != nil {
 		return nil, err
 	}
 	_ = conn.SetReadDeadline(l.Clock.Now().Add(dialTimeout))
-	kind, _, payload, err := c.readMessage()
+	first, err := c.readMessage()
 	if err != nil {
 		c.closeWithError(err)
 		return nil, err
 	}
 	hello := &linkrpc.Hello{}
-	if err := proto.Unmarshal(payload, hello); err != nil || kind != KindHello {
-		c.closeWithError(&FrameError{Length: len(payload)})
-		return nil, &FrameError{Length: len(payload)}
+	if err := proto.Unmarshal(first.payload, hello); err != nil || first.kind != KindHello {
+		c.closeWithError(&FrameError{Length: len(first.payload)})
+		return nil, &FrameError{Length: len(first.payload)}
 	}
+	c.acceptParts(hello.AcceptsParts)
 	_ = conn.SetReadDeadline(time.Time{})
 	c.incarnation = hello.Incarnation
 	c.lastRead.Store(int64(clock.MonotonicOf(l.Clock.Now())))
@@ -266,14 +267,14 @@
 // readReplies delivers replies to the waiting calls until the connection fails.
 func (l *Link) readReplies(c *clientConn) {
 	for {
-		kind, stream, payload, err := c.readMessage()
+		m, err := c.readMessage()
 		if err != nil {
 			c.closeWithError(err)
 			break
 		}
 		c.lastRead.Store(int64(clock.MonotonicOf(l.Clock.Now())))
-		if kind == KindReply {
-			c.deliver(stream, Reply{Payload: payload, Incarnation: c.incarnation})
+		if m.kind == KindReply {
+			c.deliver(m.stream, Reply{Payload: m.payload, Incarnation: c.incarnation})
 		}
 	}
 	l.mu.Lock()
--- a/pkg/link/server.go
+++ b/pkg/link/server.go
@@ -10,6 +10,7 @@
 
 	"github.com/plantainramp/plantainramp/pkg/clock"
 	"github.com/plantainramp/plantainramp/pkg/connection"
+	"github.com/plantainramp/plantainramp/pkg/memory"
 	"github.com/plantainramp/plantainramp/rpc/linkrpc"
 )
 
@@ -27,6 +28,9 @@
 type Request struct {
 	Kind    Kind
 	Payload []byte
+	// Discarded reports that the message was read without its payload, as Server.Budget
+	// had no room for it.
+	Discarded bool
 	// Wanted ends with the cause *CancelledError when the peer cancels the request. It
 	// does not end with the connection.
 	Wanted context.Context
@@ -53,6 +57,10 @@
 	// OnAcceptError receives the error of each Accept that is tried again; nil is allowed.
 	OnAcceptError func(error)
 
+	// Budget bounds the bytes of the requests that arrive in parts, until they are
+	// answered; nil means no bound.
+	Budget *memory.Budget
+
 	// CloseTimeout bounds how long Close waits for the requests being handled, the
 	// writing of their replies and the peers' receipt of these; 0 means
 	// defaultCloseTimeout.
@@ -139,11 +147,15 @@
 	ctx context.Context
 	// cancel ends Wanted, and lose ends ctx only.
 	cancel, lose context.CancelCauseFunc
+	// reserved is the number of bytes to release from the budget at the end.
+	reserved int64
 }
 
 func (s *Server) serveConn(netConn net.Conn) {
 	c := &serverConn{framer: newFramer(netConn, s.Clock, nil), ended: make(chan struct{}), requests: map[StreamID]*serverRequest{}}
+	c.budget = s.Budget
 	defer close(c.ended)
+	defer c.dropPartials()
 	defer c.close()
 	if !s.addConn(c) {
 		return
@@ -151,25 +163,38 @@
 	defer s.removeConn(c)
 	go c.writeLoop()
 	_ = netConn.SetReadDeadline(s.Clock.Now().Add(dialTimeout))
-	if kind, _, _, err := c.readMessage(); err != nil || kind != KindHello || !c.startRequests() {
+	first, err := c.readMessage()
+	if err != nil || first.kind != KindHello || !c.startRequests() {
+		return
+	}
+	hello := &linkrpc.Hello{}
+	if err := proto.Unmarshal(first.payload, hello); err != nil {
+		c.closeWithError(&FrameError{Length: len(first.payload)})
 		return
 	}
 	_ = netConn.SetReadDeadline(time.Time{})
-	if c.send(KindHello, 0, s.Hello(), false) != nil {
+	if c.send(KindHello, 0, acceptingParts(s.Hello()), false) != nil {
 		return
 	}
+	c.acceptParts(hello.AcceptsParts)
 	c.source.beforeWait = func() { s.startHeld(c) }
 	defer c.dropHeld()
 	for {
-		kind, stream, payload, err := c.readMessage()
+		m, err := c.readMessage()
 		if err != nil {
 			c.closeWithError(err)
 			return
 		}
-		s.dispatch(c, kind, stream, payload)
+		s.dispatch(c, m)
 	}
 }
 
+// acceptingParts returns the handshake message with AcceptsParts set.
+func acceptingParts(hello *linkrpc.Hello) *linkrpc.Hello {
+	hello.AcceptsParts = true
+	return hello
+}
+
 // addConn adds an accepted connection. It returns false if the server is closed.
 func (s *Server) addConn(c *serverConn) bool {
 	s.mu.Lock()
@@ -191,16 +216,16 @@
 }
 
 // dispatch handles one message. Requests are held until startHeld.
-func (s *Server) dispatch(c *serverConn, kind Kind, stream StreamID, payload []byte) {
-	switch kind {
+func (s *Server) dispatch(c *serverConn, m message) {
+	switch m.kind {
 	case KindPing:
 		_ = c.send(KindPong, 0, nil, false)
 	case KindCancel:
-		c.cancelRequest(stream)
+		c.cancelRequest(m.stream)
 	case KindStatus:
-		s.handleStatus(payload)
+		s.handleStatus(m.payload)
 	case KindRun, KindAsk, KindTokenRequest:
-		if r := c.takeRequest(kind, stream, payload); r != nil {
+		if r := c.takeRequest(m); r != nil {
 			c.held = append(c.held, r)
 		}
 		if len(c.held) >= maxHeldRequests {
@@ -257,16 +282,17 @@
 
 // takeRequest registers a request to be handled. It returns nil if the connection
 // closes.
-func (c *serverConn) takeRequest(kind Kind, stream StreamID, payload []byte) *serverRequest {
+func (c *serverConn) takeRequest(m message) *serverRequest {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closing {
+		c.release(m.reserved)
 		return nil
 	}
-	r := &serverRequest{stream: stream, Request: Request{Kind: kind, Payload: payload}}
+	r := &serverRequest{stream: m.stream, reserved: m.reserved, Request: Request{Kind: m.kind, Payload: m.payload, Discarded: m.discarded}}
 	r.Wanted, r.cancel = context.WithCancelCause(context.Background())
 	r.ctx, r.lose = context.WithCancelCause(r.Wanted)
-	c.requests[stream] = r
+	c.requests[m.stream] = r
 	c.handlers.Add(1)
 	return r
 }
@@ -276,6 +302,7 @@
 	c.mu.Lock()
 	delete(c.requests, r.stream)
 	c.mu.Unlock()
+	c.release(r.reserved)
 	r.cancel(nil)
 }
 
--- a/pkg/mesh/events.go
+++ b/pkg/mesh/events.go
@@ -29,6 +29,7 @@
 	eventNotExecuted      logs.EventKind = "call handed back"
 	eventExecutionLost    logs.EventKind = "call lost at the instance"
 	eventRateLimit        logs.EventKind = "instance names another rate limit"
+	eventBodyDiscarded    logs.EventKind = "large body of a peer discarded"
 	eventNotAccepted      logs.EventKind = "connection not accepted"
 	// eventBorrowFailed and eventMessageUnreadable concern messages between nodes.
 	eventBorrowFailed      logs.EventKind = "peer not asked for tokens"
@@ -61,6 +62,9 @@
 			f["organisation"] = r.Organisation.ID
 		}
 		if rejection != nil {
+			if r.Route != nil && n.callerBodies.Used() > 0 {
+				f["bodyBytes"], f["bodyBytesLimit"] = n.callerBodies.Used(), n.callerBodies.Limit
+			}
 			f["reason"], f["detail"], f["run"] = rejection.Kind, rejection.Detail, rejection.Execution
 			f["retryAfterMs"] = milliseconds(rejection.RetryAfter)
 		}
@@ -173,6 +177,13 @@
 	}
 }
 
+// onBodyDiscarded logs a call that is handed back as the gate has no memory for its body.
+func (n *Node) onBodyDiscarded() {
+	n.events.Log(eventBodyDiscarded, func() logrus.Fields {
+		return logrus.Fields{"bodyBytes": n.peerBodies.Used(), "bodyBytesLimit": n.peerBodies.Limit}
+	})
+}
+
 // stageOf returns the value of the label stage of a request whose caller left: whether
 // it was sent on, and whether the caller had left before that.
 func stageOf(sent, leftBeforeSend bool) string {
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -25,6 +25,7 @@
 	"github.com/plantainramp/plantainramp/pkg/instance"
 	"github.com/plantainramp/plantainramp/pkg/link"
 	"github.com/plantainramp/plantainramp/pkg/logs"
+	"github.com/plantainramp/plantainramp/pkg/memory"
 	"github.com/plantainramp/plantainramp/pkg/meter"
 	"github.com/plantainramp/plantainramp/pkg/peering"
 	"github.com/plantainramp/plantainramp/pkg/processor"
@@ -56,6 +57,10 @@
 	usedToleranceFraction = 0.9
 	// maxResponseBytes bounds the body of an instance's response.
 	maxResponseBytes = 32 << 20
+	// bodyFraction is the fraction of the memory of the process that large request bodies
+	// may take at the entrance, and again at the gate. A body is copied on its way, so that
+	// it takes up to three times its size.
+	bodyFraction = 1.0 / 12
 	// maxLinesPerSecond bounds the log lines of each kind of event.
 	maxLinesPerSecond = 10
 )
@@ -121,6 +126,9 @@
 	demand            *demand.Monitor
 	executions        executionCounter
 	processor         processor.Monitor
+	// callerBodies and peerBodies bound the memory for large request bodies of callers and
+	// of peers.
+	callerBodies, peerBodies memory.Budget
 }
 
 // New returns a node that is not yet running.
@@ -129,6 +137,8 @@
 	n.callerConns.Clock = c
 	n.events = &logs.Sampler{Clock: c, Logger: logger, MaxPerSecond: maxLinesPerSecond}
 	n.planEvents = &logs.Sampler{Clock: c, Logger: logs.WithComponent(logger, logs.ComponentAdmission), MaxPerSecond: 1}
+	n.callerBodies.Limit = int64(bodyFraction * float64(s.MemoryBytes))
+	n.peerBodies.Limit = n.callerBodies.Limit
 	n.makeGate()
 	n.makeDirectory()
 	n.makeEntrance()
@@ -165,13 +175,13 @@
 		OnRestore: n.directory.HandleRestore,
 	}
 	n.demand = &demand.Monitor{Clock: n.clock, LocalNode: self, Service: n.settings.Service, Load: n.gate.Load, View: n.view.Load, Directory: n.directory.Snapshot, OnPlan: n.onPlan}
-	n.links = &link.Server{Clock: n.clock, Hello: n.hello, Handle: n.handlePeerRequest, OnStatus: n.handleStatus, OnUnreadableStatus: func(err error) { n.logUnreadable("status", err) }, OnAcceptError: n.onAcceptFailed, CloseTimeout: n.partOfGrace(linkCloseFraction)}
+	n.links = &link.Server{Clock: n.clock, Hello: n.hello, Handle: n.handlePeerRequest, OnStatus: n.handleStatus, OnUnreadableStatus: func(err error) { n.logUnreadable("status", err) }, OnAcceptError: n.onAcceptFailed, CloseTimeout: n.partOfGrace(linkCloseFraction), Budget: &n.peerBodies}
 }
 
 func (n *Node) makeEntrance() {
 	n.rateLimiter = &quota.Limiter{Clock: n.clock, StartFull: n.settings.FirstStart}
 	n.entrance = &entrance.Entrance{
-		Clock: n.clock, Headers: n.platform.EntranceHeaders, Service: n.settings.Service, Peers: n.peers, RateLimiter: n.rateLimiter,
+		Clock: n.clock, Headers: n.platform.EntranceHeaders, Service: n.settings.Service, Peers: n.peers, RateLimiter: n.rateLimiter, Bodies: &n.callerBodies,
 		View: n.view.Load, ConfigFresh: n.keysFresh, Stopping: n.stopping.Load, Takes: n.takes, OnFinish: n.onFinished, Incarnation: n.incarnation,
 		OnArrival: n.onArrived, Admit: n.admit, RetryFraction: n.executions.repeatedFraction, OnBorrowError: n.onBorrowFailed,
 	}
@@ -283,6 +293,10 @@
 func (n *Node) handlePeerRequest(ctx context.Context, r link.Request) proto.Message {
 	switch r.Kind {
 	case link.KindRun:
+		if r.Discarded {
+			n.onBodyDiscarded()
+			return gate.NotRunOutcome(linkrpc.Reason_REASON_FULL)
+		}
 		call := &linkrpc.Run{}
 		if err := proto.Unmarshal(r.Payload, call); err != nil {
 			n.logUnreadable("call", err)
