Entrance: bounded memory for uploads, 408 for a body out of time, no refusal that waits for a body

Cause: a declared length was allocated at once, up to 16 MB, without a byte having arrived; nothing bounded bodies in all. A refusal of a request whose body had not arrived was held back by the HTTP server until the rest came: with a body that never ends, for good. Change: bodies over 32 KB reserve memory from a twelfth of that of the process and take it as they arrive; beyond it they get 503 before they are read. A body that is late gets 408, which says that the request has not run, in place of 504, which says nothing of it (TestUnendingBodyIsRefusedAtDeadline expects that now; the same bound on time and runs). The connection of a refused request is closed instead of read to its end.

--- a/pkg/entrance/entrance.go
+++ b/pkg/entrance/entrance.go
@@ -15,6 +15,7 @@
 
 	"github.com/plantainramp/plantainramp/pkg/clock"
 	"github.com/plantainramp/plantainramp/pkg/fleet"
+	"github.com/plantainramp/plantainramp/pkg/memory"
 	"github.com/plantainramp/plantainramp/pkg/peering"
 	"github.com/plantainramp/plantainramp/pkg/problem"
 	"github.com/plantainramp/plantainramp/pkg/quota"
@@ -48,6 +49,8 @@
 	Service     fleet.ServiceName
 	Peers       *peering.Peers
 	RateLimiter *quota.Limiter
+	// Bodies bounds the memory for large request bodies; nil means no bound.
+	Bodies *memory.Budget
 	// View returns the active configuration, or nil.
 	View func() *routing.View
 	// ConfigFresh reports whether the configuration was confirmed recently enough
@@ -107,6 +110,7 @@
 	e.inFlight.Add(1)
 	defer e.inFlight.Add(-1)
 	r, refusal := e.newRequest(hr)
+	defer e.releaseBody(r)
 	var outcome *linkrpc.Outcome
 	if refusal == nil {
 		outcome, refusal = e.handle(hr.Context(), w, hr, r)
@@ -129,6 +133,9 @@
 		w.Header().Set("Connection", "close")
 	}
 	if refusal != nil {
+		if hr.ContentLength != 0 && !r.bodyRead {
+			e.leaveBody(w, hr)
+		}
 		w.Header().Set(e.Headers.RequestID, r.ID)
 		refusal.WriteExact(w)
 		return
@@ -140,15 +147,17 @@
 // of a request also ends when its body does not arrive in time, and when the node stops.
 func callerLeft(ctx context.Context, refusal *problem.Error) bool {
 	var stopped *StoppedError
-	return ctx.Err() != nil && refusal.Kind != problem.KindDeadline && !errors.As(context.Cause(ctx), &stopped)
+	outOfTime := refusal.Kind == problem.KindDeadline || refusal.Kind == problem.KindBodyTimeout
+	return ctx.Err() != nil && !outOfTime && !errors.As(context.Cause(ctx), &stopped)
 }
 
 // handle admits a request and runs it.
 func (e *Entrance) handle(ctx context.Context, w http.ResponseWriter, hr *http.Request, r *Request) (*linkrpc.Outcome, *problem.Error) {
-	body, refusal := readBody(w, hr, r.View.Limits.MaxBodyBytes, r.Deadline)
+	body, refusal := e.readBody(w, hr, r)
 	if refusal != nil {
 		return nil, refusal
 	}
+	r.bodyRead = true
 	if e.Takes != nil && !e.Takes(r) {
 		return nil, retryLaterError(problem.KindLeaving, "the node stops", shedding.MinRetryAfter)
 	}
--- a/pkg/entrance/request.go
+++ b/pkg/entrance/request.go
@@ -1,11 +1,8 @@
 package entrance
 
 import (
-	"errors"
-	"io"
 	"math"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -21,12 +18,6 @@
 	defaultTimeout = 30 * time.Second
 	// maxTimeout is the upper bound of the deadline that a caller can request.
 	maxTimeout = time.Hour
-	// defaultMaxBodyBytes bounds a request body if the configuration sets no
-	// limit.
-	defaultMaxBodyBytes = 8 << 20
-	// maxBodyBytes bounds a request body whatever the configuration says, as the
-	// node keeps the body in memory.
-	maxBodyBytes = 16 << 20
 )
 
 // Request is a request that the entrance handles.
@@ -59,6 +50,10 @@
 	// when it arrived.
 	AdmittedFraction float64
 
+	// bodyRead reports whether the body was read whole.
+	bodyRead bool
+	// reservedBytes is the number of bytes reserved from Entrance.Bodies.
+	reservedBytes int64
 	// responseLost reports whether the request may have run although no response
 	// arrived.
 	responseLost bool
@@ -122,39 +117,3 @@
 	}
 	return strings.TrimSpace(authorization[len(prefix):]), true
 }
-
-// readBody reads the body of a request until the deadline, and up to limit bytes.
-func readBody(w http.ResponseWriter, hr *http.Request, limit int64, deadline time.Time) ([]byte, *problem.Error) {
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	limit = min(limit, maxBodyBytes)
-	if hr.ContentLength > limit {
-		return nil, problem.New(problem.KindTooLarge, "the body is larger than "+strconv.FormatInt(limit, 10)+" bytes")
-	}
-	if hr.ContentLength == 0 {
-		return nil, nil
-	}
-	reader := http.MaxBytesReader(w, hr.Body, limit)
-	controller := http.NewResponseController(w)
-	if err := controller.SetReadDeadline(deadline); err != nil && !errors.Is(err, http.ErrNotSupported) {
-		return nil, problem.New(problem.KindMalformed, "the body could not be read whole: "+err.Error())
-	}
-	var body []byte
-	var err error
-	if hr.ContentLength > 0 {
-		body = make([]byte, hr.ContentLength)
-		_, err = io.ReadFull(reader, body)
-	} else {
-		body, err = io.ReadAll(reader)
-	}
-	switch {
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, problem.New(problem.KindDeadline, "the body did not arrive in time")
-	case err != nil:
-		return nil, problem.New(problem.KindMalformed, "the body could not be read whole: "+err.Error())
-	}
-	// While the request runs, the server reads on to notice that the caller leaves.
-	_ = controller.SetReadDeadline(time.Time{})
-	return body, nil
-}
--- a/pkg/mesh/gauges.go
+++ b/pkg/mesh/gauges.go
@@ -4,6 +4,7 @@
 	"strings"
 
 	"github.com/plantainramp/plantainramp/pkg/fleet"
+	"github.com/plantainramp/plantainramp/pkg/memory"
 	"github.com/plantainramp/plantainramp/pkg/routing"
 	"github.com/plantainramp/plantainramp/pkg/shedding"
 	"github.com/plantainramp/plantainramp/rpc/linkrpc"
@@ -37,6 +38,10 @@
 	for state, count := range map[string]int{"busy": conns.Busy, "idle": conns.Idle, "unused": conns.Unused} {
 		n.meter.LabelledGauge("caller_connections", "state", state).Update(float64(count))
 	}
+	for source, bodies := range map[string]*memory.Budget{"callers": &n.callerBodies, "peers": &n.peerBodies} {
+		n.meter.LabelledGauge("body_bytes", "source", source).Update(float64(bodies.Used()))
+		n.meter.LabelledGauge("bodies_refused", "source", source).Update(float64(bodies.Refused()))
+	}
 	n.meter.Gauge("caller_connections_evicted").Update(float64(conns.Evicted))
 	n.meter.Gauge("scheduling_delay_seconds").Update(n.processor.Delay().Seconds())
 	if age, known := n.configFollower.Age(); known {
--- a/pkg/mesh/settings.go
+++ b/pkg/mesh/settings.go
@@ -13,6 +13,13 @@
 	"github.com/plantainramp/plantainramp/pkg/settings"
 )
 
+const (
+	// defaultMemoryMB and minMemoryMB are the default and the lower bound of the memory of
+	// the process, in MB.
+	defaultMemoryMB = 256
+	minMemoryMB     = 64
+)
+
 // Settings holds the settings of a mesh node.
 type Settings struct {
 	NodeName   string
@@ -49,6 +56,8 @@
 	// MaxDescriptors is the number of descriptors that the process may have; 0 means the
 	// limit that the kernel enforces.
 	MaxDescriptors int
+	// MemoryBytes is the memory that the process may use.
+	MemoryBytes int64
 
 	LogLevel, LogFormat string
 }
@@ -92,6 +101,7 @@
 	s.RetryLimits.Slack = b.Float("repeatSlack", 10, 0, 1e6)
 	s.GracePeriod = b.Duration("grace", 6*time.Second, 100*time.Millisecond)
 	s.MaxDescriptors = b.Int("descriptors", 0, 0, 1<<30)
+	s.MemoryBytes = int64(b.Int("memoryMB", defaultMemoryMB, minMemoryMB, 1<<20)) << 20
 	logging := f.Section("logs")
 	s.LogLevel = logging.OneOf("level", "info", "debug", "info", "warning", "error")
 	s.LogFormat = logging.OneOf("format", logs.FormatJSON, logs.FormatJSON, logs.FormatText)
--- a/pkg/problem/problem.go
+++ b/pkg/problem/problem.go
@@ -37,6 +37,7 @@
 	KindForbidden         Kind = "forbidden"
 	KindNotFound          Kind = "notFound"
 	KindTooLarge          Kind = "tooLarge"
+	KindBodyTimeout       Kind = "bodyTimeout"
 	KindKeyReused         Kind = "keyReused"
 	KindRateExceeded      Kind = "rate"
 	KindShed              Kind = "shed"
@@ -61,6 +62,7 @@
 	KindForbidden:         {http.StatusForbidden, "The key's organisation may not do this."},
 	KindNotFound:          {http.StatusNotFound, "No such service or route."},
 	KindTooLarge:          {http.StatusRequestEntityTooLarge, "The request is too large."},
+	KindBodyTimeout:       {http.StatusRequestTimeout, "The body did not arrive in time."},
 	KindKeyReused:         {http.StatusUnprocessableEntity, "The idempotency key was used for another request."},
 	KindRateExceeded:      {http.StatusTooManyRequests, "The organisation is over its rate."},
 	KindShed:              {http.StatusServiceUnavailable, "The call was shed under overload."},
--- a/scripts/demo-platform.sh
+++ b/scripts/demo-platform.sh
@@ -59,6 +59,7 @@
 {"version":$1,"routes":[
 {"name":"browse","host":"homes.example","path_prefix":"/homes/","kind":"idempotent","timeout":"2000ms","target_latency":"500ms","priority":2,"service":"showcase","max_attempts":2},
 {"name":"commit","host":"homes.example","path_prefix":"/swaps/","kind":"non_idempotent","timeout":"2000ms","target_latency":"500ms","priority":0,"service":"desk","max_attempts":1},
+{"name":"photo","host":"homes.example","path_prefix":"/photos/","kind":"upload","timeout":"2000ms","target_latency":"500ms","priority":1,"service":"desk","max_attempts":1},
 {"name":"peek","host":"homes.example","path_prefix":"/days/","kind":"idempotent","timeout":"1000ms","target_latency":"300ms","priority":1,"service":"calendar","allow_anonymous":true}],
 "services":[{"name":"showcase"},{"name":"desk"},{"name":"calendar"}],"limits":{"header_bytes":16384,"body_bytes":1048576},
 "tenants":[{"name":"dakar","api_keys":["$2"],"rate_per_s":5000,"burst":5000}]}
@@ -70,6 +71,11 @@
   curl -s -o /dev/null -w '%{http_code}' --max-time 5 -X "$2" -H 'Host: homes.example' -H "Authorization: Bearer $5" \
     -H "Plantainramp-Request-Id: $4" -H 'Plantainramp-Deadline-Remaining: 3000' "http://$(address "$1" 0)$3"
 }
+# upload NODE BYTES ID KEY sends a photo of the given size and prints the status.
+upload() {
+  head -c "$2" /dev/zero | curl -s -o /dev/null -w '%{http_code}' --max-time 5 --data-binary @- -H 'Host: homes.example' -H "Authorization: Bearer $4" \
+    -H "Plantainramp-Request-Id: $3" -H 'Plantainramp-Deadline-Remaining: 3000' "http://$(address "$1" 0)/photos/1"
+}
 # runs ID prints how often the servers executed the request.
 runs() { local sum=0 i; for i in 1 2 3 4 5 6; do sum=$((sum + $(curl -s "http://$(address "$i" 5)/-/runs/$1"))); done; echo $sum; }
 ready() { local i; for i in 1 2 3 4 5 6; do [ "$(curl -s -o /dev/null -w '%{http_code}' "http://$(address "$i" 2)/readiness")" = 200 ] || return 1; done; }
@@ -94,6 +100,11 @@
 row 'unknown key' 401 "$(ask 1 GET /homes/7 stranger key-0)"
 row 'unknown path' 404 "$(ask 1 GET /elsewhere/7 nowhere key-1)"
 
+row 'photo of 200 KB' 200 "$(upload 1 204800 photo key-1)"
+row 'executions of the upload' 1 "$(runs photo)"
+row 'photo of 2 MB, over the limit' 413 "$(upload 1 2097152 large key-1)"
+row 'executions of that upload' 0 "$(runs large)"
+
 curl -s -X POST "http://$(address 3 5)/-/break/1" >/dev/null
 curl -s -X POST "http://$(address 4 5)/-/break/1" >/dev/null
 row 'action whose response is lost' 502 "$(ask 2 POST /swaps/9 lost key-1)"
