Few readers of the store: the others ask a peer, which says how old its answer is

Change: the first node of each data centre, in an order by hash on which all agree, reads both topics; the others ask it over their link, and it holds the question until there is news. It answers when the store confirmed what it says, as a time since the question arrived, so that the asker counts the age from before its question by its own clock that counts suspension. Who gets no answer, an old one, or one of another era asks the next peer and then reads the store. Reports carry the version of the configuration: whoever hears of a newer one and has not got it 150 ms later reads the store. A node that the store does not answer lives on what peers lend it. A read has its own time limit, so that a lost one is noticed sooner. Nodes of an older build are not asked (handshake). Ruled out: agreement on who reads; each node decides for itself, and two readers cost calls only.

--- a/pkg/link/clientconn.go
+++ b/pkg/link/clientconn.go
@@ -12,6 +12,8 @@
 	*framer
 	// incarnation of the peer, from its handshake message.
 	incarnation uint64
+	// relaysTopics reports whether the peer answers KindTopicRead.
+	relaysTopics bool
 	// lastRead is the clock.Monotonic of the last message from the peer.
 	lastRead atomic.Int64
 	// lastPing is the time of the last ping; only CheckLiveness uses it.
--- a/pkg/link/frame.go
+++ b/pkg/link/frame.go
@@ -44,6 +44,8 @@
 	// KindPart carries a part of a message that is too long for one frame. The last part
 	// has the kind of the message.
 	KindPart
+	// KindTopicRead carries a linkrpc.TopicRead.
+	KindTopicRead
 )
 
 // StreamID identifies a request on its connection. Messages that belong to no
--- a/pkg/link/link.go
+++ b/pkg/link/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -53,6 +54,16 @@
 // Unwrap returns the cause.
 func (e *ConnectionLostError) Unwrap() error { return e.Cause }
 
+// UnsupportedError reports a peer of a build that does not know a kind of message.
+type UnsupportedError struct {
+	Kind Kind
+}
+
+// Error implements error.
+func (e *UnsupportedError) Error() string {
+	return fmt.Sprintf("the peer does not know messages of kind %d", e.Kind)
+}
+
 // UnresponsiveError reports a peer that did not answer a ping.
 type UnresponsiveError struct {
 	// SinceLastRead is the time since the last message from the peer.
@@ -126,6 +137,9 @@
 	if err := ctx.Err(); err != nil {
 		return Reply{}, &NotSentError{Cause: err}
 	}
+	if kind == KindTopicRead && !c.relaysTopics {
+		return Reply{}, &NotSentError{Cause: &UnsupportedError{Kind: kind}}
+	}
 	stream, pending := c.openStream()
 	if err := c.send(kind, stream, message, true); err != nil {
 		c.dropStream(stream)
@@ -242,7 +256,7 @@
 	c.framer = newFramer(conn, l.Clock, c.markSent)
 	c.streams.pending = map[StreamID]*pendingReply{}
 	go c.writeLoop()
-	if err := c.send(KindHello, 0, acceptingParts(l.Hello()), false); err != nil {
+	if err := c.send(KindHello, 0, withCapabilities(l.Hello()), false); err != nil {
 		return nil, err
 	}
 	_ = conn.SetReadDeadline(l.Clock.Now().Add(dialTimeout))
@@ -258,7 +272,7 @@
 	}
 	c.acceptParts(hello.AcceptsParts)
 	_ = conn.SetReadDeadline(time.Time{})
-	c.incarnation = hello.Incarnation
+	c.incarnation, c.relaysTopics = hello.Incarnation, hello.RelaysTopics
 	c.lastRead.Store(int64(clock.MonotonicOf(l.Clock.Now())))
 	go l.readReplies(c)
 	return c, nil
--- a/pkg/link/server.go
+++ b/pkg/link/server.go
@@ -173,7 +173,7 @@
 		return
 	}
 	_ = netConn.SetReadDeadline(time.Time{})
-	if c.send(KindHello, 0, acceptingParts(s.Hello()), false) != nil {
+	if c.send(KindHello, 0, withCapabilities(s.Hello()), false) != nil {
 		return
 	}
 	c.acceptParts(hello.AcceptsParts)
@@ -189,9 +189,10 @@
 	}
 }
 
-// acceptingParts returns the handshake message with AcceptsParts set.
-func acceptingParts(hello *linkrpc.Hello) *linkrpc.Hello {
-	hello.AcceptsParts = true
+// withCapabilities returns the handshake message with what this build understands beyond
+// the first one.
+func withCapabilities(hello *linkrpc.Hello) *linkrpc.Hello {
+	hello.AcceptsParts, hello.RelaysTopics = true, true
 	return hello
 }
 
@@ -224,7 +225,7 @@
 		c.cancelRequest(m.stream)
 	case KindStatus:
 		s.handleStatus(m.payload)
-	case KindRun, KindAsk, KindTokenRequest:
+	case KindRun, KindAsk, KindTokenRequest, KindTopicRead:
 		if r := c.takeRequest(m); r != nil {
 			c.held = append(c.held, r)
 		}
--- a/pkg/mesh/load.go
+++ b/pkg/mesh/load.go
@@ -79,6 +79,7 @@
 		local := n.directory.Local()
 		status.Instance, status.DataCentre = string(local.Instance), string(local.DataCentre)
 		status.Slots, status.Open, status.StartUnixMs = uint32(max(local.Slots, 0)), local.Open, local.StartUnixMs
+		status.ConfigVersion = n.ConfigVersion()
 		for _, p := range n.peers.ReachablePeers(n.peers.NodeCount()) {
 			p.SendStatus(ctx, status)
 		}
@@ -89,6 +90,7 @@
 // may be newer than the one in the store or missing there.
 func (n *Node) handleStatus(status *linkrpc.Status) {
 	n.demand.HandleStatus(status)
+	n.noteConfigVersion(status.ConfigVersion)
 	n.peers.NoteLeaving(status.GetLoad())
 	n.directory.UpdatePeer(directory.Entry{
 		Node: directory.NodeAddress(status.Node), Instance: fleet.InstanceName(status.Instance),
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -39,13 +39,16 @@
 const (
 	// configPollFraction is how long a read of the configuration waits for a change, as
 	// a fraction of the time for which keys are trusted without confirmation. Two
-	// consecutive reads fit into that time.
-	configPollFraction = 0.4
+	// consecutive reads and the question of a peer fit into that time.
+	configPollFraction = 0.3
 	// directoryPollWait is how long one read of the directory waits for a change.
 	directoryPollWait = 5 * time.Second
 	// directoryBatchDelay is the delay after a change of the directory, so that the
 	// entries of many nodes that start at once arrive in few reads.
 	directoryBatchDelay = 250 * time.Millisecond
+	// followStartDelay is the delay after the first read of a topic, in which the other
+	// nodes that start at the same time become known.
+	followStartDelay = 500 * time.Millisecond
 	// pollMargin is how much longer than its wait a read of the store may take.
 	pollMargin = 1200 * time.Millisecond
 	// freshnessMargin is how long before Settings.MaxRevocationDelay has passed without
@@ -112,7 +115,10 @@
 	// descriptors is the number of descriptors that the process may have.
 	descriptors int
 
-	configFollower    *topic.Follower
+	configFollower *topic.Follower
+	relayer        relayer
+	// configHinted reports whether a newer configuration that a peer applies is awaited.
+	configHinted      atomic.Bool
 	configLogger      *logs.Logger
 	directory         *directory.Directory
 	directoryFollower *topic.Follower
@@ -171,8 +177,9 @@
 	n.directory.Init()
 	n.directoryFollower = &topic.Follower{
 		Source: n.platform.DirectorySource, Clock: n.clock, Uptime: n.uptime, Logger: logs.WithComponent(n.logger, logs.ComponentMember),
-		PollWait: directoryPollWait, PollMargin: pollMargin, BatchDelay: directoryBatchDelay, Apply: n.directory.Apply,
+		PollWait: directoryPollWait, PollMargin: pollMargin, StartDelay: followStartDelay, BatchDelay: directoryBatchDelay, Apply: n.directory.Apply,
 		OnRestore: n.directory.HandleRestore,
+		Relay:     n.relay(linkrpc.Topic_TOPIC_DIRECTORY, func() *topic.Follower { return n.directoryFollower }),
 	}
 	n.demand = &demand.Monitor{Clock: n.clock, LocalNode: self, Service: n.settings.Service, Load: n.gate.Load, View: n.view.Load, Directory: n.directory.Snapshot, OnPlan: n.onPlan}
 	n.links = &link.Server{Clock: n.clock, Hello: n.hello, Handle: n.handlePeerRequest, OnStatus: n.handleStatus, OnUnreadableStatus: func(err error) { n.logUnreadable("status", err) }, OnAcceptError: n.onAcceptFailed, CloseTimeout: n.partOfGrace(linkCloseFraction), Budget: &n.peerBodies}
@@ -192,8 +199,9 @@
 	n.configLogger = logs.WithComponent(n.logger, logs.ComponentConfig)
 	n.configFollower = &topic.Follower{
 		Source: n.platform.ConfigSource, Clock: n.clock, Uptime: n.uptime, Logger: n.configLogger,
-		PollWait: time.Duration(configPollFraction * float64(n.settings.MaxRevocationDelay-freshnessMargin)), PollMargin: pollMargin, Apply: n.applyConfig,
+		PollWait: time.Duration(configPollFraction * float64(n.settings.MaxRevocationDelay-freshnessMargin)), PollMargin: pollMargin, StartDelay: followStartDelay, Apply: n.applyConfig,
 		OnFailure: n.directoryFollower.Interrupt, OnRecovery: n.directoryFollower.Interrupt, OnRestore: n.directoryFollower.Interrupt,
+		Relay: n.relay(linkrpc.Topic_TOPIC_CONFIG, func() *topic.Follower { return n.configFollower }),
 	}
 }
 
@@ -313,6 +321,8 @@
 			return outcome
 		}
 		return nil
+	case link.KindTopicRead:
+		return n.answerTopicRead(ctx, r.Payload)
 	case link.KindTokenRequest:
 		if ctx.Err() != nil {
 			return nil // lent tokens would be lost
--- a/pkg/peering/peering.go
+++ b/pkg/peering/peering.go
@@ -226,6 +226,17 @@
 	return peers[:min(n, len(peers))]
 }
 
+// ReachablePeer returns another node that is connected or may be dialled now, or nil.
+func (p *Peers) ReachablePeer(node directory.NodeAddress) *Peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	peer := p.peers[node]
+	if peer == nil || peer.link == nil || !peer.link.Reachable() {
+		return nil
+	}
+	return peer
+}
+
 // Targets returns the instances of a service that accept calls. The caller must
 // not modify the slice.
 func (p *Peers) Targets(service fleet.ServiceName) []*Target {
@@ -376,6 +387,20 @@
 	return grant.Granted, nil
 }
 
+// ReadTopic asks the peer for records of a topic that it follows. It returns the errors of
+// link.Call, or the error of an answer that cannot be decoded.
+func (p *Peer) ReadTopic(ctx context.Context, question *linkrpc.TopicRead) (*linkrpc.TopicRecords, error) {
+	reply, err := p.link.Call(ctx, link.KindTopicRead, question)
+	if err != nil {
+		return nil, err
+	}
+	answer := &linkrpc.TopicRecords{}
+	if err := proto.Unmarshal(reply.Payload, answer); err != nil {
+		return nil, err
+	}
+	return answer, nil
+}
+
 // SendStatus sends a status to the peer, and opens a connection first if there is
 // none. It does not wait, and reports no failure.
 func (p *Peer) SendStatus(ctx context.Context, status *linkrpc.Status) {
--- a/pkg/topic/topic.go
+++ b/pkg/topic/topic.go
@@ -96,6 +96,11 @@
 	// Apply receives records in order. If full is true, they are the newest records
 	// of all keys in the topic and replace everything applied before.
 	Apply func(records []Record, full bool)
+	// StartDelay is the delay after the newest records were read, in which the nodes that
+	// start at the same time become known, so that a peer can be asked; 0 means none.
+	StartDelay time.Duration
+	// Relay asks peers before the store; nil means that only the store is read.
+	Relay Relay
 	// OnFailure is called at the first of consecutive failed reads, OnRecovery at
 	// the next successful one; nil is allowed.
 	OnFailure, OnRecovery func()
@@ -103,9 +108,16 @@
 	// records are applied; nil is allowed.
 	OnRestore func()
 
-	// confirmedAt is the uptime, in nanoseconds, at which the last successful read
-	// was sent; it is valid once synced is set.
+	// history is what peers may ask for.
+	history history
+	// confirmedAt is the uptime, in nanoseconds, at which the store has confirmed the
+	// applied records: when the last successful read was sent, or earlier if a peer
+	// answered it. It is valid once synced is set.
 	confirmedAt atomic.Int64
+	// failedAt is the uptime, in nanoseconds, of the last failed read of the store; it is
+	// valid while storeFailed is set: no read of the store has succeeded since.
+	failedAt    atomic.Int64
+	storeFailed atomic.Bool
 	// synced reports whether any read has succeeded.
 	synced atomic.Bool
 	// failing reports whether the last read failed, and interrupted whether Interrupt was
@@ -118,7 +130,8 @@
 }
 
 // Age returns how far the applied records may lag behind the topic: the time since
-// the last successful read was sent. It returns false before the first one. It is
+// the last successful read of the store, by this node or by the peer that it asked, was
+// sent. It returns false before the first one. It is
 // safe for concurrent use.
 func (f *Follower) Age() (time.Duration, bool) {
 	if !f.synced.Load() {
@@ -127,6 +140,12 @@
 	return f.Uptime() - time.Duration(f.confirmedAt.Load()), true
 }
 
+// StoreFailedWithin reports whether the last read of the store by this node failed, not
+// longer ago than the given time. It is safe for concurrent use.
+func (f *Follower) StoreFailedWithin(d time.Duration) bool {
+	return f.storeFailed.Load() && f.Uptime()-time.Duration(f.failedAt.Load()) < d
+}
+
 // Interrupt cancels the read in progress, whose connection may be unresponsive, so
 // that Run reads again. It is safe for concurrent use.
 func (f *Follower) Interrupt() {
@@ -140,11 +159,13 @@
 // key, and again whenever the records to read next have been removed or the log has
 // been restored from a copy.
 func (f *Follower) Run(ctx context.Context) {
+	defer f.history.lose()
 	next, hasSnapshot, hasReadOn := Position{}, false, false
 	retryDelay := minRetryDelay
 	for ctx.Err() == nil {
 		sentAt := f.Uptime()
-		end, err := f.poll(ctx, next, hasSnapshot)
+		result, err := f.poll(ctx, next, hasSnapshot)
+		end := result.end
 		if ctx.Err() != nil {
 			return
 		}
@@ -169,13 +190,20 @@
 			}
 			retryDelay = min(2*retryDelay, maxRetryDelay)
 		default:
-			batch := hasSnapshot && end != next
+			pause := time.Duration(0)
+			switch {
+			case !hasSnapshot:
+				pause = f.StartDelay
+			case end != next:
+				pause = f.BatchDelay
+			}
 			if hasReadOn = hasSnapshot; hasReadOn {
 				retryDelay = minRetryDelay
 			}
+			f.remember(result, hasSnapshot, sentAt)
 			next, hasSnapshot = end, true
-			f.recordSuccess(sentAt, next)
-			if batch && f.BatchDelay > 0 && clock.Sleep(ctx, f.Clock, f.BatchDelay) != nil {
+			f.recordSuccess(result, sentAt)
+			if pause > 0 && clock.Sleep(ctx, f.Clock, pause) != nil {
 				return
 			}
 		}
@@ -190,50 +218,93 @@
 	return errors.As(err, &truncated) || errors.As(err, &restored)
 }
 
-// poll makes one read, applies its records and returns the position after them.
-func (f *Follower) poll(ctx context.Context, next Position, hasSnapshot bool) (Position, error) {
+// readResult is the result of a successful read.
+type readResult struct {
+	records []Record
+	end     Position
+	// relayed is the answer of the peer that was asked, or nil if it was the store.
+	relayed *Relayed
+}
+
+// confirmedBy returns the uptime at which the store confirmed a result.
+func (f *Follower) confirmedBy(result readResult, sentAt time.Duration) time.Duration {
+	if result.relayed == nil {
+		return sentAt
+	}
+	return f.relayedAt(sentAt, result.relayed)
+}
+
+// remember keeps a result for the questions of peers.
+func (f *Follower) remember(result readResult, hasSnapshot bool, sentAt time.Duration) {
+	if hasSnapshot {
+		f.history.add(result.records, result.end, f.confirmedBy(result, sentAt))
+		return
+	}
+	f.history.reset(result.end, sentAt)
+}
+
+// poll makes one read and applies its records.
+func (f *Follower) poll(ctx context.Context, next Position, hasSnapshot bool) (readResult, error) {
 	ctx, interrupt := context.WithCancelCause(ctx)
 	defer interrupt(nil)
 	f.cancelRead.Store(&interrupt)
 	f.interrupted = f.interruptWanted.Swap(false)
-	ctx, cancel := context.WithTimeout(ctx, f.PollWait+f.PollMargin)
-	defer cancel()
-	end, err := f.read(ctx, next, hasSnapshot)
+	result, err := f.read(ctx, next, hasSnapshot)
 	var interrupted *InterruptedError
 	if err != nil && errors.As(context.Cause(ctx), &interrupted) {
-		return end, interrupted
+		return result, interrupted
 	}
-	return end, err
+	return result, err
 }
 
-func (f *Follower) read(ctx context.Context, next Position, hasSnapshot bool) (Position, error) {
+func (f *Follower) read(ctx context.Context, next Position, hasSnapshot bool) (readResult, error) {
 	if !hasSnapshot {
+		ctx, cancel := context.WithTimeout(ctx, f.PollWait+f.PollMargin)
+		defer cancel()
 		records, end, err := f.Source.Newest(ctx)
 		if err == nil {
 			f.applySnapshot(records, end.Era != next.Era)
 		}
-		return end, err
+		return readResult{end: end}, err
 	}
-	wait := f.PollWait
-	if f.failing || f.interrupted {
+	started := f.Uptime()
+	if r := f.askPeer(ctx, next); r != nil {
+		f.applyBatch(r.Records)
+		return readResult{records: r.Records, end: r.End, relayed: r}, nil
+	}
+	wait := max(f.PollWait-(f.Uptime()-started), 0)
+	if f.failing || f.interrupted || f.isLate() {
 		// The response shows at once whether the store answers, and its era.
 		wait = 0
 	}
+	ctx, cancel := context.WithTimeout(ctx, wait+f.PollMargin)
+	defer cancel()
 	records, end, err := f.Source.Read(ctx, next, wait)
-	if err == nil && len(records) > 0 {
+	if err == nil {
+		f.applyBatch(records)
+	}
+	return readResult{records: records, end: end}, err
+}
+
+func (f *Follower) applyBatch(records []Record) {
+	if len(records) > 0 {
 		f.Apply(records, false)
 	}
-	return end, err
 }
 
-// recordSuccess updates the age after a read that was sent at sentAt and that led to the
-// given position.
-func (f *Follower) recordSuccess(sentAt time.Duration, next Position) {
-	f.confirmedAt.Store(int64(sentAt))
+// recordSuccess updates the age after a read that was sent at sentAt. Whether the store
+// answers this node is known only if it was asked.
+func (f *Follower) recordSuccess(result readResult, sentAt time.Duration) {
+	confirmedAt := f.confirmedBy(result, sentAt)
+	// A peer may know of an older confirmation than this node.
+	if !f.synced.Load() || confirmedAt > time.Duration(f.confirmedAt.Load()) {
+		f.confirmedAt.Store(int64(confirmedAt))
+	}
 	f.synced.Store(true)
-	if f.failing {
+	if f.failing && result.relayed == nil {
 		f.failing = false
-		f.Logger.WithField("era", next.Era).WithField("offset", next.Offset).Info("the store answers again")
+		f.storeFailed.Store(false)
+		f.Logger.WithField("era", result.end.Era).WithField("offset", result.end.Offset).Info("the store answers again")
 		if f.OnRecovery != nil {
 			f.OnRecovery()
 		}
@@ -250,10 +321,13 @@
 }
 
 func (f *Follower) recordFailure(err error) {
+	f.failedAt.Store(int64(f.Uptime()))
+	f.storeFailed.Store(true)
 	if f.failing {
 		return
 	}
 	f.failing = true
+	f.history.lose()
 	f.Logger.WithError(err).Warn("the store does not answer")
 	if f.OnFailure != nil {
 		f.OnFailure()
