Reports of load are passed on by two nodes of each data centre

Reports carry a number, so that copies and late ones are left out. Links stay open between all nodes, as before: they show who is gone. Nodes of an older build get their reports straight.

--- a/pkg/demand/monitor.go
+++ b/pkg/demand/monitor.go
@@ -165,6 +165,14 @@
 	m.reports[directory.NodeAddress(status.Node)] = report{status: status, receivedAt: m.Clock.Now()}
 }
 
+// ReportCount returns the number of nodes, this one included, whose reports the last plan
+// was made from.
+func (m *Monitor) ReportCount() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.reports)
+}
+
 // Tick updates the plan. Call it every PlanInterval. It returns the status to
 // send to peers, or nil if no report is due.
 func (m *Monitor) Tick() *linkrpc.Status {
--- a/pkg/link/clientconn.go
+++ b/pkg/link/clientconn.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 
 	"github.com/plantainramp/plantainramp/pkg/clock"
+	"github.com/plantainramp/plantainramp/rpc/linkrpc"
 )
 
 // clientConn is one connection to a peer, with the requests that await replies.
@@ -12,9 +13,8 @@
 	*framer
 	// incarnation of the peer, from its handshake message.
 	incarnation uint64
-	// relaysTopics reports whether the peer answers KindTopicRead, and poolsTokens whether
-	// it takes KindTokenGifts.
-	relaysTopics, poolsTokens bool
+	// peer is the handshake message of the peer.
+	peer *linkrpc.Hello
 	// lastRead is the clock.Monotonic of the last message from the peer.
 	lastRead atomic.Int64
 	// lastPing is the time of the last ping; only CheckLiveness uses it.
--- a/pkg/link/frame.go
+++ b/pkg/link/frame.go
@@ -48,6 +48,8 @@
 	KindTopicRead
 	// KindTokenGifts carries a linkrpc.TokenGifts and has no reply.
 	KindTokenGifts
+	// KindReports carries a linkrpc.Reports and has no reply.
+	KindReports
 )
 
 // StreamID identifies a request on its connection. Messages that belong to no
--- a/pkg/link/link.go
+++ b/pkg/link/link.go
@@ -137,7 +137,7 @@
 	if err := ctx.Err(); err != nil {
 		return Reply{}, &NotSentError{Cause: err}
 	}
-	if kind == KindTopicRead && !c.relaysTopics {
+	if kind == KindTopicRead && !c.peer.RelaysTopics {
 		return Reply{}, &NotSentError{Cause: &UnsupportedError{Kind: kind}}
 	}
 	stream, pending := c.openStream()
@@ -171,11 +171,15 @@
 	return c != nil && c.send(kind, 0, message, false) == nil
 }
 
-// PoolsTokens reports whether a connection is open to a peer that takes KindTokenGifts.
-func (l *Link) PoolsTokens() bool {
+// Peer returns the handshake message of the connected peer, or nil while no connection is
+// open. Its capabilities are those of the peer's build.
+func (l *Link) Peer() *linkrpc.Hello {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.conn != nil && l.conn.poolsTokens
+	if l.conn == nil {
+		return nil
+	}
+	return l.conn.peer
 }
 
 // Close closes the connection and prevents new ones.
@@ -277,7 +281,7 @@
 	}
 	c.acceptParts(hello.AcceptsParts)
 	_ = conn.SetReadDeadline(time.Time{})
-	c.incarnation, c.relaysTopics, c.poolsTokens = hello.Incarnation, hello.RelaysTopics, hello.PoolsTokens
+	c.incarnation, c.peer = hello.Incarnation, hello
 	c.lastRead.Store(int64(clock.MonotonicOf(l.Clock.Now())))
 	go l.readReplies(c)
 	return c, nil
--- a/pkg/link/server.go
+++ b/pkg/link/server.go
@@ -53,9 +53,11 @@
 	OnStatus func(*linkrpc.Status)
 	// OnTokenGifts receives the gifts of a peer; nil is allowed.
 	OnTokenGifts func(*linkrpc.TokenGifts)
-	// OnUnreadableStatus receives the error of each message without a reply that cannot be
+	// OnReports receives the reports that a peer passes on; nil is allowed.
+	OnReports func(*linkrpc.Reports)
+	// OnUnreadable receives the error of each message without a reply that cannot be
 	// decoded; nil is allowed.
-	OnUnreadableStatus func(error)
+	OnUnreadable func(error)
 	// OnAcceptError receives the error of each Accept that is tried again; nil is allowed.
 	OnAcceptError func(error)
 
@@ -194,7 +196,7 @@
 // withCapabilities returns the handshake message with what this build understands beyond
 // the first one.
 func withCapabilities(hello *linkrpc.Hello) *linkrpc.Hello {
-	hello.AcceptsParts, hello.RelaysTopics, hello.PoolsTokens = true, true, true
+	hello.AcceptsParts, hello.RelaysTopics, hello.PoolsTokens, hello.PassesReports = true, true, true, true
 	return hello
 }
 
@@ -226,9 +228,11 @@
 	case KindCancel:
 		c.cancelRequest(m.stream)
 	case KindStatus:
-		s.handleStatus(m.payload)
+		notify(s, m.payload, &linkrpc.Status{}, s.OnStatus)
 	case KindTokenGifts:
-		s.handleTokenGifts(m.payload)
+		notify(s, m.payload, &linkrpc.TokenGifts{}, s.OnTokenGifts)
+	case KindReports:
+		notify(s, m.payload, &linkrpc.Reports{}, s.OnReports)
 	case KindRun, KindAsk, KindTokenRequest, KindTopicRead:
 		if r := c.takeRequest(m); r != nil {
 			c.held = append(c.held, r)
@@ -256,28 +260,14 @@
 	c.held = c.held[:0]
 }
 
-// handleStatus decodes a status message and passes it to OnStatus.
-func (s *Server) handleStatus(payload []byte) {
-	status := &linkrpc.Status{}
-	err := proto.Unmarshal(payload, status)
+// notify decodes a message that has no reply and passes it to a function, which may be nil.
+func notify[M proto.Message](s *Server, payload []byte, message M, handle func(M)) {
+	err := proto.Unmarshal(payload, message)
 	switch {
-	case err == nil && s.OnStatus != nil:
-		s.OnStatus(status)
-	case err != nil && s.OnUnreadableStatus != nil:
-		s.OnUnreadableStatus(err)
-	}
-}
-
-// handleTokenGifts decodes gifts and passes them to OnTokenGifts. Those that cannot be
-// decoded are lost.
-func (s *Server) handleTokenGifts(payload []byte) {
-	gifts := &linkrpc.TokenGifts{}
-	err := proto.Unmarshal(payload, gifts)
-	switch {
-	case err == nil && s.OnTokenGifts != nil:
-		s.OnTokenGifts(gifts)
-	case err != nil && s.OnUnreadableStatus != nil:
-		s.OnUnreadableStatus(err)
+	case err == nil && handle != nil:
+		handle(message)
+	case err != nil && s.OnUnreadable != nil:
+		s.OnUnreadable(err)
 	}
 }
 
--- a/pkg/mesh/load.go
+++ b/pkg/mesh/load.go
@@ -80,9 +80,7 @@
 		status.Instance, status.DataCentre = string(local.Instance), string(local.DataCentre)
 		status.Slots, status.Open, status.StartUnixMs = uint32(max(local.Slots, 0)), local.Open, local.StartUnixMs
 		status.ConfigVersion = n.ConfigVersion()
-		for _, p := range n.peers.ReachablePeers(n.peers.NodeCount()) {
-			p.SendStatus(ctx, status)
-		}
+		n.publishStatus(ctx, status)
 	})
 }
 
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -134,6 +134,11 @@
 	demand     *demand.Monitor
 	executions executionCounter
 	processor  processor.Monitor
+	reports    reportBuffer
+	statuses   statusFilter
+	// statusCount is the sequence number of the last status of this node; only runPlanner
+	// uses it.
+	statusCount uint64
 	// callerBodies and peerBodies bound the memory for large request bodies of callers and
 	// of peers.
 	callerBodies, peerBodies memory.Budget
@@ -184,7 +189,7 @@
 		Relay:     n.relay(linkrpc.Topic_TOPIC_DIRECTORY, func() *topic.Follower { return n.directoryFollower }),
 	}
 	n.demand = &demand.Monitor{Clock: n.clock, LocalNode: self, Service: n.settings.Service, Load: n.gate.Load, View: n.view.Load, Directory: n.directory.Snapshot, OnPlan: n.onPlan}
-	n.links = &link.Server{Clock: n.clock, Hello: n.hello, Handle: n.handlePeerRequest, OnStatus: n.handleStatus, OnTokenGifts: n.handleTokenGifts, OnUnreadableStatus: func(err error) { n.logUnreadable("status or gifts", err) }, OnAcceptError: n.onAcceptFailed, CloseTimeout: n.partOfGrace(linkCloseFraction), Budget: &n.peerBodies}
+	n.links = &link.Server{Clock: n.clock, Hello: n.hello, Handle: n.handlePeerRequest, OnStatus: n.handleStatus, OnTokenGifts: n.handleTokenGifts, OnReports: n.handleReports, OnUnreadable: func(err error) { n.logUnreadable("message without a reply", err) }, OnAcceptError: n.onAcceptFailed, CloseTimeout: n.partOfGrace(linkCloseFraction), Budget: &n.peerBodies}
 }
 
 func (n *Node) makeEntrance() {
@@ -276,6 +281,10 @@
 	return count
 }
 
+// ReportCount returns the number of nodes, this one included, whose reports of load the
+// node has. It is safe for concurrent use.
+func (n *Node) ReportCount() int { return n.demand.ReportCount() }
+
 // onInstanceChange applies a new state of the local instance, first to the gate, then
 // to the directory.
 func (n *Node) onInstanceChange(s *gate.LocalInstance) {
--- a/pkg/mesh/tokens.go
+++ b/pkg/mesh/tokens.go
@@ -53,8 +53,8 @@
 		if len(homes.addresses) == count {
 			break
 		}
-		peer := n.peers.PoolingPeer(address)
-		if peer != nil || address == directory.NodeAddress(n.settings.PeerAddress) {
+		peer := n.peers.ConnectedPeer(address)
+		if peer != nil && peer.PoolsTokens() || address == directory.NodeAddress(n.settings.PeerAddress) {
 			homes.addresses, homes.peers = append(homes.addresses, address), append(homes.peers, peer)
 		}
 	}
--- a/pkg/peering/peering.go
+++ b/pkg/peering/peering.go
@@ -237,12 +237,12 @@
 	return peer
 }
 
-// PoolingPeer returns another node that is connected and takes gifts of tokens, or nil.
-func (p *Peers) PoolingPeer(node directory.NodeAddress) *Peer {
+// ConnectedPeer returns another node to which a connection is open, or nil.
+func (p *Peers) ConnectedPeer(node directory.NodeAddress) *Peer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	peer := p.peers[node]
-	if peer == nil || peer.link == nil || !peer.link.PoolsTokens() {
+	if peer == nil || peer.link == nil || !peer.link.Connected() {
 		return nil
 	}
 	return peer
@@ -412,23 +412,37 @@
 	return answer, nil
 }
 
+// PoolsTokens reports whether the peer is connected and takes gifts of tokens.
+func (p *Peer) PoolsTokens() bool { return p.link != nil && p.link.Peer().GetPoolsTokens() }
+
+// PassesReports reports whether the peer is connected and takes reports.
+func (p *Peer) PassesReports() bool { return p.link != nil && p.link.Peer().GetPassesReports() }
+
 // GiveTokens sends gifts to the peer. It returns false if nothing was sent.
 func (p *Peer) GiveTokens(gifts *linkrpc.TokenGifts) bool {
 	return p.link != nil && p.link.Notify(link.KindTokenGifts, gifts)
 }
 
-// SendStatus sends a status to the peer, and opens a connection first if there is
-// none. It does not wait, and reports no failure.
-func (p *Peer) SendStatus(ctx context.Context, status *linkrpc.Status) {
-	switch {
-	case p.link == nil:
-	case p.link.Connected():
+// SendStatus sends the status of this node to the peer. It drops the status if no
+// connection is open.
+func (p *Peer) SendStatus(status *linkrpc.Status) {
+	if p.link != nil {
 		_ = p.link.Notify(link.KindStatus, status)
-	default:
-		go func() {
-			if p.link.Connect(ctx) == nil {
-				_ = p.link.Notify(link.KindStatus, status)
-			}
-		}()
+	}
+}
+
+// SendReports sends statuses of several nodes to the peer. It drops them if no connection
+// is open.
+func (p *Peer) SendReports(reports *linkrpc.Reports) {
+	if p.link != nil {
+		_ = p.link.Notify(link.KindReports, reports)
+	}
+}
+
+// Connect opens a connection to the peer unless there is one. It does not wait, and reports
+// no failure.
+func (p *Peer) Connect(ctx context.Context) {
+	if p.link != nil && !p.link.Connected() {
+		go func() { _ = p.link.Connect(ctx) }()
 	}
 }
