A panic or a malformed message ends one piece of work, not the process

Cause: searched for the failure that one malformed message or unexpected error takes a process down. Handlers of peers' messages, the application of topics and the periodic work ran in goroutines without recovery, so that one panic ended the node. A report with a rate that is no number spoiled the plan of every node that had it; a call with an odd list of headers would have put the node's headers in the place of values. Change: pkg/recovery; a call in whose handling the node panics ends as lost, its slot and its record are released; a message, a turn of periodic work or a record of a topic is left out. Each is counted (panics) and logged with its stack. Numbers that are none are left out of reports, odd lists of headers are rejected as not run.

--- a/pkg/demand/monitor.go
+++ b/pkg/demand/monitor.go
@@ -4,6 +4,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -155,8 +156,11 @@
 	r.meanSlotTime += time.Duration(slotTimeWeight * float64(held-r.meanSlotTime))
 }
 
-// HandleStatus stores the status report of another node.
+// HandleStatus stores the status report of another node. Numbers that are none, or negative,
+// are left out: in a sum they would spoil the plan.
 func (m *Monitor) HandleStatus(status *linkrpc.Status) {
+	status.Offers = slices.DeleteFunc(status.Offers, func(o *linkrpc.Offer) bool { return o == nil || !isAmount(o.Rate) })
+	status.Costs = slices.DeleteFunc(status.Costs, func(c *linkrpc.Cost) bool { return c == nil || c.Weight == 0 || !isAmount(c.Weight) })
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.reports == nil {
@@ -165,6 +169,9 @@
 	m.reports[directory.NodeAddress(status.Node)] = report{status: status, receivedAt: m.Clock.Now()}
 }
 
+// isAmount reports whether x is a finite number, not below 0.
+func isAmount(x float32) bool { return x >= 0 && x <= math.MaxFloat32 }
+
 // ReportCount returns the number of nodes, this one included, whose reports the last plan
 // was made from.
 func (m *Monitor) ReportCount() int {
--- a/pkg/demand/monitor_test.go
+++ b/pkg/demand/monitor_test.go
@@ -1,6 +1,7 @@
 package demand
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -38,6 +39,37 @@
 	}
 }
 
+// A peer reports numbers that are none. Guards against a plan that turns all requests away,
+// or none, until the node restarts.
+func TestMalformedReportsDoNotSpoilPlan(t *testing.T) {
+	for name, number := range map[string]float32{"NaN": float32(math.NaN()), "infinite": float32(math.Inf(1)), "negative": -5, "zero": 0} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			fake := &clock.Fake{}
+			m := newMonitor(fake)
+			admitted, arrived := 0, 0
+			for range 40 {
+				for range 25 {
+					m.ObserveArrival("browse")
+					arrived++
+					if ok, _ := m.Admit("browse"); ok {
+						admitted++
+					}
+				}
+				m.HandleStatus(deepReport())
+				m.HandleStatus(&linkrpc.Status{
+					Node: "x", Offers: []*linkrpc.Offer{{Route: "browse", Rate: number}, nil},
+					Costs: []*linkrpc.Cost{{Route: "browse", Service: "deep", SlotUs: 500_000, Weight: number}, nil},
+				})
+				fake.Advance(PlanInterval)
+				m.Tick()
+			}
+			is.True(float64(admitted) < 0.35*float64(arrived))
+			is.True(float64(admitted) > 0.1*float64(arrived))
+		})
+	}
+}
+
 func TestRejectsDemandBeyondCapacity(t *testing.T) {
 	is := is.New(t)
 	fake := &clock.Fake{}
--- a/pkg/gate/admit.go
+++ b/pkg/gate/admit.go
@@ -62,6 +62,8 @@
 func (g *Gate) rejectionReason(run *linkrpc.Run) linkrpc.Reason {
 	local := g.local.Load()
 	switch {
+	case len(run.Headers)%2 != 0:
+		return linkrpc.Reason_REASON_BROKEN
 	case !g.IsOpen():
 		return linkrpc.Reason_REASON_CLOSED
 	case string(local.Service) != run.Service, run.Instance != "" && string(local.ID) != run.Instance:
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -13,6 +13,7 @@
 	"github.com/plantainramp/plantainramp/pkg/fleet"
 	"github.com/plantainramp/plantainramp/pkg/instance"
 	"github.com/plantainramp/plantainramp/pkg/link"
+	"github.com/plantainramp/plantainramp/pkg/recovery"
 	"github.com/plantainramp/plantainramp/pkg/routing"
 	"github.com/plantainramp/plantainramp/rpc/linkrpc"
 )
@@ -249,7 +250,9 @@
 	d.Outcome, started = g.admit(ctx, run, d.Arrived)
 	d.Waited = started.Sub(d.Arrived)
 	if d.Outcome == nil {
-		d.Outcome, d.Cause = g.execute(ctx, d)
+		if err := recovery.Run("the execution of a call", func() { d.Outcome, d.Cause = g.execute(ctx, d) }); err != nil {
+			d.Outcome, d.Cause = LostOutcome(linkrpc.Reason_REASON_BROKEN), err
+		}
 		d.Ran = g.Clock.Now().Sub(started)
 		slotTime := d.Ran
 		if d.Outcome.Fate != linkrpc.Fate_FATE_ANSWERED {
--- a/pkg/link/link_test.go
+++ b/pkg/link/link_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/plantainramp/plantainramp/internal/clocktest"
 	"github.com/plantainramp/plantainramp/pkg/clock"
+	"github.com/plantainramp/plantainramp/pkg/recovery"
 	"github.com/plantainramp/plantainramp/rpc/linkrpc"
 )
 
@@ -213,6 +214,41 @@
 }
 
 // Malformed input closes the connection and has no other effect.
+// A handler panics on some requests and messages. Guards against an unexpected error that
+// ends the process, or the connection that others use.
+func TestPanicEndsOneRequestOnly(t *testing.T) {
+	is := is.New(t)
+	panics := make(chan error, 2)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	t.Cleanup(func() { _ = listener.Close() })
+	server := &Server{
+		Clock: clock.System{}, Hello: hello, OnPanic: func(err error) { panics <- err },
+		OnStatus: func(*linkrpc.Status) { panic("status") },
+		Handle: func(ctx context.Context, r Request) proto.Message {
+			if r.Kind == KindAsk {
+				panic("ask")
+			}
+			return echo(ctx, r)
+		},
+	}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(server.Close)
+	l := newLink(t, listener.Addr().String())
+	is.NoErr(l.Connect(t.Context()))
+	is.True(l.Notify(KindStatus, &linkrpc.Status{}))
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	_, err = l.Call(ctx, KindAsk, &linkrpc.Ask{})
+	is.True(errors.Is(err, context.DeadlineExceeded))
+	_, err = l.Call(t.Context(), KindRun, &linkrpc.Run{})
+	is.NoErr(err)
+	for range 2 {
+		var panicked *recovery.PanicError
+		is.True(errors.As(<-panics, &panicked))
+	}
+}
+
 func FuzzServer(f *testing.F) {
 	f.Add([]byte("GET / HTTP/1.1\r\n\r\n"))
 	f.Add([]byte{0, 0, 0, 0, byte(KindHello), 0, 0, 0, 0, 0, 0, 0, 1, byte(KindRun), 0, 0, 0, 1, 255})
--- a/pkg/link/server.go
+++ b/pkg/link/server.go
@@ -11,6 +11,7 @@
 	"github.com/plantainramp/plantainramp/pkg/clock"
 	"github.com/plantainramp/plantainramp/pkg/connection"
 	"github.com/plantainramp/plantainramp/pkg/memory"
+	"github.com/plantainramp/plantainramp/pkg/recovery"
 	"github.com/plantainramp/plantainramp/rpc/linkrpc"
 )
 
@@ -58,6 +59,9 @@
 	// OnUnreadable receives the error of each message without a reply that cannot be
 	// decoded; nil is allowed.
 	OnUnreadable func(error)
+	// OnPanic receives *recovery.PanicError if the handling of a message panics; nil is
+	// allowed. A request gets no reply then.
+	OnPanic func(error)
 	// OnAcceptError receives the error of each Accept that is tried again; nil is allowed.
 	OnAcceptError func(error)
 
@@ -249,7 +253,8 @@
 	for _, r := range c.held {
 		go func() {
 			defer c.handlers.Done()
-			reply := s.Handle(r.ctx, r.Request)
+			var reply proto.Message
+			s.guard("a request of a peer", func() { reply = s.Handle(r.ctx, r.Request) })
 			c.endRequest(r)
 			if reply != nil {
 				_ = c.send(KindReply, r.stream, reply, false)
@@ -265,12 +270,19 @@
 	err := proto.Unmarshal(payload, message)
 	switch {
 	case err == nil && handle != nil:
-		handle(message)
+		s.guard("a message of a peer", func() { handle(message) })
 	case err != nil && s.OnUnreadable != nil:
 		s.OnUnreadable(err)
 	}
 }
 
+// guard does a piece of work. If it panics, OnPanic is told, and nothing else ends.
+func (s *Server) guard(work string, do func()) {
+	if err := recovery.Run(work, do); err != nil && s.OnPanic != nil {
+		s.OnPanic(err)
+	}
+}
+
 // startRequests records the handshake. It returns false if the connection closes.
 func (c *serverConn) startRequests() bool {
 	c.mu.Lock()
--- a/pkg/mesh/events.go
+++ b/pkg/mesh/events.go
@@ -1,7 +1,9 @@
 package mesh
 
 import (
+	"context"
 	"errors"
+	"net/http"
 	"syscall"
 	"time"
 
@@ -15,6 +17,7 @@
 	"github.com/plantainramp/plantainramp/pkg/logs"
 	"github.com/plantainramp/plantainramp/pkg/peering"
 	"github.com/plantainramp/plantainramp/pkg/problem"
+	"github.com/plantainramp/plantainramp/pkg/recovery"
 	"github.com/plantainramp/plantainramp/pkg/routing"
 	"github.com/plantainramp/plantainramp/rpc/linkrpc"
 )
@@ -29,6 +32,7 @@
 	eventNotExecuted      logs.EventKind = "call handed back"
 	eventExecutionLost    logs.EventKind = "call lost at the instance"
 	eventRateLimit        logs.EventKind = "instance names another rate limit"
+	eventPanic            logs.EventKind = "panic"
 	eventBodyDiscarded    logs.EventKind = "large body of a peer discarded"
 	eventNotAccepted      logs.EventKind = "connection not accepted"
 	// eventBorrowFailed and eventMessageUnreadable concern messages between nodes.
@@ -122,6 +126,10 @@
 // onDecided meters the gate's outcome of a call, and logs it unless the instance
 // answered.
 func (n *Node) onDecided(d *gate.Decision) {
+	var panicked *recovery.PanicError
+	if errors.As(d.Cause, &panicked) {
+		n.onPanic(panicked)
+	}
 	if errors.Is(d.Cause, syscall.ECONNREFUSED) {
 		n.heartbeats.MarkUnreachable()
 	}
@@ -184,6 +192,45 @@
 	})
 }
 
+// onPanic logs and counts a piece of work that panicked.
+func (n *Node) onPanic(err error) {
+	n.meter.CountPanic()
+	n.events.Log(eventPanic, func() logrus.Fields {
+		f := logrus.Fields{"error": err.Error()}
+		var panicked *recovery.PanicError
+		if errors.As(err, &panicked) {
+			f["stack"] = string(panicked.Stack)
+		}
+		return f
+	})
+}
+
+// guarded returns a piece of work that goes on with its next turn if it panics.
+func (n *Node) guarded(work string, do func()) func(context.Context) {
+	return func(context.Context) {
+		if err := recovery.Run(work, do); err != nil {
+			n.onPanic(err)
+		}
+	}
+}
+
+// guardHandler ends the connection of a request in whose handling the node panics.
+func (n *Node) guardHandler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer func() {
+			value := recover()
+			if value == nil {
+				return
+			}
+			if value != http.ErrAbortHandler {
+				n.onPanic(recovery.NewPanicError("a request", value))
+			}
+			panic(http.ErrAbortHandler)
+		}()
+		next.ServeHTTP(w, r)
+	})
+}
+
 // stageOf returns the value of the label stage of a request whose caller left: whether
 // it was sent on, and whether the caller had left before that.
 func stageOf(sent, leftBeforeSend bool) string {
--- a/pkg/mesh/load.go
+++ b/pkg/mesh/load.go
@@ -70,7 +70,7 @@
 // runPlanner updates the admission plan and sends the local load to the peers every
 // demand.PlanInterval, until ctx ends.
 func (n *Node) runPlanner(ctx context.Context) {
-	clock.Every(ctx, n.clock, clock.FixedPeriod(demand.PlanInterval), func(context.Context) {
+	clock.Every(ctx, n.clock, clock.FixedPeriod(demand.PlanInterval), n.guarded("the plan", func() {
 		n.processor.Update()
 		status := n.demand.Tick()
 		if status == nil {
@@ -81,7 +81,7 @@
 		status.Slots, status.Open, status.StartUnixMs = uint32(max(local.Slots, 0)), local.Open, local.StartUnixMs
 		status.ConfigVersion = n.ConfigVersion()
 		n.publishStatus(ctx, status)
-	})
+	}))
 }
 
 // handleStatus applies the status of a peer: its load, and its directory entry, which
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -30,6 +30,7 @@
 	"github.com/plantainramp/plantainramp/pkg/peering"
 	"github.com/plantainramp/plantainramp/pkg/processor"
 	"github.com/plantainramp/plantainramp/pkg/quota"
+	"github.com/plantainramp/plantainramp/pkg/recovery"
 	"github.com/plantainramp/plantainramp/pkg/routing"
 	"github.com/plantainramp/plantainramp/pkg/topic"
 	"github.com/plantainramp/plantainramp/pkg/uptime"
@@ -189,7 +190,7 @@
 		Relay:     n.relay(linkrpc.Topic_TOPIC_DIRECTORY, func() *topic.Follower { return n.directoryFollower }),
 	}
 	n.demand = &demand.Monitor{Clock: n.clock, LocalNode: self, Service: n.settings.Service, Load: n.gate.Load, View: n.view.Load, Directory: n.directory.Snapshot, OnPlan: n.onPlan}
-	n.links = &link.Server{Clock: n.clock, Hello: n.hello, Handle: n.handlePeerRequest, OnStatus: n.handleStatus, OnTokenGifts: n.handleTokenGifts, OnReports: n.handleReports, OnUnreadable: func(err error) { n.logUnreadable("message without a reply", err) }, OnAcceptError: n.onAcceptFailed, CloseTimeout: n.partOfGrace(linkCloseFraction), Budget: &n.peerBodies}
+	n.links = &link.Server{Clock: n.clock, Hello: n.hello, Handle: n.handlePeerRequest, OnStatus: n.handleStatus, OnTokenGifts: n.handleTokenGifts, OnReports: n.handleReports, OnUnreadable: func(err error) { n.logUnreadable("message without a reply", err) }, OnAcceptError: n.onAcceptFailed, OnPanic: n.onPanic, CloseTimeout: n.partOfGrace(linkCloseFraction), Budget: &n.peerBodies}
 }
 
 func (n *Node) makeEntrance() {
@@ -231,7 +232,12 @@
 		if r.Key != n.platform.ConfigKey || len(r.Value) == 0 {
 			continue
 		}
-		view, err := n.platform.DecodeConfig(r.Value)
+		var view *routing.View
+		var err error
+		if panicked := recovery.Run("the configuration", func() { view, err = n.platform.DecodeConfig(r.Value) }); panicked != nil {
+			n.onPanic(panicked)
+			err = panicked
+		}
 		if err != nil {
 			n.configLogger.WithError(err).Warn("configuration left out")
 			continue
@@ -281,6 +287,16 @@
 	return count
 }
 
+// runForPeer runs a call of a peer. A call in whose handling the node panics may have run.
+func (n *Node) runForPeer(ctx context.Context, r link.Request, call *linkrpc.Run) *linkrpc.Outcome {
+	var outcome *linkrpc.Outcome
+	if err := recovery.Run("a call of a peer", func() { outcome = n.gate.Run(r.Wanted, ctx, call) }); err != nil {
+		n.onPanic(err)
+		return gate.LostOutcome(linkrpc.Reason_REASON_BROKEN)
+	}
+	return outcome
+}
+
 // ReportCount returns the number of nodes, this one included, whose reports of load the
 // node has. It is safe for concurrent use.
 func (n *Node) ReportCount() int { return n.demand.ReportCount() }
@@ -321,7 +337,7 @@
 			n.logUnreadable("call", err)
 			return gate.NotRunOutcome(linkrpc.Reason_REASON_BROKEN)
 		}
-		return n.gate.Run(r.Wanted, ctx, call)
+		return n.runForPeer(ctx, r, call)
 	case link.KindAsk:
 		ask := &linkrpc.Ask{}
 		if err := proto.Unmarshal(r.Payload, ask); err != nil {
--- a/pkg/mesh/reports.go
+++ b/pkg/mesh/reports.go
@@ -159,7 +159,7 @@
 
 // runReporter passes on what was collected, until ctx ends.
 func (n *Node) runReporter(ctx context.Context) {
-	clock.Every(ctx, n.clock, clock.FixedPeriod(reportInterval), func(context.Context) { n.passReportsOn() })
+	clock.Every(ctx, n.clock, clock.FixedPeriod(reportInterval), n.guarded("the reports", n.passReportsOn))
 }
 
 // passReportsOn sends the collected statuses to the other nodes of the data centre, and
--- a/pkg/mesh/run.go
+++ b/pkg/mesh/run.go
@@ -68,7 +68,7 @@
 			s.tracker = &connection.Tracker{Clock: n.clock, OnAcceptError: n.onAcceptFailed}
 		}
 		s.listener = s.tracker.Bound(l)
-		s.server = &http.Server{Handler: s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+		s.server = &http.Server{Handler: n.guardHandler(s.handler), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 		s.server.BaseContext = func(net.Listener) context.Context { return requestCtx }
 		s.tracker.Track(s.server)
 	}
@@ -121,9 +121,9 @@
 // instance, and unresponsive connections to peers. No event triggers these, so it polls
 // until ctx ends.
 func (n *Node) runChecks(ctx context.Context) {
-	clock.Every(ctx, n.clock, clock.FixedPeriod(checkInterval), func(context.Context) {
+	clock.Every(ctx, n.clock, clock.FixedPeriod(checkInterval), n.guarded("the checks", func() {
 		n.heartbeats.CheckLiveness()
 		n.instance.CloseExpired()
 		n.peers.CheckLiveness()
-	})
+	}))
 }
--- a/pkg/mesh/tokens.go
+++ b/pkg/mesh/tokens.go
@@ -73,11 +73,11 @@
 // runTokenGiver gives what the node does not need to the homes of the organisations, until
 // ctx ends.
 func (n *Node) runTokenGiver(ctx context.Context) {
-	clock.Every(ctx, n.clock, clock.FixedPeriod(quota.GiveInterval), func(context.Context) {
+	clock.Every(ctx, n.clock, clock.FixedPeriod(quota.GiveInterval), n.guarded("the tokens", func() {
 		homes := n.findTokenHomes()
 		n.homes.Store(homes)
 		n.giveTokens(homes)
-	})
+	}))
 }
 
 func (n *Node) giveTokens(homes *tokenHomes) {
--- a/pkg/meter/meter.go
+++ b/pkg/meter/meter.go
@@ -124,3 +124,6 @@
 func (m *Meter) CountAbandoned(part, stage string) {
 	m.scope.Tagged(map[string]string{"part": part, "stage": stage}).Counter("requests_abandoned").Inc(1)
 }
+
+// CountPanic counts a piece of work that panicked.
+func (m *Meter) CountPanic() { m.scope.Counter("panics").Inc(1) }
--- a/pkg/topic/topic.go
+++ b/pkg/topic/topic.go
@@ -12,6 +12,7 @@
 
 	"github.com/plantainramp/plantainramp/pkg/clock"
 	"github.com/plantainramp/plantainramp/pkg/logs"
+	"github.com/plantainramp/plantainramp/pkg/recovery"
 	"github.com/plantainramp/plantainramp/pkg/uptime"
 )
 
@@ -288,7 +289,16 @@
 
 func (f *Follower) applyBatch(records []Record) {
 	if len(records) > 0 {
-		f.Apply(records, false)
+		f.apply(records, false)
+	}
+}
+
+// apply passes records to Apply. Records on which it panics are left out.
+func (f *Follower) apply(records []Record, full bool) {
+	err := recovery.Run("the records of a topic", func() { f.Apply(records, full) })
+	var panicked *recovery.PanicError
+	if errors.As(err, &panicked) {
+		f.Logger.WithError(err).WithField("stack", string(panicked.Stack)).Error("records left out")
 	}
 }
 
@@ -317,7 +327,7 @@
 	if newEra && f.synced.Load() && f.OnRestore != nil {
 		f.OnRestore()
 	}
-	f.Apply(records, true)
+	f.apply(records, true)
 }
 
 func (f *Follower) recordFailure(err error) {
--- a/pkg/topic/topic_test.go
+++ b/pkg/topic/topic_test.go
@@ -322,3 +322,29 @@
 	f.Run(ctx)
 	is.Equal(waits, []time.Duration{time.Second, 0, 0, time.Second})
 }
+
+// Guards against one record that ends the process, or the following of its topic.
+func TestPanickingRecordIsLeftOut(t *testing.T) {
+	is := is.New(t)
+	reads := &scriptedReads{results: []string{"bad", "a", "bad", "b"}, done: make(chan struct{})}
+	var applied []string
+	f := &Follower{
+		Source: reads.source(), Clock: clock.System{}, Uptime: func() time.Duration { return 0 }, Logger: logs.Discard(), PollWait: time.Second, PollMargin: time.Second,
+		Apply: func(records []Record, _ bool) {
+			if string(records[0].Value) == "bad" {
+				panic("unexpected")
+			}
+			applied = append(applied, string(records[0].Value))
+		},
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		f.Run(ctx)
+		close(ended)
+	}()
+	<-reads.done
+	cancel()
+	<-ended
+	is.Equal(applied, []string{"a", "b"})
+}
