--- a/pkg/link/server.go
+++ b/pkg/link/server.go
@@ -79,7 +79,8 @@
 	// conns holds the open connections, including those in their handshake.
 	conns map[*serverConn]struct{}
 	// closed is set by Close.
-	closed bool
+	closed  bool
+	workers workers
 }
 
 // CancelledError is the cause of a context whose request was cancelled.
@@ -120,6 +121,9 @@
 	}
 	var group sync.WaitGroup
 	s.mu.Lock()
+	if !s.closed {
+		s.workers.stop()
+	}
 	s.closed = true
 	for c := range s.conns {
 		group.Go(func() { c.finish(timeout) })
@@ -247,24 +251,27 @@
 	}
 }
 
-// startHeld handles the requests that are held, each in a goroutine of its own. Only
+// startHeld handles the requests that are held, all at the same time. Only
 // the reading goroutine calls it.
 func (s *Server) startHeld(c *serverConn) {
 	for _, r := range c.held {
-		go func() {
-			defer c.handlers.Done()
-			var reply proto.Message
-			s.guard("a request of a peer", func() { reply = s.Handle(r.ctx, r.Request) })
-			c.endRequest(r)
-			if reply != nil {
-				_ = c.send(KindReply, r.stream, reply, false)
-			}
-		}()
+		s.workers.run(func() { s.handle(c, r) })
 	}
 	clear(c.held)
 	c.held = c.held[:0]
 }
 
+// handle handles a request and queues its reply.
+func (s *Server) handle(c *serverConn, r *serverRequest) {
+	defer c.handlers.Done()
+	var reply proto.Message
+	s.guard("a request of a peer", func() { reply = s.Handle(r.ctx, r.Request) })
+	c.endRequest(r)
+	if reply != nil {
+		_ = c.send(KindReply, r.stream, reply, false)
+	}
+}
+
 // notify decodes a message that has no reply and passes it to a function, which may be nil.
 func notify[M proto.Message](s *Server, payload []byte, message M, handle func(M)) {
 	err := proto.Unmarshal(payload, message)
