Links: a large message keeps the buffer that it was encoded into

Cause: one of three copies of a large body; under the race detector, beside five busy jobs, TestClosingServerWritesReplyBeingWritten once did not finish a reply of 12 MB within the 250 ms of a close. Change: no copy; the buffer of the receiver doubles up to the known length.

--- a/pkg/link/frame.go
+++ b/pkg/link/frame.go
@@ -178,8 +178,9 @@
 		f.pending = encoded
 	}
 	if len(f.pending)-start-headerBytes > partBytes && f.sendsParts && stream != 0 {
-		f.queueLarge(&largeMessage{kind: kind, stream: stream, isRequest: isRequest, payload: bytes.Clone(f.pending[start+headerBytes:])})
-		f.pending = f.pending[:start]
+		// The message keeps the buffer, and what is queued before it gets another.
+		f.queueLarge(&largeMessage{kind: kind, stream: stream, isRequest: isRequest, payload: f.pending[start+headerBytes:]})
+		f.pending = bytes.Clone(f.pending[:start])
 		f.wakeWriter()
 		return nil
 	}
--- a/pkg/link/parts.go
+++ b/pkg/link/parts.go
@@ -133,7 +133,12 @@
 		_, err := io.CopyN(io.Discard, f.reader, int64(size))
 		return err
 	}
-	m.payload = slices.Grow(m.payload, size)[:start+size]
+	if cap(m.payload) < start+size {
+		grown := make([]byte, start, min(max(2*cap(m.payload), start+size), m.length))
+		copy(grown, m.payload)
+		m.payload = grown
+	}
+	m.payload = m.payload[:start+size]
 	_, err := io.ReadFull(f.reader, m.payload[start:])
 	return err
 }
