A data centre that the store does not answer lives on what others lend

Change: a node that the store has not answered asks the first node of its data centre, then the first of each other one, then the rest.

--- a/pkg/mesh/relay.go
+++ b/pkg/mesh/relay.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -79,11 +80,11 @@
 }
 
 // relayPeer returns the peer to ask for a topic, or nil if this node is the one that reads
-// the store. A node that the store has not answered asks those that come after it.
+// the store. A node that the store has not answered asks others instead.
 func (n *Node) relayPeer(f *topic.Follower) *peering.Peer {
-	now := n.clock.Now()
-	for _, address := range readers(n.directory.Snapshot(), n.settings.DataCentre) {
-		if address == directory.NodeAddress(n.settings.PeerAddress) && !f.StoreFailedWithin(storeAvoidance) {
+	now, storeFailed := n.clock.Now(), f.StoreFailedWithin(storeAvoidance)
+	for _, address := range n.relayCandidates(storeFailed) {
+		if address == directory.NodeAddress(n.settings.PeerAddress) && !storeFailed {
 			return nil
 		}
 		if peer := n.peers.ReachablePeer(address); peer != nil && !n.relayer.avoided(address, now) {
@@ -93,6 +94,41 @@
 	return nil
 }
 
+// relayCandidates returns the nodes to ask for topics, in order: those of the data centre. If
+// the store has failed this node, the whole data centre may have lost it: the first node of
+// each other one comes second then.
+func (n *Node) relayCandidates(storeFailed bool) []directory.NodeAddress {
+	snapshot := n.directory.Snapshot()
+	own := readers(snapshot, n.settings.DataCentre)
+	if !storeFailed {
+		return own
+	}
+	own = slices.DeleteFunc(own, func(a directory.NodeAddress) bool { return a == directory.NodeAddress(n.settings.PeerAddress) })
+	first := min(1, len(own))
+	return slices.Concat(own[:first], firstReaders(snapshot, n.settings.DataCentre), own[first:])
+}
+
+// firstReaders returns the first reader of each data centre except one.
+func firstReaders(s *directory.Snapshot, except fleet.DataCentre) []directory.NodeAddress {
+	var first []directory.NodeAddress
+	for _, dataCentre := range otherDataCentres(s, except) {
+		if nodes := readers(s, dataCentre); len(nodes) > 0 {
+			first = append(first, nodes[0])
+		}
+	}
+	return first
+}
+
+// otherDataCentres returns the data centres of all nodes, except one.
+func otherDataCentres(s *directory.Snapshot, except fleet.DataCentre) []fleet.DataCentre {
+	found := map[fleet.DataCentre]bool{}
+	for _, e := range s.Nodes {
+		found[e.DataCentre] = true
+	}
+	delete(found, except)
+	return slices.Sorted(maps.Keys(found))
+}
+
 // relay returns the function by which a follower asks peers for a topic, one after the
 // other until one knows.
 func (n *Node) relay(name linkrpc.Topic, follower func() *topic.Follower) topic.Relay {
--- a/pkg/mesh/reports.go
+++ b/pkg/mesh/reports.go
@@ -10,7 +10,6 @@
 
 	"github.com/plantainramp/plantainramp/pkg/clock"
 	"github.com/plantainramp/plantainramp/pkg/directory"
-	"github.com/plantainramp/plantainramp/pkg/fleet"
 	"github.com/plantainramp/plantainramp/pkg/peering"
 	"github.com/plantainramp/plantainramp/rpc/linkrpc"
 )
@@ -192,13 +191,8 @@
 func (n *Node) sendToOthers(s *directory.Snapshot, statuses [][]byte) {
 	rank := max(slices.Index(n.reporters(readers(s, n.settings.DataCentre)), nil), 0)
 	reports := &linkrpc.Reports{Statuses: statuses, Reach: linkrpc.Reach_REACH_DATA_CENTRE}
-	seen := map[fleet.DataCentre]bool{n.settings.DataCentre: true}
-	for _, e := range s.Nodes {
-		if seen[e.DataCentre] {
-			continue
-		}
-		seen[e.DataCentre] = true
-		if peers := n.reporters(readers(s, e.DataCentre)); len(peers) > 0 {
+	for _, dataCentre := range otherDataCentres(s, n.settings.DataCentre) {
+		if peers := n.reporters(readers(s, dataCentre)); len(peers) > 0 {
 			peers[min(rank, len(peers)-1)].SendReports(reports)
 		}
 	}
