--- a/pkg/link/server.go
+++ b/pkg/link/server.go
@@ -132,37 +132,6 @@
 	group.Wait()
 }
 
-// serverConn is one connection from a peer.
-type serverConn struct {
-	*framer
-	// ended is closed when serveConn has returned.
-	ended chan struct{}
-	// handlers counts the requests whose reply is not queued yet.
-	handlers sync.WaitGroup
-	// held holds the requests that were read and are not being handled yet. It belongs to
-	// the reading goroutine.
-	held []*serverRequest
-	// mu guards the fields below.
-	mu sync.Mutex
-	// requests holds the requests that were read and whose reply is not queued yet.
-	requests map[StreamID]*serverRequest
-	// greeted reports whether the handshake message of the peer was read, closing
-	// whether no more requests are taken.
-	greeted, closing bool
-}
-
-// serverRequest is a request of a peer.
-type serverRequest struct {
-	Request
-	stream StreamID
-	// ctx is the context of the handler.
-	ctx context.Context
-	// cancel ends Wanted, and lose ends ctx only.
-	cancel, lose context.CancelCauseFunc
-	// reserved is the number of bytes to release from the budget at the end.
-	reserved int64
-}
-
 func (s *Server) serveConn(netConn net.Conn) {
 	c := &serverConn{framer: newFramer(netConn, s.Clock, nil), ended: make(chan struct{}), requests: map[StreamID]*serverRequest{}}
 	c.budget = s.Budget
@@ -208,26 +177,6 @@
 	return hello
 }
 
-// addConn adds an accepted connection. It returns false if the server is closed.
-func (s *Server) addConn(c *serverConn) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.closed {
-		return false
-	}
-	if s.conns == nil {
-		s.conns = map[*serverConn]struct{}{}
-	}
-	s.conns[c] = struct{}{}
-	return true
-}
-
-func (s *Server) removeConn(c *serverConn) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.conns, c)
-}
-
 // dispatch handles one message. Requests are held until startHeld.
 func (s *Server) dispatch(c *serverConn, m message) {
 	switch m.kind {
@@ -251,16 +200,6 @@
 	}
 }
 
-// startHeld handles the requests that are held, all at the same time. Only
-// the reading goroutine calls it.
-func (s *Server) startHeld(c *serverConn) {
-	for _, r := range c.held {
-		s.workers.run(func() { s.handle(c, r) })
-	}
-	clear(c.held)
-	c.held = c.held[:0]
-}
-
 // handle handles a request and queues its reply.
 func (s *Server) handle(c *serverConn, r *serverRequest) {
 	defer c.handlers.Done()
@@ -289,95 +228,3 @@
 		s.OnPanic(err)
 	}
 }
-
-// startRequests records the handshake. It returns false if the connection closes.
-func (c *serverConn) startRequests() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.greeted = true
-	return !c.closing
-}
-
-// stopRequests makes takeRequest fail. It returns false if the connection is still in
-// its handshake.
-func (c *serverConn) stopRequests() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.closing = true
-	return c.greeted
-}
-
-// takeRequest registers a request to be handled. It returns nil if the connection
-// closes.
-func (c *serverConn) takeRequest(m message) *serverRequest {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closing {
-		c.release(m.reserved)
-		return nil
-	}
-	r := &serverRequest{stream: m.stream, reserved: m.reserved, Request: Request{Kind: m.kind, Payload: m.payload, Discarded: m.discarded}}
-	r.Wanted, r.cancel = context.WithCancelCause(context.Background())
-	r.ctx, r.lose = context.WithCancelCause(r.Wanted)
-	c.requests[m.stream] = r
-	c.handlers.Add(1)
-	return r
-}
-
-// endRequest releases a request that was handled.
-func (c *serverConn) endRequest(r *serverRequest) {
-	c.mu.Lock()
-	delete(c.requests, r.stream)
-	c.mu.Unlock()
-	c.release(r.reserved)
-	r.cancel(nil)
-}
-
-// dropHeld drops the requests that are held when the connection is lost: their peer can
-// have no reply, and is told that they have not run if it asks.
-func (c *serverConn) dropHeld() {
-	for _, r := range c.held {
-		c.endRequest(r)
-		c.handlers.Done()
-	}
-	c.held = nil
-}
-
-// cancelRequest cancels the request of a stream, if it is still being handled.
-func (c *serverConn) cancelRequest(stream StreamID) {
-	c.mu.Lock()
-	r := c.requests[stream]
-	c.mu.Unlock()
-	if r != nil {
-		r.cancel(&CancelledError{At: c.clock.Now()})
-	}
-}
-
-// finish closes the connection once the requests being handled are answered and the
-// peer has received that, at the latest after the timeout.
-func (c *serverConn) finish(timeout time.Duration) {
-	if !c.stopRequests() {
-		c.close()
-		return
-	}
-	go func() {
-		c.handlers.Wait()
-		c.finishWrites()
-	}()
-	select {
-	case <-c.ended:
-	case <-c.clock.After(timeout):
-		c.close()
-	}
-}
-
-// close closes the connection and ends the contexts of its requests.
-func (c *serverConn) close() {
-	c.closeWithError(net.ErrClosed)
-	cause := c.cause()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, r := range c.requests {
-		r.lose(cause)
-	}
-}
