A fullness that is no number does not draw all calls

Cause: found while fuzzing was written: a load with a fullness of NaN made the cost of its instance NaN, and no other cost is below that, so that it was chosen for all calls if it came first. Change: such a fullness counts as none. Measured: TestMalformedFullnessIsIgnored fails before.

--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -52,7 +52,11 @@
 	if limit <= 0 {
 		limit = defaultLimit
 	}
-	fullness := max(float64(c.InFlight+1)/float64(limit), c.RateFullness)
+	fullness := float64(c.InFlight+1) / float64(limit)
+	// The comparison fails for NaN, which a malformed report may hold.
+	if c.RateFullness > fullness {
+		fullness = c.RateFullness
+	}
 	cost := fullness + max(0, fullness-overloadFullness)*overloadSlope + randomUnit*jitter
 	if c.Slowdown > 1 {
 		cost += (c.Slowdown - 1) * slowdownPenalty
--- a/pkg/balancer/balancer_test.go
+++ b/pkg/balancer/balancer_test.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 
@@ -43,3 +44,12 @@
 		is.True(float64(c.InFlight) <= 1.25*float64(c.Limit))
 	}
 }
+
+// A peer reports a fullness that is no number. Guards against a choice that sends it all
+// calls, or fails.
+func TestMalformedFullnessIsIgnored(t *testing.T) {
+	is := is.New(t)
+	candidates := []Candidate{{Limit: 10, InFlight: 9, RateFullness: math.NaN()}, {Limit: 10}, {Limit: 10, RateFullness: math.Inf(-1)}}
+	is.True(Choose(candidates, func() float64 { return 0 }) != 0)
+	is.Equal(Choose(candidates[:1], func() float64 { return 0 }), 0)
+}
--- a/pkg/mesh/events.go
+++ b/pkg/mesh/events.go
@@ -194,6 +194,7 @@
 
 // onPanic logs and counts a piece of work that panicked.
 func (n *Node) onPanic(err error) {
+	n.panicCount.Add(1)
 	n.meter.CountPanic()
 	n.events.Log(eventPanic, func() logrus.Fields {
 		f := logrus.Fields{"error": err.Error()}
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -135,6 +135,8 @@
 	processor  processor.Monitor
 	reports    reportBuffer
 	statuses   statusFilter
+	// panicCount counts the pieces of work that panicked.
+	panicCount atomic.Int64
 	// statusCount is the sequence number of the last status of this node; only runPlanner
 	// uses it.
 	statusCount uint64
