--- a/review/testbed/server.go
+++ b/review/testbed/server.go
@@ -24,7 +24,7 @@
 	bed     *Bed
 	node    *Node
 	started time.Time
-	stopped chan struct{}
+	server  *http.Server
 
 	mu       sync.Mutex
 	inFlight int
@@ -37,10 +37,10 @@
 
 // Start serves at the address that the settings of a node name, and sends heartbeats to it.
 func (s *Server) Start(b *Bed, n *Node) error {
-	s.bed, s.node, s.started, s.stopped, s.runs = b, n, time.Now(), make(chan struct{}), map[string]int{}
-	server := &http.Server{Addr: n.Instance, Handler: s}
+	s.bed, s.node, s.started, s.runs = b, n, time.Now(), map[string]int{}
+	s.server = &http.Server{Addr: n.Instance, Handler: s}
 	failed := make(chan error, 1)
-	go func() { failed <- server.ListenAndServe() }()
+	go func() { failed <- s.server.ListenAndServe() }()
 	select {
 	case err := <-failed:
 		return err
@@ -50,6 +50,12 @@
 	return nil
 }
 
+// Exit ends the server with all its connections.
+func (s *Server) Exit() {
+	s.bed.Record("server %s exits", s.ID)
+	_ = s.server.Close()
+}
+
 // StopBeats ends the periodic heartbeats.
 func (s *Server) StopBeats() {
 	s.mu.Lock()
