--- a/review/testbed/server.go
+++ b/review/testbed/server.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -18,6 +19,8 @@
 	// Work is the execution time of a request, and AnswerBytes the size of its answer.
 	Work        time.Duration
 	AnswerBytes int
+	// SmallPath is a path with an answer of one byte.
+	SmallPath string
 	// HeartbeatInterval is the time between two heartbeats.
 	HeartbeatInterval time.Duration
 
@@ -147,7 +150,12 @@
 		return
 	}
 	w.Header().Set("Plantainramp-Response-Signature", "signed-"+id)
-	_, err := w.Write(bytes.Repeat([]byte{'x'}, max(s.AnswerBytes, 1)))
+	size := max(s.AnswerBytes, 1)
+	if r.URL.Path == s.SmallPath {
+		size = 1
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(size))
+	_, err := w.Write(bytes.Repeat([]byte{'x'}, size))
 	s.bed.Record("server %s has answered %s (%v)", s.ID, id, err)
 }
 
