--- a/review/2/main.go
+++ b/review/2/main.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/plantainramp/plantainramp/platform/platformtest"
@@ -13,6 +14,7 @@
 
 const (
 	timeLimit = 5 * time.Second
+	workTime  = 600 * time.Millisecond
 	// drain is the bound of the small deployment, connectivity the time until a machine is
 	// in touch.
 	drain        = 2 * time.Second
@@ -67,7 +69,7 @@
 		if err != nil {
 			return 0, err
 		}
-		s := &testbed.Server{ID: fmt.Sprintf("i-%d", i+1), Service: "pactdesk", Zone: "medina", Slots: 68, Work: 210 * time.Millisecond, AnswerBytes: 1500, HeartbeatInterval: 1500 * time.Millisecond}
+		s := &testbed.Server{ID: fmt.Sprintf("i-%d", i+1), Service: "pactdesk", Zone: "medina", Slots: 68, Work: workTime, AnswerBytes: 1500, HeartbeatInterval: 1500 * time.Millisecond}
 		if err := n.Start(); err != nil {
 			return 0, err
 		}
@@ -77,8 +79,12 @@
 		nodes, servers = append(nodes, n), append(servers, s)
 	}
 	node, leaving := nodes[0], servers[0]
+	var lost atomic.Int64
 	ask := func(id string) {
-		node.Send(testbed.Ask{ID: id, Method: "POST", Host: "homes.example", Path: "/swaps/1", Body: "swap", TimeLimit: timeLimit})
+		answer := node.Send(testbed.Ask{ID: id, Method: "POST", Host: "homes.example", Path: "/swaps/1", Body: "swap", TimeLimit: timeLimit})
+		if answer.Status == 0 || answer.Status == 502 {
+			lost.Add(1)
+		}
 	}
 	serves := func() bool {
 		ask(fmt.Sprintf("probe-%d", time.Now().UnixNano()))
@@ -119,6 +125,7 @@
 		time.Sleep(requestGap)
 	}
 	time.Sleep(time.Second)
+	bed.Record("%d requests were lost: 502 or no answer", lost.Load())
 	runs, late := leaving.Runs(), 0
 	for i := range requestCount {
 		late += runs[fmt.Sprintf("commit-%d", i)]
