--- a/review/testbed/testbed.go
+++ b/review/testbed/testbed.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"sync"
 	"syscall"
@@ -62,7 +63,19 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Bed{Trouble: os.Getenv("TROUBLE") != "0", began: time.Now(), record: record, folder: folder}, nil
+	b := &Bed{Trouble: os.Getenv("TROUBLE") != "0", began: time.Now(), record: record, folder: folder}
+	go b.closeOnSignal()
+	return b, nil
+}
+
+// closeOnSignal ends the processes if the case itself is ended.
+func (b *Bed) closeOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	<-signals
+	b.Record("the case was ended by a signal")
+	b.Close()
+	os.Exit(ExitNotRun)
 }
 
 // Record writes a line with the time since the start of the case.
