A departure outlasts the node that has acknowledged it

What callers saw: a server had deregistered, its node was killed and started again, and a heartbeat from before arrived 2 s late.

Cause: the incarnations that had left were held in memory only, and a new process took "I know of no departure" for "there was none". Ruled out: the directory entry, which says closed also for a node that stops, and the memory of peers, which does not bind the entrance of the restarted node.

Change: a departure is a record of its own in the directory, written before it is acknowledged (or noted by peers if the store does not take it; if neither has it, there is no acknowledgement). After a start the gate opens once the directory has been read and has no departure of the incarnation, or by the server's own health check while the directory cannot be read. Entries of departed incarnations are not used. A deregistration names its incarnation, so that a late one of an earlier life changes nothing.

--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"maps"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -53,7 +54,7 @@
 	Snapshot struct {
 		Nodes map[NodeAddress]Entry
 		// Services holds the entries whose instance is known and accepts calls, without
-		// those that a restored topic brought back.
+		// those that a restored topic brought back and those whose instance has departed.
 		Services map[fleet.ServiceName][]Entry
 	}
 
@@ -64,6 +65,11 @@
 	}
 )
 
+// Incarnation returns the start of the instance that the entry describes.
+func (e Entry) Incarnation() fleet.Incarnation {
+	return fleet.Incarnation{Instance: e.Instance, StartUnixMs: e.StartUnixMs}
+}
+
 // Directory holds the entries of all nodes and keeps the topic up to date with the
 // local one. Set the exported fields before calling Init. Its other methods are safe
 // for concurrent use.
@@ -95,6 +101,10 @@
 	unconfirmed map[NodeAddress]bool
 	// restored reports whether the next full list of records is of a restored topic.
 	restored bool
+	// loaded reports whether a full list of records has been applied.
+	loaded bool
+	// departures holds the departures of the instances of all nodes.
+	departures departures
 	// loggedKeys holds the keys whose entry cannot be decoded, so that each is logged
 	// once.
 	loggedKeys map[string]bool
@@ -120,6 +130,7 @@
 	d.mu.Lock()
 	if full {
 		d.replace(records)
+		d.loaded = true
 	} else {
 		d.applyRecords(records)
 	}
@@ -136,7 +147,9 @@
 	}
 	unconfirmed := d.unconfirmed
 	d.nodes, d.unconfirmed, d.restored = map[NodeAddress]Entry{}, map[NodeAddress]bool{}, false
+	d.departures.loseTopic()
 	d.applyRecords(records)
+	d.departures.rewrite(d.Self, d.Clock.Now())
 	for address, e := range d.nodes {
 		stillUnconfirmed := unconfirmed[address] && before[address] == e
 		cameBack := restored && e.Open && !used[address]
@@ -212,6 +225,10 @@
 // applyRecord applies one record. A record that cannot be decoded removes the entry of
 // its key and does not affect others.
 func (d *Directory) applyRecord(r topic.Record) {
+	if node, isDeparture := strings.CutPrefix(r.Key, departureKeyPrefix); isDeparture {
+		d.applyDeparture(NodeAddress(node), r)
+		return
+	}
 	address := NodeAddress(r.Key)
 	delete(d.nodes, address)
 	delete(d.missing, address)
@@ -221,20 +238,28 @@
 	}
 	var e Entry
 	if err := json.Unmarshal(r.Value, &e); err != nil || e.Node != address || e.Service == "" {
-		if !d.loggedKeys[r.Key] {
-			d.loggedKeys[r.Key] = true
-			d.Logger.WithField("key", r.Key).WithError(err).Warn("ignoring a directory entry that cannot be decoded")
-		}
+		d.logUnreadable(r.Key, err)
 		return
 	}
 	d.nodes[address] = e
 }
 
+// logUnreadable logs a record that cannot be decoded, once for each key. The caller holds
+// mu.
+func (d *Directory) logUnreadable(key string, err error) {
+	if d.loggedKeys[key] {
+		return
+	}
+	d.loggedKeys[key] = true
+	d.Logger.WithField("key", key).WithError(err).Warn("ignoring a directory entry that cannot be decoded")
+}
+
 // UpdatePeer sets the entry of another node, as received from that node. It ignores
 // incomplete entries and those of the local node.
 func (d *Directory) UpdatePeer(e Entry) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.departures.contradict(e, d.Clock.Now())
 	previous, known := d.nodes[e.Node]
 	if known && previous == e && !d.unconfirmed[e.Node] || e.Node == "" || e.Node == d.Self || e.Service == "" {
 		return
@@ -267,7 +292,7 @@
 	}
 	s := &Snapshot{Nodes: nodes, Services: map[fleet.ServiceName][]Entry{}}
 	for _, e := range nodes {
-		if e.Open && e.Instance != "" && (e.Node == d.Self || !d.unconfirmed[e.Node]) {
+		if e.Open && e.Instance != "" && !d.departures.has(e.Node, e.Incarnation()) && (e.Node == d.Self || !d.unconfirmed[e.Node]) {
 			s.Services[e.Service] = append(s.Services[e.Service], e)
 		}
 	}
@@ -307,8 +332,8 @@
 	return &e
 }
 
-// Run writes the local entry to the topic whenever the topic holds a different one,
-// until ctx ends. This also corrects the topic after an earlier write took effect late
+// Run writes the local entry to the topic whenever the topic holds a different one, and
+// departures that it lacks, until ctx ends. This also corrects the topic after an earlier write took effect late
 // and replaced a newer one. Run also removes the entries that were kept after a restore
 // once their time has passed.
 func (d *Directory) Run(ctx context.Context) {
@@ -320,6 +345,7 @@
 		case <-d.Clock.After(recheckInterval):
 		}
 		d.recheck()
+		d.writeDueDepartures(ctx)
 		e := d.pendingWrite()
 		if e == nil {
 			continue
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -41,6 +41,14 @@
 	Tokens float64
 )
 
+// Incarnation identifies one start of an instance. It is comparable.
+type Incarnation struct {
+	Instance InstanceName
+	// StartUnixMs is the start time by the clock of the instance, as Unix time in
+	// milliseconds; 0 if it is not known.
+	StartUnixMs int64
+}
+
 // Classes of calls, in the order in which they are shed.
 const (
 	ClassLow Class = iota
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -54,6 +54,11 @@
 	Leaving bool
 }
 
+// Incarnation returns the start of the instance.
+func (l *LocalInstance) Incarnation() fleet.Incarnation {
+	return fleet.Incarnation{Instance: l.ID, StartUnixMs: l.StartUnixMs}
+}
+
 // Gate admits calls to the local instance and runs them there. Set the exported
 // fields before calling Init. Run, QueryOutcome and the methods that return its
 // state are safe for concurrent use.
@@ -134,7 +139,7 @@
 // call is admitted after this returns.
 func (g *Gate) SetLocalInstance(local *LocalInstance) {
 	previous := g.local.Swap(local)
-	if previous == nil || previous.ID != local.ID || previous.StartUnixMs != local.StartUnixMs {
+	if previous == nil || previous.Incarnation() != local.Incarnation() {
 		g.limit.reset(g.Clock.Now())
 	}
 	g.Slots.SetLimit(max(1, int(float64(local.Slots)*usableSlotFraction)))
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -103,6 +103,16 @@
 	Body    []byte
 }
 
+// Header returns the first value of a header, or an empty string.
+func (r *Response) Header(name string) string {
+	for i := 0; i+1 < len(r.Headers); i += 2 {
+		if strings.EqualFold(r.Headers[i], name) {
+			return r.Headers[i+1]
+		}
+	}
+	return ""
+}
+
 // Do sends a call and returns its response. Its errors are *NotSentError,
 // *RejectedError and *ResponseError. A call that could not be sent on a reused
 // connection is sent again on another one. When ctx ends before the call is sent, Do sends
--- a/pkg/link/frame.go
+++ b/pkg/link/frame.go
@@ -50,6 +50,10 @@
 	KindTokenGifts
 	// KindReports carries a linkrpc.Reports and has no reply.
 	KindReports
+	// KindDeparture carries a linkrpc.Status with the node and with the load of an instance
+	// that leaves. The reply is an empty linkrpc.Status. Builds that do not know it do not
+	// reply.
+	KindDeparture
 )
 
 // StreamID identifies a request on its connection. Messages that belong to no
--- a/pkg/link/server.go
+++ b/pkg/link/server.go
@@ -190,7 +190,7 @@
 		notify(s, m.payload, &linkrpc.TokenGifts{}, s.OnTokenGifts)
 	case KindReports:
 		notify(s, m.payload, &linkrpc.Reports{}, s.OnReports)
-	case KindRun, KindAsk, KindTokenRequest, KindTopicRead:
+	case KindRun, KindAsk, KindTokenRequest, KindTopicRead, KindDeparture:
 		if r := c.takeRequest(m); r != nil {
 			c.held = append(c.held, r)
 		}
--- a/pkg/mesh/events.go
+++ b/pkg/mesh/events.go
@@ -178,13 +178,6 @@
 	})
 }
 
-// onLeaving closes the gate of an instance that says in a response that it leaves.
-func (n *Node) onLeaving(a instance.Announcement) {
-	if n.heartbeats.HandleLeaving(fleet.InstanceName(a.Instance), a.Sent) {
-		logs.WithComponent(n.logger, logs.ComponentMember).WithField("id", a.Instance).WithField("request", a.RequestID).Info("instance says that it leaves")
-	}
-}
-
 // onBodyDiscarded logs a call that is handed back as the gate has no memory for its body.
 func (n *Node) onBodyDiscarded() {
 	n.events.Log(eventBodyDiscarded, func() logrus.Fields {
--- a/pkg/mesh/fuzz_test.go
+++ b/pkg/mesh/fuzz_test.go
@@ -50,6 +50,7 @@
 		link.KindTokenRequest: &linkrpc.TokenRequest{Organisation: "dakar", Wanted: nan},
 		link.KindTopicRead:    &linkrpc.TopicRead{Topic: linkrpc.Topic_TOPIC_CONFIG, From: &linkrpc.TopicPosition{Offset: -1}, WaitUs: -5},
 		link.KindStatus:       status,
+		link.KindDeparture:    &linkrpc.Status{Node: "b", Load: &linkrpc.Load{Closed: true, LeavingInstance: "i-2"}},
 		link.KindTokenGifts:   &linkrpc.TokenGifts{Node: "b", Gifts: []*linkrpc.TokenGift{{Organisation: "dakar", Tokens: nan}}},
 		link.KindReports:      &linkrpc.Reports{Statuses: [][]byte{encode(f, status)}, Reach: linkrpc.Reach_REACH_ALL},
 	} {
--- a/pkg/mesh/heartbeat.go
+++ b/pkg/mesh/heartbeat.go
@@ -27,10 +27,12 @@
 	Sequence uint64
 }
 
-// incarnation identifies one start of an instance.
-type incarnation struct {
-	id          fleet.InstanceName
-	startUnixMs int64
+// Deregistration is the word of an instance that it leaves.
+type Deregistration struct {
+	Instance fleet.InstanceName
+	// StartUnixMs is the start time of the instance, as in its heartbeats; 0 if it is not
+	// reported.
+	StartUnixMs int64
 }
 
 // HeartbeatTracker derives the state of the local instance from its heartbeats, which
@@ -40,6 +42,10 @@
 	Clock    clock.Clock
 	Service  fleet.ServiceName
 	Interval time.Duration
+	// HasDeparted reports whether an incarnation has announced its shutdown to an earlier
+	// process of this node, and whether that is known; nil means that there was none. It is
+	// called with mu held and must not call methods of the tracker.
+	HasDeparted func(i fleet.Incarnation) (departed, known bool)
 	// OnChange is called with each new state, before the heartbeat that caused it is
 	// acknowledged.
 	OnChange func(*gate.LocalInstance)
@@ -47,17 +53,23 @@
 	// mu guards the fields below.
 	mu sync.Mutex
 	// current sent the newest heartbeat, and its first one at currentSince.
-	current       incarnation
+	current       fleet.Incarnation
 	currentSince  time.Time
 	lastSequence  uint64
 	lastHeartbeat time.Time
-	// deregistered is the instance that was deregistered before the first heartbeat.
-	deregistered fleet.InstanceName
+	// slots is what the newest heartbeat says.
+	slots int
+	// confirmed is the incarnation that is known not to have departed before this process
+	// started. Another one stays closed, as its heartbeat may have been sent before it
+	// departed.
+	confirmed fleet.Incarnation
+	// deregistered is what was deregistered before the first heartbeat.
+	deregistered Deregistration
 	// instance is the state last passed to OnChange.
 	instance gate.LocalInstance
 	// departed holds the incarnations that have announced their shutdown. They stay
 	// closed whatever they send later.
-	departed map[incarnation]bool
+	departed map[fleet.Incarnation]bool
 }
 
 // HandleHeartbeat applies a heartbeat. It reports whether it was applied: false means
@@ -66,52 +78,137 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.Clock.Now()
-	sender := incarnation{id: h.Instance, startUnixMs: h.StartUnixMs}
+	sender := h.incarnation()
 	if !t.isNewer(sender, h.Sequence) || h.Service != t.Service {
 		return false
 	}
-	deregistered := t.current.id == "" && h.Instance == t.deregistered
+	deregistered := t.current.Instance == "" && t.deregistered.covers(sender)
 	if sender != t.current {
 		t.currentSince = now
 	}
-	t.current, t.lastSequence, t.lastHeartbeat = sender, h.Sequence, now
+	t.current, t.lastSequence, t.lastHeartbeat, t.slots = sender, h.Sequence, now, h.Slots
 	if h.Draining || deregistered {
 		t.markDeparted(sender)
 	}
-	t.setInstance(gate.LocalInstance{
-		ID: h.Instance, Service: h.Service, Slots: h.Slots, StartUnixMs: h.StartUnixMs, Open: !t.departed[sender], Leaving: t.departed[sender],
-	})
+	t.update()
 	return true
 }
 
+func (h Heartbeat) incarnation() fleet.Incarnation {
+	return fleet.Incarnation{Instance: h.Instance, StartUnixMs: h.StartUnixMs}
+}
+
+// covers reports whether a deregistration says that an incarnation leaves. One with an
+// unknown start time is meant if the id is the same.
+func (d Deregistration) covers(i fleet.Incarnation) bool {
+	unknown := d.StartUnixMs == 0 || i.StartUnixMs == 0
+	return d.Instance == i.Instance && (unknown || i.StartUnixMs <= d.StartUnixMs)
+}
+
 // isNewer reports whether a heartbeat supersedes the last one applied.
-func (t *HeartbeatTracker) isNewer(sender incarnation, sequence uint64) bool {
+func (t *HeartbeatTracker) isNewer(sender fleet.Incarnation, sequence uint64) bool {
 	if sender == t.current {
 		return sequence > t.lastSequence
 	}
-	return sender.startUnixMs >= t.current.startUnixMs && !t.departed[sender]
+	return sender.StartUnixMs >= t.current.StartUnixMs && !t.departed[sender]
+}
+
+// update sets the state of the current incarnation. While it may have departed, nothing is
+// open. The caller holds mu.
+func (t *HeartbeatTracker) update() {
+	if !t.departed[t.current] && !t.confirm() {
+		t.closeUntilHeartbeat()
+		return
+	}
+	departed := t.departed[t.current]
+	t.setInstance(gate.LocalInstance{
+		ID: t.current.Instance, Service: t.Service, Slots: t.slots, StartUnixMs: t.current.StartUnixMs, Open: !departed, Leaving: departed,
+	})
 }
 
-func (t *HeartbeatTracker) markDeparted(i incarnation) {
+// confirm reports whether it is known whether the current incarnation has departed, and
+// notes the answer. The caller holds mu.
+func (t *HeartbeatTracker) confirm() bool {
+	if t.confirmed == t.current || t.HasDeparted == nil {
+		return true
+	}
+	departed, known := t.HasDeparted(t.current)
+	switch {
+	case departed:
+		t.markDeparted(t.current)
+	case known:
+		t.confirmed = t.current
+	}
+	return known
+}
+
+func (t *HeartbeatTracker) markDeparted(i fleet.Incarnation) {
 	if t.departed == nil {
-		t.departed = map[incarnation]bool{}
+		t.departed = map[fleet.Incarnation]bool{}
 	}
 	t.departed[i] = true
 }
 
-// HandleDeregistration closes the gate of an instance that has announced its shutdown.
-// Before the first heartbeat it is kept for that: a node that has restarted may hear of the
-// shutdown first. Later, an id other than the current one is ignored.
-func (t *HeartbeatTracker) HandleDeregistration(id fleet.InstanceName) {
+// CheckDepartures applies what has become known of departures: it opens the gate of an
+// instance that was not confirmed, and closes that of one that has departed.
+func (t *HeartbeatTracker) CheckDepartures() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.current.id == "" {
-		t.deregistered = id
+	if t.HasDeparted == nil || t.current.Instance == "" || t.departed[t.current] {
+		return
 	}
-	if id != t.current.id {
+	if departed, _ := t.HasDeparted(t.current); departed {
+		t.closeForGood()
 		return
 	}
-	t.closeForGood()
+	if t.confirmed != t.current && t.heartbeatAge() <= maxMissedHeartbeats*t.Interval {
+		t.update()
+	}
+}
+
+// Unconfirmed returns the current incarnation and since when it has sent heartbeats, if it
+// is not known whether it has departed.
+func (t *HeartbeatTracker) Unconfirmed() (i fleet.Incarnation, since time.Time, unconfirmed bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	unconfirmed = t.current.Instance != "" && t.confirmed != t.current && !t.departed[t.current]
+	return t.current, t.currentSince, unconfirmed
+}
+
+// Confirm opens the gate of the current incarnation if it is i, which has said to this
+// process that it does not leave.
+func (t *HeartbeatTracker) Confirm(i fleet.Incarnation) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if i != t.current || t.departed[i] {
+		return
+	}
+	t.confirmed = i
+	if t.heartbeatAge() <= maxMissedHeartbeats*t.Interval {
+		t.update()
+	}
+}
+
+func (t *HeartbeatTracker) heartbeatAge() time.Duration { return t.Clock.Now().Sub(t.lastHeartbeat) }
+
+// HandleDeregistration closes the gate of an instance that has announced its shutdown, and
+// returns the incarnation that it was applied to. Before the first heartbeat it is kept for
+// that: a node that has restarted may hear of the shutdown first. One of an earlier
+// incarnation than the current one changes nothing.
+func (t *HeartbeatTracker) HandleDeregistration(d Deregistration) (fleet.Incarnation, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	sender := fleet.Incarnation{Instance: d.Instance, StartUnixMs: d.StartUnixMs}
+	switch {
+	case t.current.Instance == "":
+		t.deregistered = d
+		return sender, true
+	case d.covers(t.current):
+		t.closeForGood()
+		return t.current, true
+	}
+	t.markDeparted(sender)
+	return fleet.Incarnation{}, false
 }
 
 // HandleLeaving closes the gate of an instance that has said in the response to a call that
@@ -120,7 +217,7 @@
 func (t *HeartbeatTracker) HandleLeaving(id fleet.InstanceName, sent time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if id != t.current.id || t.departed[t.current] || sent.Before(t.currentSince) {
+	if id != t.current.Instance || t.departed[t.current] || sent.Before(t.currentSince) {
 		return false
 	}
 	t.closeForGood()
@@ -131,9 +228,7 @@
 // holds mu.
 func (t *HeartbeatTracker) closeForGood() {
 	t.markDeparted(t.current)
-	updated := t.instance
-	updated.Open, updated.Leaving = false, true
-	t.setInstance(updated)
+	t.update()
 }
 
 // CheckLiveness closes the gate of an instance that has sent no heartbeat for more than
@@ -141,10 +236,8 @@
 func (t *HeartbeatTracker) CheckLiveness() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.instance.Open && t.Clock.Now().Sub(t.lastHeartbeat) > maxMissedHeartbeats*t.Interval {
-		updated := t.instance
-		updated.Open = false
-		t.setInstance(updated)
+	if t.heartbeatAge() > maxMissedHeartbeats*t.Interval {
+		t.closeUntilHeartbeat()
 	}
 }
 
@@ -153,6 +246,11 @@
 func (t *HeartbeatTracker) MarkUnreachable() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.closeUntilHeartbeat()
+}
+
+// closeUntilHeartbeat closes the gate until the next heartbeat. The caller holds mu.
+func (t *HeartbeatTracker) closeUntilHeartbeat() {
 	if t.instance.Open {
 		updated := t.instance
 		updated.Open = false
--- a/pkg/mesh/heartbeat_test.go
+++ b/pkg/mesh/heartbeat_test.go
@@ -61,9 +61,9 @@
 	is := is.New(t)
 	tracker, _, last := newTracker()
 	tracker.HandleHeartbeat(heartbeat("i-1", 10, 1, false))
-	tracker.HandleDeregistration("i-0")
+	tracker.HandleDeregistration(Deregistration{Instance: "i-0"})
 	is.True(last.Open)
-	tracker.HandleDeregistration("i-1")
+	tracker.HandleDeregistration(Deregistration{Instance: "i-1"})
 	is.True(!last.Open)
 	tracker.HandleHeartbeat(heartbeat("i-1", 10, 2, false))
 	is.True(!last.Open)
@@ -117,7 +117,7 @@
 func TestDeregistrationBeforeTheFirstHeartbeatCounts(t *testing.T) {
 	is := is.New(t)
 	tracker, _, last := newTracker()
-	tracker.HandleDeregistration("i-1")
+	tracker.HandleDeregistration(Deregistration{Instance: "i-1"})
 	is.True(tracker.HandleHeartbeat(heartbeat("i-1", 1, 7, false)))
 	is.True(!last.Open && last.Leaving)
 	tracker.HandleHeartbeat(heartbeat("i-1", 1, 8, false))
@@ -125,3 +125,79 @@
 	tracker.HandleHeartbeat(heartbeat("i-2", 2, 1, false))
 	is.True(last.Open && !last.Leaving)
 }
+
+// A deregistration of an earlier start under the same id arrives late. Guards against the
+// gate of the new incarnation that it closes for good.
+func TestDeregistrationOfEarlierIncarnationIsIgnored(t *testing.T) {
+	is := is.New(t)
+	tracker, _, last := newTracker()
+	tracker.HandleHeartbeat(heartbeat("i-1", 20, 1, false))
+	_, applied := tracker.HandleDeregistration(Deregistration{Instance: "i-1", StartUnixMs: 10})
+	is.True(!applied)
+	is.True(last.Open)
+	i, applied := tracker.HandleDeregistration(Deregistration{Instance: "i-1", StartUnixMs: 20})
+	is.True(applied)
+	is.Equal(i, fleet.Incarnation{Instance: "i-1", StartUnixMs: 20})
+	is.True(!last.Open && last.Leaving)
+}
+
+// A node restarts after it has heard of a departure, and its earlier process's record of it
+// is read before or after a late heartbeat arrives. Guards against a gate that opens as the
+// departure is forgotten or not read yet.
+func TestRestartedNodeOpensOnlyForInstanceThatHasNotDeparted(t *testing.T) {
+	departedOne := fleet.Incarnation{Instance: "i-1", StartUnixMs: 10}
+	known := false
+	restart := func() (*HeartbeatTracker, *gate.LocalInstance) {
+		tracker, _, last := newTracker()
+		tracker.HasDeparted = func(i fleet.Incarnation) (bool, bool) { return known && i == departedOne, known }
+		return tracker, last
+	}
+	t.Run("record read before", func(t *testing.T) {
+		is := is.New(t)
+		known = true
+		tracker, last := restart()
+		tracker.HandleHeartbeat(heartbeat("i-1", 10, 3, false))
+		is.True(!last.Open && last.Leaving)
+		tracker.HandleHeartbeat(heartbeat("i-2", 20, 1, false))
+		is.True(last.Open)
+	})
+	t.Run("record read after", func(t *testing.T) {
+		is := is.New(t)
+		known = false
+		tracker, last := restart()
+		tracker.HandleHeartbeat(heartbeat("i-1", 10, 3, false))
+		tracker.CheckDepartures()
+		is.True(!last.Open)
+		known = true
+		tracker.CheckDepartures()
+		is.True(!last.Open && last.Leaving)
+	})
+	t.Run("no record", func(t *testing.T) {
+		is := is.New(t)
+		known = false
+		tracker, last := restart()
+		tracker.HandleHeartbeat(heartbeat("i-3", 30, 1, false))
+		is.True(!last.Open)
+		i, _, unconfirmed := tracker.Unconfirmed()
+		is.True(unconfirmed)
+		is.Equal(i, fleet.Incarnation{Instance: "i-3", StartUnixMs: 30})
+		known = true
+		tracker.CheckDepartures()
+		is.True(last.Open)
+		_, _, unconfirmed = tracker.Unconfirmed()
+		is.True(!unconfirmed)
+	})
+	t.Run("confirmed by the instance", func(t *testing.T) {
+		is := is.New(t)
+		known = false
+		tracker, last := restart()
+		tracker.HandleHeartbeat(heartbeat("i-1", 10, 3, false))
+		tracker.Confirm(fleet.Incarnation{Instance: "i-1", StartUnixMs: 9})
+		is.True(!last.Open)
+		tracker.Confirm(departedOne)
+		is.True(last.Open)
+		known = true
+		tracker.CheckDepartures()
+		is.True(!last.Open && last.Leaving)
+	})
+}
--- a/pkg/mesh/load.go
+++ b/pkg/mesh/load.go
@@ -89,7 +89,7 @@
 func (n *Node) handleStatus(status *linkrpc.Status) {
 	n.demand.HandleStatus(status)
 	n.noteConfigVersion(status.ConfigVersion)
-	n.peers.NoteLeaving(status.GetLoad())
+	n.noteDeparture(status)
 	n.directory.UpdatePeer(directory.Entry{
 		Node: directory.NodeAddress(status.Node), Instance: fleet.InstanceName(status.Instance),
 		Service: fleet.ServiceName(status.Service), DataCentre: fleet.DataCentre(status.DataCentre), Slots: int(status.Slots), Open: status.Open, StartUnixMs: status.StartUnixMs,
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -84,13 +84,22 @@
 	DecodeConfig func(body []byte) (*routing.View, error)
 	// NewHeartbeatHandler returns the HTTP handler for the heartbeats and the
 	// deregistration of the local instance. The handler calls the callback for a
-	// request before it responds.
-	NewHeartbeatHandler func(onHeartbeat func(Heartbeat), onDeregister func(fleet.InstanceName), onMalformed func(id string, err error)) http.Handler
+	// request before it responds, and acknowledges the request unless that fails.
+	NewHeartbeatHandler func(callbacks HeartbeatCallbacks) http.Handler
 	// NewReadinessHandler returns the HTTP handler for the readiness checks of the
 	// platform.
 	NewReadinessHandler func(ready func() bool) http.Handler
 }
 
+// HeartbeatCallbacks receives what the local instance says of itself. A word that a
+// callback returns an error for must not be acknowledged.
+type HeartbeatCallbacks struct {
+	OnHeartbeat  func(ctx context.Context, h Heartbeat) error
+	OnDeregister func(ctx context.Context, d Deregistration) error
+	// OnMalformed is called for a message that cannot be decoded.
+	OnMalformed func(id string, err error)
+}
+
 // Node routes and limits the calls of one instance. Create it with New.
 type Node struct {
 	settings   *Settings
@@ -171,7 +180,7 @@
 	n.instance = &instance.Client{Address: n.settings.InstanceAddress, Clock: n.clock, Headers: n.platform.InstanceHeaders, MaxBodyBytes: maxResponseBytes}
 	n.gate = &gate.Gate{Clock: n.clock, Headers: n.platform.GateHeaders, Instance: n.instance, View: n.view.Load, OnStart: n.onExecutionStarted, OnDecision: n.onDecided, OnRateLimit: n.onRateLimit, OnLeaving: n.onLeaving}
 	n.gate.Init()
-	n.heartbeats = &HeartbeatTracker{Clock: n.clock, Service: n.settings.Service, Interval: n.settings.HeartbeatInterval, OnChange: n.onInstanceChange}
+	n.heartbeats = &HeartbeatTracker{Clock: n.clock, Service: n.settings.Service, Interval: n.settings.HeartbeatInterval, HasDeparted: n.hasDeparted, OnChange: n.onInstanceChange}
 }
 
 func (n *Node) makeDirectory() {
@@ -185,7 +194,7 @@
 	n.directory.Init()
 	n.directoryFollower = &topic.Follower{
 		Source: n.platform.DirectorySource, Clock: n.clock, Uptime: n.uptime, Logger: logs.WithComponent(n.logger, logs.ComponentMember),
-		PollWait: directoryPollWait, PollMargin: pollMargin, StartDelay: followStartDelay, BatchDelay: directoryBatchDelay, Apply: n.directory.Apply,
+		PollWait: directoryPollWait, PollMargin: pollMargin, StartDelay: followStartDelay, BatchDelay: directoryBatchDelay, Apply: n.applyDirectory,
 		OnRestore: n.directory.HandleRestore,
 		Relay:     n.relay(linkrpc.Topic_TOPIC_DIRECTORY, func() *topic.Follower { return n.directoryFollower }),
 	}
@@ -271,6 +280,13 @@
 	n.rateLimiter.Update(limits, n.peers.NodeCount())
 }
 
+// applyDirectory applies records of the directory, and then what they say of the local
+// instance.
+func (n *Node) applyDirectory(records []topic.Record, full bool) {
+	n.directory.Apply(records, full)
+	n.heartbeats.CheckDepartures()
+}
+
 func (n *Node) onDirectoryChange(s *directory.Snapshot) {
 	n.peers.Update(s)
 	n.entrance.SetRetryLimits(n.settings.RetryLimits, n.peers.NodeCount())
--- a/pkg/mesh/peerrequest.go
+++ b/pkg/mesh/peerrequest.go
@@ -49,6 +49,14 @@
 		return nil
 	case link.KindTopicRead:
 		return n.answerTopicRead(ctx, r.Payload)
+	case link.KindDeparture:
+		status := &linkrpc.Status{}
+		if err := proto.Unmarshal(r.Payload, status); err != nil {
+			n.logUnreadable("departure", err)
+			return nil
+		}
+		n.noteDeparture(status)
+		return &linkrpc.Status{}
 	case link.KindTokenRequest:
 		if ctx.Err() != nil {
 			return nil // lent tokens would be lost
--- a/pkg/mesh/run.go
+++ b/pkg/mesh/run.go
@@ -10,7 +10,6 @@
 
 	"github.com/plantainramp/plantainramp/pkg/clock"
 	"github.com/plantainramp/plantainramp/pkg/connection"
-	"github.com/plantainramp/plantainramp/pkg/fleet"
 	"github.com/plantainramp/plantainramp/pkg/logs"
 	"github.com/plantainramp/plantainramp/pkg/settings"
 )
@@ -40,15 +39,10 @@
 	onMalformed := func(id string, err error) {
 		logs.WithComponent(n.logger, logs.ComponentMember).WithField("id", id).WithError(err).Warn("heartbeat cannot be decoded; ignored")
 	}
-	onHeartbeat := func(h Heartbeat) {
-		if !n.heartbeats.HandleHeartbeat(h) {
-			logs.WithComponent(n.logger, logs.ComponentMember).WithField("id", h.Instance).WithField("sequence", h.Sequence).Info("heartbeat ignored: it is stale or of another service")
-		}
-	}
-	onDeregister := func(id fleet.InstanceName) { n.heartbeats.HandleDeregistration(id) }
+	heartbeats := n.platform.NewHeartbeatHandler(HeartbeatCallbacks{OnHeartbeat: n.handleHeartbeat, OnDeregister: n.handleDeregistration, OnMalformed: onMalformed})
 	servers := []*httpServer{
 		{name: "callers", address: n.settings.CallerAddress, handler: n.entrance, tracker: &n.callerConns},
-		{name: "heartbeats", address: n.settings.HeartbeatAddress, handler: n.platform.NewHeartbeatHandler(onHeartbeat, onDeregister, onMalformed)},
+		{name: "heartbeats", address: n.settings.HeartbeatAddress, handler: heartbeats},
 		{name: "readiness", address: n.settings.ReadinessAddress, handler: n.platform.NewReadinessHandler(n.ready)},
 	}
 	if n.settings.MetricsAddress != "" {
@@ -97,7 +91,7 @@
 	n.logger.WithField("service", n.settings.Service).WithField("incarnation", n.incarnation).Info("node started")
 	workCtx, stopWork := context.WithCancel(context.Background())
 	var controllers sync.WaitGroup
-	for _, c := range []func(context.Context){n.configFollower.Run, n.directoryFollower.Run, n.directory.Run, n.runChecks, n.runPlanner, n.runReporter, n.runTokenGiver} {
+	for _, c := range []func(context.Context){n.configFollower.Run, n.directoryFollower.Run, n.directory.Run, n.runChecks, n.runPlanner, n.runReporter, n.runTokenGiver, n.runHealthChecks} {
 		controllers.Go(func() { c(workCtx) })
 	}
 	select {
--- a/pkg/peering/departed.go
+++ b/pkg/peering/departed.go
@@ -5,7 +5,6 @@
 	"sync"
 	"sync/atomic"
 
-	"github.com/plantainramp/plantainramp/pkg/directory"
 	"github.com/plantainramp/plantainramp/pkg/fleet"
 	"github.com/plantainramp/plantainramp/rpc/linkrpc"
 )
@@ -13,35 +12,25 @@
 // maxDeparted bounds the incarnations that are remembered as departed.
 const maxDeparted = 4096
 
-// incarnation is one start of an instance.
-type incarnation struct {
-	instance    fleet.InstanceName
-	startUnixMs int64
-}
-
-func incarnationOf(e directory.Entry) incarnation {
-	return incarnation{instance: e.Instance, startUnixMs: e.StartUnixMs}
-}
-
 // departedInstances remembers the instances that have said that they leave. They take no
 // calls until they end, whatever their directory entry or a restarted node
 // beside them says. The zero value is empty. It is safe for concurrent use.
 type departedInstances struct {
 	// incarnations is replaced as a whole, so that reading it needs no lock.
-	incarnations atomic.Pointer[map[incarnation]bool]
+	incarnations atomic.Pointer[map[fleet.Incarnation]bool]
 
 	// mu guards order, which holds the same incarnations, the oldest first.
 	mu    sync.Mutex
-	order []incarnation
+	order []fleet.Incarnation
 }
 
-func (d *departedInstances) has(i incarnation) bool {
+func (d *departedInstances) has(i fleet.Incarnation) bool {
 	incarnations := d.incarnations.Load()
 	return incarnations != nil && (*incarnations)[i]
 }
 
 // add remembers an incarnation, and reports whether it was new.
-func (d *departedInstances) add(i incarnation) bool {
+func (d *departedInstances) add(i fleet.Incarnation) bool {
 	if d.has(i) {
 		return false
 	}
@@ -50,7 +39,7 @@
 	if d.has(i) {
 		return false
 	}
-	updated := map[incarnation]bool{}
+	updated := map[fleet.Incarnation]bool{}
 	if incarnations := d.incarnations.Load(); incarnations != nil {
 		updated = maps.Clone(*incarnations)
 	}
@@ -69,8 +58,8 @@
 	if load.GetLeavingInstance() == "" {
 		return
 	}
-	i := incarnation{instance: fleet.InstanceName(load.LeavingInstance), startUnixMs: load.LeavingStartUnixMs}
+	i := fleet.Incarnation{Instance: fleet.InstanceName(load.LeavingInstance), StartUnixMs: load.LeavingStartUnixMs}
 	if p.departed.add(i) {
-		p.Logger.WithField("id", i.instance).WithField("startUnixMs", i.startUnixMs).Info("instance leaves; no more calls are sent to it")
+		p.Logger.WithField("id", i.Instance).WithField("startUnixMs", i.StartUnixMs).Info("instance leaves; no more calls are sent to it")
 	}
 }
--- a/pkg/peering/peer.go
+++ b/pkg/peering/peer.go
@@ -188,6 +188,13 @@
 	}
 }
 
+// TellDeparture tells the peer that the instance beside this node leaves, and waits until
+// the peer has noted it. It returns the errors of link.Call.
+func (p *Peer) TellDeparture(ctx context.Context, status *linkrpc.Status) error {
+	_, err := p.link.Call(ctx, link.KindDeparture, status)
+	return err
+}
+
 // SendReports sends statuses of several nodes to the peer. It drops them if no connection
 // is open.
 func (p *Peer) SendReports(reports *linkrpc.Reports) {
--- a/pkg/peering/peering.go
+++ b/pkg/peering/peering.go
@@ -218,7 +218,7 @@
 	untried := make([]*Target, 0, len(targets))
 	fastest := uint32(0)
 	for _, t := range targets {
-		if tried[t.Peer] || p.departed.has(incarnationOf(t.Entry)) {
+		if tried[t.Peer] || p.departed.has(t.Entry.Incarnation()) {
 			continue
 		}
 		untried = append(untried, t)
--- a/pkg/peering/peering_test.go
+++ b/pkg/peering/peering_test.go
@@ -114,9 +114,9 @@
 	is := is.New(t)
 	d := &departedInstances{}
 	for i := range maxDeparted + 10 {
-		is.True(d.add(incarnation{instance: "a", startUnixMs: int64(i)}))
+		is.True(d.add(fleet.Incarnation{Instance: "a", StartUnixMs: int64(i)}))
 	}
 	is.Equal(len(*d.incarnations.Load()), maxDeparted)
-	is.True(!d.has(incarnation{instance: "a", startUnixMs: 9}))
-	is.True(d.has(incarnation{instance: "a", startUnixMs: 10}))
+	is.True(!d.has(fleet.Incarnation{Instance: "a", StartUnixMs: 9}))
+	is.True(d.has(fleet.Incarnation{Instance: "a", StartUnixMs: 10}))
 }
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -81,6 +81,8 @@
 
 	routes map[string]map[string]*Route
 	keys   map[KeyDigest]*Organisation
+	// healthPaths holds the path of the health check of each service that has one.
+	healthPaths map[fleet.ServiceName]string
 }
 
 // DigestKey returns the digest of a key.
@@ -95,6 +97,7 @@
 func NewBuilder(version Version, limits Limits) *Builder {
 	return &Builder{view: View{
 		Version: version, Limits: limits, routes: map[string]map[string]*Route{}, keys: map[KeyDigest]*Organisation{},
+		healthPaths: map[fleet.ServiceName]string{},
 	}}
 }
 
@@ -108,6 +111,11 @@
 	b.view.Routes = append(b.view.Routes, r)
 }
 
+// SetHealthPath sets the path of the health check of a service; empty means none.
+func (b *Builder) SetHealthPath(service fleet.ServiceName, path string) {
+	b.view.healthPaths[service] = path
+}
+
 // AddOrganisation adds an organisation with its keys.
 func (b *Builder) AddOrganisation(o *Organisation, keys []string) {
 	b.view.Organisations = append(b.view.Organisations, o)
@@ -145,6 +153,9 @@
 	return nil
 }
 
+// HealthPath returns the path of the health check of a service, or an empty path.
+func (v *View) HealthPath(service fleet.ServiceName) string { return v.healthPaths[service] }
+
 // OrganisationByKey returns the organisation that holds the key with the given
 // digest, or nil.
 func (v *View) OrganisationByKey(d KeyDigest) *Organisation { return v.keys[d] }
