A node that has not read the directory has no share of the limits

Cause: the share is the limit over the number of known nodes, and a node knows itself. "No other node has been read of" was taken for "there is no other node", for the limits and for the slack of the retry budget.

Change: the number is unknown until the directory has been read, and an unknown number leaves no share; such a node uses what others lend and answers 503 with Retry-After otherwise. The number is also recorded in a topic of its own, read only while the directory cannot be, so that one partition that is down does not close a fleet.

Ruled out: a guess from the peers that report, which begins at one node.

--- a/pkg/directory/departure.go
+++ b/pkg/directory/departure.go
@@ -172,7 +172,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	departed = d.departures.has(d.Self, i)
-	return departed, departed || d.loaded
+	return departed, departed || d.loaded.Load()
 }
 
 // writeDueDepartures writes the departures that the topic lacks and whose time has come.
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -88,6 +88,8 @@
 	OnChange func(*Snapshot)
 
 	snapshot atomic.Pointer[Snapshot]
+	// loaded reports whether a full list of records has been applied.
+	loaded atomic.Bool
 	// mu guards the fields below.
 	mu sync.Mutex
 	// nodes holds the entries from the topic and from peers.
@@ -101,8 +103,6 @@
 	unconfirmed map[NodeAddress]bool
 	// restored reports whether the next full list of records is of a restored topic.
 	restored bool
-	// loaded reports whether a full list of records has been applied.
-	loaded bool
 	// departures holds the departures of the instances of all nodes.
 	departures departures
 	// loggedKeys holds the keys whose entry cannot be decoded, so that each is logged
@@ -124,13 +124,17 @@
 // Snapshot returns the current snapshot.
 func (d *Directory) Snapshot() *Snapshot { return d.snapshot.Load() }
 
+// Loaded reports whether the topic has been read: before, a node or a departure that is not
+// listed may exist. It does not wait for mu.
+func (d *Directory) Loaded() bool { return d.loaded.Load() }
+
 // Apply applies records of the topic. If full is true, they replace all entries, except
 // those that are kept after a restore.
 func (d *Directory) Apply(records []topic.Record, full bool) {
 	d.mu.Lock()
 	if full {
 		d.replace(records)
-		d.loaded = true
+		d.loaded.Store(true)
 	} else {
 		d.applyRecords(records)
 	}
--- a/pkg/entrance/budget.go
+++ b/pkg/entrance/budget.go
@@ -50,14 +50,18 @@
 }
 
 // setLimits adapts the budget to the limits and to the number of nodes that share
-// them.
+// them, which is 0 if it is not known: this node has no share of the slack then.
 func (b *retryBudget) setLimits(limits RetryLimits, nodes int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.tokensPerRequest = limits.Ratio * usableRatioFraction
 	b.maxTokens = 0
-	if b.tokensPerRequest > 0 {
-		b.maxTokens = max(1, limits.Slack*usableSlackFraction/float64(max(nodes, 1)))
+	if b.tokensPerRequest <= 0 {
+		return
+	}
+	b.maxTokens = 1
+	if nodes > 0 {
+		b.maxTokens = max(1, limits.Slack*usableSlackFraction/float64(nodes))
 	}
 }
 
--- a/pkg/entrance/budget_test.go
+++ b/pkg/entrance/budget_test.go
@@ -44,3 +44,23 @@
 	}
 	is.True(!budget.take("desk"))
 }
+
+// The number of nodes that share the slack is not known. Guards against an entrance that
+// takes the whole slack for its own: it keeps no more than one retry.
+func TestUnknownFleetLeavesNoSlack(t *testing.T) {
+	is := is.New(t)
+	budget := &retryBudget{}
+	budget.setLimits(RetryLimits{Ratio: 0.2, Slack: 120}, 0)
+	for range 1000 {
+		budget.addRequest("desk")
+	}
+	is.True(budget.take("desk"))
+	is.True(!budget.take("desk"))
+	budget.setLimits(RetryLimits{Ratio: 0.2, Slack: 120}, 1)
+	for range 1000 {
+		budget.addRequest("desk")
+	}
+	for range 90 {
+		is.True(budget.take("desk"))
+	}
+}
--- a/pkg/entrance/entrance.go
+++ b/pkg/entrance/entrance.go
@@ -171,9 +171,7 @@
 		return nil, refusal
 	}
 	if !e.takeRateToken(ctx, r) {
-		refusal := problem.New(problem.KindRateExceeded, "the organisation is over its rate")
-		refusal.RetryAfter = e.RateLimiter.RetryAfter(r.Organisation.ID) + rand.N(retryAfterJitter)
-		return nil, refusal
+		return nil, e.rateRefusal(r)
 	}
 	e.fillMessage(hr, r, body)
 	ctx, cancel := context.WithTimeout(ctx, r.Deadline.Sub(e.Clock.Now()))
@@ -185,6 +183,15 @@
 	return outcome, refusal
 }
 
+// rateRefusal returns the refusal of a request for which there was no rate limit token.
+func (e *Entrance) rateRefusal(r *Request) *problem.Error {
+	retryAfter := e.RateLimiter.RetryAfter(r.Organisation.ID) + rand.N(retryAfterJitter)
+	if !e.RateLimiter.SharesKnown() {
+		return retryLaterError(problem.KindNoRateHolder, "the node does not know its share of the rate yet", retryAfter)
+	}
+	return retryLaterError(problem.KindRateExceeded, "the organisation is over its rate", retryAfter)
+}
+
 // admit refuses a root request if a service that it needs is overloaded.
 func (e *Entrance) admit(r *Request) *problem.Error {
 	if r.Inner || e.Admit == nil {
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -10,6 +10,7 @@
 	"crypto/rand"
 	"encoding/binary"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -80,6 +81,12 @@
 	ConfigKey string
 	// PutEntry appends a record to the topic of the directory.
 	PutEntry func(ctx context.Context, r topic.Record) error
+	// FleetSource reads the topic with what the fleet records of itself as a whole. It is
+	// apart from the directory, so that both are seldom unavailable at once. Without its
+	// functions nothing is recorded.
+	FleetSource topic.Source
+	// PutFleetRecord appends a record to that topic.
+	PutFleetRecord func(ctx context.Context, r topic.Record) error
 	// DecodeConfig decodes a configuration.
 	DecodeConfig func(body []byte) (*routing.View, error)
 	// NewHeartbeatHandler returns the HTTP handler for the heartbeats and the
@@ -135,6 +142,11 @@
 	gate              *gate.Gate
 	peers             *peering.Peers
 	rateLimiter       *quota.Limiter
+	// recordedSize is the fleet size that is used until the directory has been read.
+	recordedSize fleetSize
+	// limitsMu is held while the limits of a configuration are applied, so that those of an
+	// older one are not applied last.
+	limitsMu sync.Mutex
 	// homes holds the nodes that pool tokens, or nil before they were first looked for.
 	homes      atomic.Pointer[tokenHomes]
 	entrance   *entrance.Entrance
@@ -257,17 +269,22 @@
 			}
 			continue
 		}
-		n.view.Store(view)
-		n.updateRateLimits()
+		n.activate(view)
 		n.configLogger.WithField("version", view.Version).WithField("organisations", len(view.Organisations)).Info("configuration in force")
 	}
 }
 
-func (n *Node) updateRateLimits() {
-	view := n.view.Load()
-	if view == nil {
-		return
-	}
+// activate makes a configuration the active one. Its limits are set first, so that no
+// request finds an organisation without the limit that it has.
+func (n *Node) activate(view *routing.View) {
+	n.limitsMu.Lock()
+	defer n.limitsMu.Unlock()
+	n.updateRateLimits(view)
+	n.view.Store(view)
+}
+
+// updateRateLimits sets the limits of a configuration. The caller holds limitsMu.
+func (n *Node) updateRateLimits(view *routing.View) {
 	limits := map[fleet.OrganisationID]quota.Limit{}
 	for _, o := range view.Organisations {
 		if o.Rate > 0 {
@@ -277,7 +294,7 @@
 			}
 		}
 	}
-	n.rateLimiter.Update(limits, n.peers.NodeCount())
+	n.rateLimiter.Update(limits, n.fleetSize())
 }
 
 // applyDirectory applies records of the directory, and then what they say of the local
@@ -289,8 +306,7 @@
 
 func (n *Node) onDirectoryChange(s *directory.Snapshot) {
 	n.peers.Update(s)
-	n.entrance.SetRetryLimits(n.settings.RetryLimits, n.peers.NodeCount())
-	n.updateRateLimits()
+	n.updateShares()
 }
 
 // InstanceCount returns the number of instances in the directory that accept calls. It
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -6,7 +6,8 @@
 // This answers the load pattern of many small organisations whose requests enter anywhere.
 //
 // No token exists on two nodes: the giver deducts tokens before it sends them, and a message
-// lost on the way is not replaced. Which node is an organisation's home is a hint only: two
+// lost on the way is not replaced. A node that does not know how many nodes share the limits
+// has no share: none is safe. Which node is an organisation's home is a hint only: two
 // that both believe to be hold different tokens, and the pool of each is bounded by the nodes
 // that give to it. The sum therefore stays within rate and burst during network partitions,
 // process crashes, pauses and restarts, without a call to the store. Beside it a node may
@@ -64,7 +65,8 @@
 
 	mu      sync.Mutex
 	buckets map[fleet.OrganisationID]*bucket
-	nodes   int
+	// nodes is the number of nodes that share the limits; 0 if it is not known.
+	nodes int
 }
 
 // bucket is this node's token bucket for one organisation. The rate is in tokens
@@ -87,8 +89,9 @@
 	taken, demand float64
 }
 
-// Update sets the limits and the number of nodes that share them. An
-// organisation that is not in limits has no limit.
+// Update sets the limits and the number of nodes that share them, which is 0 if it is not
+// known: this node may then use only tokens that others lend. An organisation that is not in
+// limits has no limit.
 func (l *Limiter) Update(limits map[fleet.OrganisationID]Limit, nodes int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -96,33 +99,45 @@
 	if l.buckets == nil {
 		l.buckets = map[fleet.OrganisationID]*bucket{}
 	}
-	l.nodes = max(nodes, 1)
+	l.nodes = max(nodes, 0)
+	startsFull := l.StartFull && l.nodes > 0
 	for id, limit := range limits {
 		b := l.buckets[id]
 		if b == nil {
 			b = &bucket{refilledAt: now}
 			l.buckets[id] = b
-			b.setLimit(limit, l.nodes)
-			if l.StartFull {
-				b.tokens = b.capacity
-			}
-			continue
 		}
 		b.refill(now, l.uptime())
 		b.setLimit(limit, l.nodes)
+		if startsFull {
+			b.tokens = b.capacity
+		}
 	}
 	for id := range l.buckets {
 		if _, limited := limits[id]; !limited {
 			delete(l.buckets, id)
 		}
 	}
-	l.StartFull = false
+	if startsFull {
+		l.StartFull = false
+	}
 }
 
+// SharesKnown reports whether this node knows its share of the limits.
+func (l *Limiter) SharesKnown() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.nodes > 0
+}
+
+// setLimit sets the limit and the number of nodes that share it; 0 nodes leave no share.
 func (b *bucket) setLimit(limit Limit, nodes int) {
 	b.limit = limit
-	b.rate = float64(limit.Rate) / float64(nodes)
-	b.capacity = float64(limit.Burst) / float64(nodes)
+	b.rate, b.capacity = 0, 0
+	if nodes > 0 {
+		b.rate = float64(limit.Rate) / float64(nodes)
+		b.capacity = float64(limit.Burst) / float64(nodes)
+	}
 	b.tokens = min(b.tokens, b.capacity)
 	b.pool.capacityPerGiver = pooledFraction * b.capacity
 	b.pool.trim()
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -94,3 +94,39 @@
 	is.True(l.Take("dakar"))
 	is.True(!l.Take("dakar"))
 }
+
+// A node does not know how many nodes share the limits. Guards against one that takes itself
+// for the only one, and uses the whole limit. It uses what others lend, and its share once
+// it knows.
+func TestUnknownNumberOfNodesLeavesNoShare(t *testing.T) {
+	is := is.New(t)
+	fake := &clock.Fake{}
+	l := &Limiter{Clock: fake, StartFull: true}
+	l.Update(testLimits(10, 8), 0)
+	fake.Advance(10 * time.Second)
+	is.True(!l.SharesKnown())
+	is.True(!l.Take("dakar"))
+	is.Equal(l.Lend("dakar", 3), 0.0)
+	l.AddBorrowed("dakar", 1)
+	is.True(l.TakeBorrowed("dakar"))
+	l.Update(testLimits(10, 8), 4)
+	is.True(l.SharesKnown())
+	is.Equal(l.Lend("dakar", 8), 1.0) // half of the full share of 2
+	l.Update(testLimits(10, 8), 0)
+	is.True(!l.Take("dakar"))
+}
+
+// A node restarts without knowing the number of nodes. Guards against tokens of the time
+// before that appear once it does.
+func TestShareStartsEmptyOnceItIsKnown(t *testing.T) {
+	is := is.New(t)
+	fake := &clock.Fake{}
+	l := &Limiter{Clock: fake}
+	l.Update(testLimits(10, 8), 0)
+	fake.Advance(10 * time.Second)
+	l.Update(testLimits(10, 8), 1)
+	is.True(!l.Take("dakar"))
+	fake.Advance(100 * time.Millisecond)
+	is.True(l.Take("dakar"))
+	is.True(!l.Take("dakar"))
+}
