A link does not keep a connection that ended, or that was dialled too late

Cause, both by reading: replies were read before the connection was in use, so that its end could come first, and the dead connection stayed for good. And a link that was closed while it dialled kept the new connection open.

Change: replies are read once the connection is in use; a closed link closes the connection that its dial brings.

--- a/pkg/link/link.go
+++ b/pkg/link/link.go
@@ -237,6 +237,10 @@
 	defer cancel()
 	c, err := l.handshake(ctx)
 	l.mu.Lock()
+	if err == nil && l.closed {
+		c.closeWithError(net.ErrClosed)
+		c, err = nil, net.ErrClosed
+	}
 	done := l.dialDone
 	l.dialDone, l.conn, l.dialErr = nil, c, err
 	if err != nil {
@@ -249,9 +253,13 @@
 	if l.OnStateChange != nil {
 		l.OnStateChange(err == nil, err)
 	}
+	if err == nil {
+		// Its end takes the connection out of use, which must be in use before.
+		go l.readReplies(c)
+	}
 }
 
-// handshake dials the peer, exchanges hello messages and starts to read replies.
+// handshake dials the peer and exchanges hello messages.
 func (l *Link) handshake(ctx context.Context) (*clientConn, error) {
 	dial := l.Dial
 	if dial == nil {
@@ -283,7 +291,6 @@
 	_ = conn.SetReadDeadline(time.Time{})
 	c.incarnation, c.peer = hello.Incarnation, hello
 	c.lastRead.Store(int64(clock.MonotonicOf(l.Clock.Now())))
-	go l.readReplies(c)
 	return c, nil
 }
 
