A reply that finds a full send queue waits for room

What callers saw: a peer that reads late lost the replies beyond 16 MB without a word, and their requests ended with 504 at their time limit.

Cause: the server ignored the error of the full queue.

Change: the handler waits until the queue has room or the connection ends.

--- a/pkg/link/server.go
+++ b/pkg/link/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -23,6 +24,8 @@
 	// acceptRetryInterval is the time after which an Accept that failed for lack of
 	// resources is tried again.
 	acceptRetryInterval = 20 * time.Millisecond
+	// backlogPollInterval is the time between two looks at a full send queue.
+	backlogPollInterval = 10 * time.Millisecond
 )
 
 // Request is a message from a peer that expects a reply.
@@ -207,7 +210,20 @@
 	s.guard("a request of a peer", func() { reply = s.Handle(r.ctx, r.Request) })
 	c.endRequest(r)
 	if reply != nil {
-		_ = c.send(KindReply, r.stream, reply, false)
+		s.reply(c, r, reply)
+	}
+}
+
+// reply queues the reply to a request. While the queue is full it waits, as the peer would
+// wait for a reply that is dropped until the time of its request has passed.
+func (s *Server) reply(c *serverConn, r *serverRequest, reply proto.Message) {
+	var backlog *BacklogError
+	for errors.As(c.send(KindReply, r.stream, reply, false), &backlog) {
+		select {
+		case <-c.ended:
+			return
+		case <-s.Clock.After(backlogPollInterval):
+		}
 	}
 }
 
