--- a/pkg/directory/departure_test.go
+++ b/pkg/directory/departure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,12 +22,17 @@
 
 // storedTopic keeps what is written to it. Nobody reads it but the test.
 type storedTopic struct {
+	// err is what writes return; it is set before a directory runs.
+	err error
+
+	mu     sync.Mutex
 	newest map[string]topic.Record
 	writes int
-	err    error
 }
 
 func (s *storedTopic) put(_ context.Context, r topic.Record) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.writes++
 	if s.err != nil {
 		return s.err
@@ -38,7 +44,15 @@
 	return nil
 }
 
+func (s *storedTopic) writeCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.writes
+}
+
 func (s *storedTopic) records() []topic.Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	var list []topic.Record
 	for _, r := range s.newest {
 		list = append(list, r)
@@ -81,7 +95,7 @@
 	store.err = nil
 	is.NoErr(d.RecordDeparture(t.Context(), firstLife))
 	is.NoErr(d.RecordDeparture(t.Context(), firstLife))
-	is.Equal(store.writes, 2)
+	is.Equal(store.writeCount(), 2)
 }
 
 // An entry that says that a departed instance is open, written late, does not bring it back.
@@ -126,12 +140,12 @@
 			late := store.records()
 			d.Apply(early, false)
 			time.Sleep(recheckInterval + minWriteInterval)
-			is.Equal(store.writes, 3)
+			is.Equal(store.writeCount(), 3)
 			is.Equal(store.records(), late)
 			d.HandleRestore()
 			d.Apply(nil, true)
 			time.Sleep(recheckInterval + minWriteInterval)
-			is.Equal(store.writes, 4)
+			is.Equal(store.writeCount(), 4)
 		})
 	})
 }
@@ -147,14 +161,14 @@
 		runDirectory(t, d, func() {
 			d.NoteDeparture("a", firstLife)
 			time.Sleep(5 * time.Second)
-			is.Equal(store.writes, 0)
+			is.Equal(store.writeCount(), 0)
 			d.UpdatePeer(Entry{Node: "a", Instance: "i-1", Service: "desk", Open: true, StartUnixMs: 20})
 			time.Sleep(5 * time.Second)
-			is.Equal(store.writes, 0)
+			is.Equal(store.writeCount(), 0)
 			d.UpdatePeer(Entry{Node: "a", Instance: "i-1", Service: "desk", Open: true, StartUnixMs: 10})
 			is.Equal(len(d.Snapshot().Services["desk"]), 0)
 			time.Sleep(maxWriteDelay + recheckInterval)
-			is.Equal(store.writes, 1)
+			is.Equal(store.writeCount(), 1)
 		})
 		restarted := newDirectoryOn(store, "a")
 		restarted.Apply(store.records(), true)
