--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -337,9 +337,9 @@
 }
 
 // Run writes the local entry to the topic whenever the topic holds a different one, and
-// departures that it lacks, until ctx ends. This also corrects the topic after an earlier write took effect late
-// and replaced a newer one. Run also removes the entries that were kept after a restore
-// once their time has passed.
+// departures that it lacks, until ctx ends. This also corrects the topic after an earlier
+// write took effect late and replaced a newer one. Run also removes the entries that were
+// kept after a restore once their time has passed.
 func (d *Directory) Run(ctx context.Context) {
 	for {
 		select {
