Relays of the acceptance tests keep the port that was found free

What was seen: TestScenarios/late panicked once, beside load: "listen tcp 127.0.0.1:24616: bind: address already in use".

Cause: the port was found by a listen and a close, and listened on again at once. A process that another scenario was just starting still held the first listener, between fork and exec.

Change: a relay listens once, and its address is what was found.

--- a/acceptance/harness_test.go
+++ b/acceptance/harness_test.go
@@ -34,17 +34,24 @@
 
 func init() { nextPort.Store(int32(20000 + os.Getpid()%400*20)) }
 
-// freeAddress returns a local address with a port that is free.
-func freeAddress() string {
+// listenFree returns a listener on a local address with a port that is free.
+func listenFree() net.Listener {
 	for {
-		address := fmt.Sprintf("127.0.0.1:%d", nextPort.Add(1))
-		if l, err := net.Listen("tcp", address); err == nil {
-			_ = l.Close()
-			return address
+		if l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", nextPort.Add(1))); err == nil {
+			return l
 		}
 	}
 }
 
+// freeAddress returns a local address with a port that is free. A process that is being
+// started may hold it for some milliseconds more, so that this one cannot listen on it at
+// once; listenFree is for that.
+func freeAddress() string {
+	l := listenFree()
+	_ = l.Close()
+	return l.Addr().String()
+}
+
 // process is a started program.
 type process struct {
 	cmd    *exec.Cmd
@@ -162,7 +169,7 @@
 func (h *harness) startInstance(args []string) error {
 	in := &instance{
 		name: args[0], callers: freeAddress(), callsOut: freeAddress(), peers: freeAddress(),
-		admin: freeAddress(), upstreamAddress: freeAddress(), peersAnnounced: freeAddress(),
+		admin: freeAddress(), upstreamAddress: freeAddress(),
 	}
 	settingArgs, upstreamArgs := args[3:], []string(nil)
 	if i := slices.Index(settingArgs, "--"); i >= 0 {
@@ -181,9 +188,9 @@
 	if settings["relay"] == "" {
 		in.peersAnnounced = in.peers
 	} else {
-		nodeLogAddress = freeAddress()
-		in.relay = newRelay(in.peersAnnounced, in.peers)
-		in.logRelay = newRelay(nodeLogAddress, h.logAddress)
+		in.relay = newRelay(in.peers)
+		in.logRelay = newRelay(h.logAddress)
+		in.peersAnnounced, nodeLogAddress = in.relay.address(), in.logRelay.address()
 	}
 	text := fmt.Sprintf("[node]\ninstance=%s\nservice=%s\ndataCentre=%s\nregion=r\n[listen]\ncallers=%s\ncallsOut=%s\npeers=%s\npeersAnnounced=%s\nadmin=%s\n[upstream]\naddress=%s\n[log]\nurl=http://%s\nretention=%s\n[peers]\nsecretFile=%s\nseeds=%s\n[policy]\noff=%s\nrateLease=%s\ndrain=%s\n",
 		in.name, args[1], args[2], in.callers, in.callsOut, in.peers, in.peersAnnounced, in.admin, in.upstreamAddress, nodeLogAddress,
--- a/acceptance/relay_test.go
+++ b/acceptance/relay_test.go
@@ -48,17 +48,16 @@
 	resume  chan struct{}
 }
 
-// newRelay starts a relay that listens at one address and forwards to target.
-func newRelay(listen, target string) *relay {
-	l, err := net.Listen("tcp", listen)
-	if err != nil {
-		panic(err)
-	}
-	r := &relay{listener: l, target: target}
+// newRelay starts a relay that listens at a free address and forwards to target.
+func newRelay(target string) *relay {
+	r := &relay{listener: listenFree(), target: target}
 	go r.accept()
 	return r
 }
 
+// address returns the address that the relay listens at.
+func (r *relay) address() string { return r.listener.Addr().String() }
+
 func (r *relay) accept() {
 	for {
 		client, err := r.listener.Accept()
