Signals stay handled until a daemon has ended

What was seen: a SIGHUP that arrives while plantainmesh ends, after its last answer, ended it with "signal: hangup": its last log lines could be lost, and it did not exit with 0.

Cause: the handlers were taken out before the process ended, and the default effect of the signals came back. SIGHUP during a start, before the settings were read, had it as well.

The soak names the signal that ended a node.

--- a/internal/meshcmd/meshcmd.go
+++ b/internal/meshcmd/meshcmd.go
@@ -14,6 +14,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/plantainramp/plantainramp/internal/build"
+	"github.com/plantainramp/plantainramp/internal/stopsignal"
 	"github.com/plantainramp/plantainramp/pkg/clock"
 	"github.com/plantainramp/plantainramp/pkg/logs"
 	"github.com/plantainramp/plantainramp/pkg/mesh"
@@ -39,8 +40,11 @@
 
 // Main runs the daemon until SIGTERM or SIGINT and returns its exit code.
 func Main(args []string, out, errOut io.Writer) int {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+	ctx := stopsignal.Context()
+	// SIGHUP is handled until the process has ended: its default effect would cut a start or
+	// the end of a stop short.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	app := kingpin.New("plantainmesh", "Run a mesh node on a platform that provides a store and whose instances send heartbeats.")
 	app.UsageWriter(out).ErrorWriter(errOut).Terminate(nil)
 	app.Version(build.Version)
@@ -56,23 +60,20 @@
 	}
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(maxMemoryBytes)
-	if err := serve(ctx, *path, s, out); err != nil {
+	if err := serve(ctx, hangups, *path, s, out); err != nil {
 		_, _ = fmt.Fprintf(errOut, "plantainmesh: %s\n", err)
 		return ExitFailed
 	}
 	return ExitOK
 }
 
-func serve(ctx context.Context, path string, s *mesh.Settings, out io.Writer) error {
+func serve(ctx context.Context, hangups <-chan os.Signal, path string, s *mesh.Settings, out io.Writer) error {
 	logWriter := logs.NewAsyncWriter(out)
 	defer logWriter.Close()
 	logger, err := logs.New(logWriter, s.LogLevel, s.LogFormat, s.NodeName)
 	if err != nil {
 		return err
 	}
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
 	go watchHangups(ctx, hangups, path, logger)
 	node := mesh.New(s, platform.New(platform.NewStore(s.StoreAddress)), clock.System{}, uptime.SinceBoot, logger)
 	err = node.Run(ctx)
--- a/internal/nodecmd/nodecmd.go
+++ b/internal/nodecmd/nodecmd.go
@@ -5,15 +5,14 @@
 	"context"
 	"fmt"
 	"io"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/rotisserie/eris"
 	"github.com/samber/do/v2"
 
 	"github.com/plantainramp/plantainramp/internal/build"
+	"github.com/plantainramp/plantainramp/internal/stopsignal"
 	"github.com/plantainramp/plantainramp/pkg/clock"
 	"github.com/plantainramp/plantainramp/pkg/logs"
 	"github.com/plantainramp/plantainramp/pkg/member"
@@ -63,9 +62,7 @@
 	}
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(memoryLimitBytes)
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	if err := serve(ctx, s, out); err != nil {
+	if err := serve(stopsignal.Context(), s, out); err != nil {
 		_, _ = fmt.Fprintf(errOut, "plantainnode: %s\n", err)
 		return ExitFailed
 	}
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -298,7 +298,7 @@
 	c.shutdowns = append(c.shutdowns, s)
 	c.mu.Unlock()
 	if code := process.ProcessState.ExitCode(); signal == syscall.SIGTERM && code != 0 {
-		c.addViolation("node %s exited with code %d after SIGTERM: %s", m.name, code, m.logTail(crashLogBytes))
+		c.addViolation("node %s ended after SIGTERM with %s: %s", m.name, process.ProcessState, m.logTail(crashLogBytes))
 	}
 }
 
