--- a/internal/meshcmd/meshcmd_test.go
+++ b/internal/meshcmd/meshcmd_test.go
@@ -125,8 +125,9 @@
 		t.Error(err)
 		return ""
 	}
-	lines := bufio.NewScanner(output)
-	for lines.Scan() && !strings.Contains(lines.Text(), "node started") {
+	started := false
+	for lines := bufio.NewScanner(output); !started && lines.Scan(); {
+		started = strings.Contains(lines.Text(), "node started")
 	}
 	ended := make(chan struct{})
 	var signals sync.WaitGroup
