MIXED: logs and metrics of answers that belong to no call

Callers of an instance that answers twice were served or failed without a line: an answer whose id did not fit was skipped, or ended the call, in silence, and a request that was answered after a lost answer looked like any other.

Each such answer is logged now (both ids, status, calls sent on the connection, whether the next answer was awaited) and counted in responses_stray. A request that is answered after a lost answer has a line of its own, so that it is not left out among the many answered ones; answered requests name the instance and whether its gate was queried for the outcome.

--- a/pkg/entrance/dispatch.go
+++ b/pkg/entrance/dispatch.go
@@ -43,7 +43,7 @@
 // the request may have run, and a refusal never says that it did not.
 func (e *Entrance) dispatch(ctx context.Context, r *Request) (*linkrpc.Outcome, *problem.Error) {
 	outcome, refusal := e.tryTargets(ctx, r)
-	if refusal != nil && refusal.Execution == problem.NotExecuted && r.responseLost {
+	if refusal != nil && refusal.Execution == problem.NotExecuted && r.ResponseLost {
 		return nil, problem.NewUncertain(problem.KindUncertain, "an answer was lost, and then: "+refusal.Detail)
 	}
 	return outcome, refusal
@@ -83,7 +83,7 @@
 			}
 			anyFull = anyFull || outcome.Reason == linkrpc.Reason_REASON_FULL
 		default:
-			r.responseLost = true
+			r.ResponseLost = true
 			if !r.Route.Idempotent || !e.takeRetry(r) {
 				return nil, lostResponseError(outcome)
 			}
@@ -114,6 +114,7 @@
 	message := &r.message
 	message.Entrance, message.Attempt = e.Incarnation, e.Incarnation^e.attemptCount.Add(1)
 	message.Instance = string(target.Entry.Instance)
+	r.SentTo, r.Queried = target.Entry.Instance, false
 	message.KnownRateLimit = target.Peer.KnownRateLimit(target.Entry.Instance)
 	now := e.Clock.Now()
 	if r.FirstSent.IsZero() {
@@ -134,6 +135,7 @@
 	case ctx.Err() != nil:
 		return nil, abandonedError(ctx)
 	case errors.As(err, &connectionLost):
+		r.Queried = true
 		return e.resolveOutcome(ctx, r, target.Peer, incarnation)
 	}
 	return gate.LostOutcome(linkrpc.Reason_REASON_BROKEN), nil
--- a/pkg/entrance/request.go
+++ b/pkg/entrance/request.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/plantainramp/plantainramp/pkg/connection"
+	"github.com/plantainramp/plantainramp/pkg/fleet"
 	"github.com/plantainramp/plantainramp/pkg/problem"
 	"github.com/plantainramp/plantainramp/pkg/routing"
 	"github.com/plantainramp/plantainramp/rpc/linkrpc"
@@ -39,6 +40,12 @@
 	// Dispatches is the number of gates that the request was sent to, and
 	// InstancesReached the number of instances that it may have reached.
 	Dispatches, InstancesReached int
+	// SentTo is the instance that the request was sent to last, and Queried reports whether
+	// that gate was queried for the outcome, as the connection to it was lost.
+	SentTo  fleet.InstanceName
+	Queried bool
+	// ResponseLost reports whether the request may have run although no response arrived.
+	ResponseLost bool
 	// FirstSent is when the request was first sent to a gate; zero if it was not.
 	FirstSent time.Time
 	// CallerLeft reports whether the caller closed its connection before the response.
@@ -54,10 +61,7 @@
 	bodyRead bool
 	// reservedBytes is the number of bytes reserved from Entrance.Bodies.
 	reservedBytes int64
-	// responseLost reports whether the request may have run although no response
-	// arrived.
-	responseLost bool
-	message      linkrpc.Run
+	message       linkrpc.Run
 }
 
 // newRequest finds the route of a request, sets its deadline and checks its API key.
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -69,6 +69,9 @@
 	// OnAnnouncement is called for each response of the instance that a call is addressed
 	// to, before Do returns; nil is allowed.
 	OnAnnouncement func(a Announcement)
+	// OnStray is called for each response that is not taken for that of the call that
+	// awaits one; nil is allowed.
+	OnStray func(s Stray)
 
 	// mu guards idle.
 	mu sync.Mutex
@@ -150,6 +153,7 @@
 // be reused. On a reused connection it skips late responses to earlier calls.
 func (c *Client) roundTrip(k *conn, call *Call, request []byte) (*Response, bool, error) {
 	call.SentAt = c.Clock.Now()
+	k.calls++
 	written := make(chan error, 1)
 	if len(request) > asyncWriteBytes {
 		// The instance may respond before it has read the whole request.
@@ -164,13 +168,13 @@
 		}
 		written <- err
 	}
-	response, reusable, err := c.readResponse(k, call)
-	for range maxMismatchedResponses {
+	response, reusable, err := c.readResponse(k, call, k.reused)
+	for skipped := 1; skipped <= maxMismatchedResponses; skipped++ {
 		var mismatch *RequestIDMismatchError
 		if !k.reused || !errors.As(err, &mismatch) {
 			break
 		}
-		response, _, err = c.readResponse(k, call)
+		response, _, err = c.readResponse(k, call, skipped < maxMismatchedResponses)
 		reusable = false
 	}
 	select {
@@ -183,8 +187,9 @@
 }
 
 // readResponse reads the final response to a call and reports whether the
-// connection may be reused.
-func (c *Client) readResponse(k *conn, call *Call) (*Response, bool, error) {
+// connection may be reused. maySkip tells whether the next response is awaited if this one
+// is that to another request.
+func (c *Client) readResponse(k *conn, call *Call, maySkip bool) (*Response, bool, error) {
 	k.header.limit(maxHeaderBytes)
 	response, err := readFinalResponse(k.reader, &http.Request{Method: call.Method})
 	k.header.unlimit()
@@ -202,12 +207,14 @@
 	c.updateExpiry(k, response)
 	id := response.Header.Get(c.Headers.RequestID)
 	if id != "" && id != call.RequestID {
+		c.noteStray(k, call, response, maySkip)
 		return nil, false, &ResponseError{HeaderReceived: true, Cause: &RequestIDMismatchError{Got: id}}
 	}
 	if err := c.rejection(response, call); err != nil {
 		return nil, !response.Close, err
 	}
 	if id != call.RequestID {
+		c.noteStray(k, call, response, maySkip)
 		return nil, false, &ResponseError{HeaderReceived: true, Cause: &RequestIDMismatchError{Got: id}}
 	}
 	return &Response{Status: response.StatusCode, Headers: flattenHeader(response.Header), Body: body}, !response.Close, nil
--- a/pkg/instance/pool.go
+++ b/pkg/instance/pool.go
@@ -15,6 +15,8 @@
 	reader *bufio.Reader
 	// reused reports whether the connection was idle in the pool before this call.
 	reused bool
+	// calls is the number of calls sent on the connection.
+	calls int
 	// lastUsed is when the connection was opened or the last response was read.
 	lastUsed time.Time
 	// expiresAt is the time from which the connection must not carry another call.
--- a/pkg/mesh/events.go
+++ b/pkg/mesh/events.go
@@ -35,6 +35,9 @@
 	eventPanic            logs.EventKind = "panic"
 	eventBodyDiscarded    logs.EventKind = "large body of a peer discarded"
 	eventNotAccepted      logs.EventKind = "connection not accepted"
+	eventStray            logs.EventKind = "response of the instance belongs to no call"
+	// eventAnsweredAgain is logged in place of eventAnswered and eventFailed.
+	eventAnsweredAgain logs.EventKind = "request answered after a lost answer"
 	// eventBorrowFailed and eventMessageUnreadable concern messages between nodes.
 	eventBorrowFailed      logs.EventKind = "peer not asked for tokens"
 	eventMessageUnreadable logs.EventKind = "message of a peer cannot be read"
@@ -48,6 +51,8 @@
 		kind = eventRefused
 	case rejection != nil:
 		kind = eventLost
+	case r.ResponseLost:
+		kind = eventAnsweredAgain
 	case status >= 500:
 		kind = eventFailed
 	}
@@ -62,6 +67,9 @@
 			f["classPart"] = r.AdmittedFraction
 			f["leftMs"] = milliseconds(r.Deadline.Sub(now))
 		}
+		if rejection == nil {
+			f["answeredBy"], f["queried"] = r.SentTo, r.Queried
+		}
 		if r.Organisation != nil {
 			f["organisation"] = r.Organisation.ID
 		}
@@ -178,6 +186,15 @@
 	})
 }
 
+// onStray logs and counts a response of the local instance that was not taken for that of
+// the call that awaited one.
+func (n *Node) onStray(s instance.Stray) {
+	n.meter.CountStrayResponse(s.Skipped)
+	n.events.Log(eventStray, func() logrus.Fields {
+		return logrus.Fields{"request": s.RequestID, "gotRequest": s.GotID, "status": s.Status, "connCalls": s.Calls, "skipped": s.Skipped}
+	})
+}
+
 // onBodyDiscarded logs a call that is handed back as the gate has no memory for its body.
 func (n *Node) onBodyDiscarded() {
 	n.events.Log(eventBodyDiscarded, func() logrus.Fields {
--- a/pkg/meter/meter.go
+++ b/pkg/meter/meter.go
@@ -125,5 +125,11 @@
 	m.scope.Tagged(map[string]string{"part": part, "stage": stage}).Counter("requests_abandoned").Inc(1)
 }
 
+// CountStrayResponse counts a response of the instance that belongs to no call, and whether
+// the next response on its connection was awaited.
+func (m *Meter) CountStrayResponse(skipped bool) {
+	m.scope.Tagged(map[string]string{"skipped": strconv.FormatBool(skipped)}).Counter("responses_stray").Inc(1)
+}
+
 // CountPanic counts a piece of work that panicked.
 func (m *Meter) CountPanic() { m.scope.Counter("panics").Inc(1) }
