A connection to the instance carries a request id once

Cause: an answer on a kept connection was known by the request's id only. If an id is sent twice, the late copy of its first answer passes for the second's. The client also read on after any answer that was not the call's, and after one without an id, which may have been its own.

Change: each connection keeps the ids that it has carried (a digest each, 1,024 calls a connection at most), and a call whose id it has carried goes over another one; a call without an id over a new one. So an id identifies an answer among all that can still arrive on the connection. Only answers to earlier calls of the same connection are skipped; anything else ends the call as one that may have run. "Not run" without an id counts on a new connection only. A repeated id is logged.

Failed before, passes now: TestLateCopyIsNotTheAnswerToTheSameIDSentAgain (200 for 500, and "not run" for a run), TestAnswerAfterOneWithoutIDIsNotTaken. TestKeepAliveTimeout sent one id three times and counted the connections; it sends three ids now, with the same bounds.

--- a/pkg/instance/announcement.go
+++ b/pkg/instance/announcement.go
@@ -39,8 +39,7 @@
 // announce passes on what the instance says of itself. A response to another request, or
 // of another instance, says nothing about the one that the call is addressed to.
 func (c *Client) announce(response *http.Response, call *Call) {
-	id := response.Header.Get(c.Headers.RequestID)
-	if c.OnAnnouncement == nil || id != "" && id != call.RequestID || response.StatusCode == http.StatusMisdirectedRequest {
+	if c.OnAnnouncement == nil || c.requestID(response) != call.RequestID || response.StatusCode == http.StatusMisdirectedRequest {
 		return
 	}
 	a := Announcement{Instance: call.ExpectedInstance, RequestID: call.RequestID, Sent: call.SentAt, Read: c.Clock.Now()}
--- a/pkg/instance/errors.go
+++ b/pkg/instance/errors.go
@@ -47,6 +47,9 @@
 type RequestIDMismatchError struct {
 	// Got is the request id in the response, empty if it has none.
 	Got string
+	// IsCopy reports whether the response is one to an earlier call on the connection. The
+	// next one is then that of the request.
+	IsCopy bool
 }
 
 // Error implements error.
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -35,9 +35,9 @@
 	// skipCheckWithin is the time after its last use within which a connection carries an
 	// idempotent call without a check that it is still open.
 	skipCheckWithin = 200 * time.Millisecond
-	// maxMismatchedResponses bounds the responses to other requests that are skipped while
-	// the response to a call is awaited.
-	maxMismatchedResponses = 2
+	// maxCopies bounds the copies of an earlier response that are skipped while the response
+	// to a call is awaited.
+	maxCopies = 2
 	// maxHeaderBytes bounds the headers of the interim responses and the final one together.
 	maxHeaderBytes = 256 << 10
 	// maxInterimResponses bounds the interim (1xx) responses before the final one.
@@ -72,6 +72,9 @@
 	// OnStray is called for each response that is not taken for that of the call that
 	// awaits one; nil is allowed.
 	OnStray func(s Stray)
+	// OnRepeatedID is called for each call whose id was sent to the instance before, on a
+	// connection that is open; nil is allowed.
+	OnRepeatedID func(id string)
 
 	// mu guards idle.
 	mu sync.Mutex
@@ -124,7 +127,7 @@
 func (c *Client) Do(ctx context.Context, call *Call) (*Response, error) {
 	request := encodeRequest(call)
 	for {
-		k, err := c.acquire(ctx, call.Idempotent)
+		k, err := c.acquire(ctx, call)
 		if err != nil {
 			return nil, &NotSentError{Cause: err}
 		}
@@ -150,10 +153,11 @@
 }
 
 // roundTrip sends a call, reads its response, and reports whether the connection may
-// be reused. On a reused connection it skips late responses to earlier calls.
+// be reused. It skips late copies of earlier responses on the connection, and nothing else: what
+// follows another response need not be that of the call.
 func (c *Client) roundTrip(k *conn, call *Call, request []byte) (*Response, bool, error) {
 	call.SentAt = c.Clock.Now()
-	k.calls++
+	k.sent = append(k.sent, digestOf(call.RequestID))
 	written := make(chan error, 1)
 	if len(request) > asyncWriteBytes {
 		// The instance may respond before it has read the whole request.
@@ -168,13 +172,13 @@
 		}
 		written <- err
 	}
-	response, reusable, err := c.readResponse(k, call, k.reused)
-	for skipped := 1; skipped <= maxMismatchedResponses; skipped++ {
+	response, reusable, err := c.readResponse(k, call, maxCopies > 0)
+	for skipped := 1; skipped <= maxCopies; skipped++ {
 		var mismatch *RequestIDMismatchError
-		if !k.reused || !errors.As(err, &mismatch) {
+		if !errors.As(err, &mismatch) || !mismatch.IsCopy {
 			break
 		}
-		response, _, err = c.readResponse(k, call, skipped < maxMismatchedResponses)
+		response, _, err = c.readResponse(k, call, skipped < maxCopies)
 		reusable = false
 	}
 	select {
@@ -188,7 +192,7 @@
 
 // readResponse reads the final response to a call and reports whether the
 // connection may be reused. maySkip tells whether the next response is awaited if this one
-// is that to another request.
+// is a copy.
 func (c *Client) readResponse(k *conn, call *Call, maySkip bool) (*Response, bool, error) {
 	k.header.limit(maxHeaderBytes)
 	response, err := readFinalResponse(k.reader, &http.Request{Method: call.Method})
@@ -205,21 +209,26 @@
 		return nil, false, &ResponseError{HeaderReceived: true, Cause: err}
 	}
 	c.updateExpiry(k, response)
-	id := response.Header.Get(c.Headers.RequestID)
-	if id != "" && id != call.RequestID {
-		c.noteStray(k, call, response, maySkip)
-		return nil, false, &ResponseError{HeaderReceived: true, Cause: &RequestIDMismatchError{Got: id}}
+	id := c.requestID(response)
+	rejection := c.rejection(response, call)
+	// On a new connection there is no earlier call that the response could be to.
+	isOwn := id == call.RequestID || id == "" && rejection != nil && !k.reused
+	if !isOwn {
+		isCopy := k.isLateCopy(id)
+		c.noteStray(k, call, response, isCopy && maySkip)
+		return nil, false, &ResponseError{HeaderReceived: true, Cause: &RequestIDMismatchError{Got: id, IsCopy: isCopy}}
 	}
-	if err := c.rejection(response, call); err != nil {
-		return nil, !response.Close, err
-	}
-	if id != call.RequestID {
-		c.noteStray(k, call, response, maySkip)
-		return nil, false, &ResponseError{HeaderReceived: true, Cause: &RequestIDMismatchError{Got: id}}
+	if rejection != nil {
+		return nil, !response.Close, rejection
 	}
 	return &Response{Status: response.StatusCode, Headers: flattenHeader(response.Header), Body: body}, !response.Close, nil
 }
 
+// requestID returns the request id in a response, or all of them if there are several.
+func (c *Client) requestID(response *http.Response) string {
+	return strings.Join(response.Header.Values(c.Headers.RequestID), ", ")
+}
+
 // readFinalResponse reads a response, skipping interim (1xx) ones.
 func readFinalResponse(reader *bufio.Reader, request *http.Request) (*http.Response, error) {
 	for range maxInterimResponses {
--- a/pkg/instance/instance_test.go
+++ b/pkg/instance/instance_test.go
@@ -217,9 +217,9 @@
 	time.Sleep(10 * time.Millisecond)
 	fake := &clock.Fake{}
 	client.Clock, client.OnConnect = fake, func() { opened++ }
-	for _, wait := range []time.Duration{0, 3 * time.Second, 5 * time.Second} {
+	for i, wait := range []time.Duration{0, 3 * time.Second, 5 * time.Second} {
 		fake.Advance(wait)
-		_, err := client.Do(t.Context(), newCall("1"))
+		_, err := client.Do(t.Context(), newCall(fmt.Sprint(i)))
 		is.NoErr(err)
 	}
 	is.Equal(opened, 2)
--- a/pkg/instance/pool.go
+++ b/pkg/instance/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"time"
 )
 
@@ -15,23 +16,30 @@
 	reader *bufio.Reader
 	// reused reports whether the connection was idle in the pool before this call.
 	reused bool
-	// calls is the number of calls sent on the connection.
-	calls int
+	exchanges
 	// lastUsed is when the connection was opened or the last response was read.
 	lastUsed time.Time
 	// expiresAt is the time from which the connection must not carry another call.
 	expiresAt time.Time
 }
 
-// acquire returns an idle connection that is still usable, or a new one.
-func (c *Client) acquire(ctx context.Context, idempotent bool) (*conn, error) {
+// acquire returns an idle connection that is still usable and has not carried the id of the
+// call, or a new one. A call without an id gets a new one.
+func (c *Client) acquire(ctx context.Context, call *Call) (*conn, error) {
+	if call.RequestID == "" {
+		return c.connect(ctx)
+	}
+	id := digestOf(call.RequestID)
 	for {
-		k := c.popIdle()
+		k, repeated := c.popIdle(id)
+		if repeated && c.OnRepeatedID != nil {
+			c.OnRepeatedID(call.RequestID)
+		}
 		if k == nil {
 			return c.connect(ctx)
 		}
 		now := c.Clock.Now()
-		skipCheck := idempotent && now.Sub(k.lastUsed) < skipCheckWithin
+		skipCheck := call.Idempotent && now.Sub(k.lastUsed) < skipCheckWithin
 		if now.Before(k.expiresAt) && (skipCheck || isOpenAndIdle(k.Conn)) {
 			k.reused = true
 			return k, nil
@@ -65,19 +73,29 @@
 	return d.DialContext(ctx, "tcp", address)
 }
 
-// popIdle removes the most recently used idle connection, or returns nil.
-func (c *Client) popIdle() *conn {
+// popIdle removes the most recently used idle connection that has not carried the id, or
+// returns nil. It reports whether it passed over one that has.
+func (c *Client) popIdle(id idDigest) (k *conn, repeated bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.idle) == 0 {
-		return nil
+	for i := len(c.idle) - 1; i >= 0; i-- {
+		k := c.idle[i]
+		if k.hasCarried(id) {
+			repeated = true
+			continue
+		}
+		c.idle = slices.Delete(c.idle, i, i+1)
+		return k, repeated
 	}
-	k := c.idle[len(c.idle)-1]
-	c.idle = c.idle[:len(c.idle)-1]
-	return k
+	return nil, repeated
 }
 
+// putIdle keeps a connection for further calls, unless it has carried as many as it may.
 func (c *Client) putIdle(k *conn) {
+	if k.isFull() {
+		_ = k.Close()
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.idle = append(c.idle, k)
--- a/pkg/instance/stray.go
+++ b/pkg/instance/stray.go
@@ -23,7 +23,7 @@
 		return
 	}
 	c.OnStray(Stray{
-		RequestID: call.RequestID, GotID: response.Header.Get(c.Headers.RequestID),
-		Status: response.StatusCode, Calls: k.calls, Skipped: skipped,
+		RequestID: call.RequestID, GotID: c.requestID(response),
+		Status: response.StatusCode, Calls: len(k.sent), Skipped: skipped,
 	})
 }
--- a/pkg/instance/stutter_test.go
+++ b/pkg/instance/stutter_test.go
@@ -52,8 +52,11 @@
 					_, _ = conn.Write([]byte(late + answer))
 				}
 			}))
+			var repeated []string
+			client.OnRepeatedID = func(id string) { repeated = append(repeated, id) }
 			_, _ = client.Do(t.Context(), newCall("1"))
 			response, err := client.Do(t.Context(), newCall("1"))
+			is.Equal(repeated, []string{"1"})
 			var rejected *RejectedError
 			is.True(!errors.As(err, &rejected)) // the second ran
 			if err == nil {
@@ -76,7 +79,10 @@
 		{"success, then failure", answerText(200, "1", "Name: value\r\n", "first"), 500, "second"},
 		{"not run, then success", answerText(503, "1", "Not-Run: 1\r\nName: value\r\n", ""), 200, "second"},
 		{"not run without id, then success", strings.Replace(answerText(503, "1", "Not-Run: 1\r\n", ""), "Id: 1\r\n", "", 1), 200, "second"},
+		{"success in chunks, then failure", "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n5;key=value\r\nfirst\r\n0\r\nName: value\r\n\r\n", 500, "second"},
+		{"interim, then failure", "HTTP/1.1 103 Early Hints\r\nName: value\r\n\r\n" + answerText(200, "1", "", "first"), 500, "second"},
 		{"failure, then success", answerText(500, "1", "Name: value\r\n", "first"), 200, "second"},
+		{"success, then failure with a response as its body", answerText(200, "1", "Name: value\r\n", "first"), 500, answerText(200, "2", "", "nested")},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/pkg/mesh/events.go
+++ b/pkg/mesh/events.go
@@ -35,6 +35,7 @@
 	eventPanic            logs.EventKind = "panic"
 	eventBodyDiscarded    logs.EventKind = "large body of a peer discarded"
 	eventNotAccepted      logs.EventKind = "connection not accepted"
+	eventRepeatedID       logs.EventKind = "request id sent to the instance again"
 	eventStray            logs.EventKind = "response of the instance belongs to no call"
 	// eventAnsweredAgain is logged in place of eventAnswered and eventFailed.
 	eventAnsweredAgain logs.EventKind = "request answered after a lost answer"
@@ -195,6 +196,11 @@
 	})
 }
 
+// onRepeatedID logs a call whose id was sent to the local instance before.
+func (n *Node) onRepeatedID(id string) {
+	n.events.Log(eventRepeatedID, func() logrus.Fields { return logrus.Fields{"request": id} })
+}
+
 // onBodyDiscarded logs a call that is handed back as the gate has no memory for its body.
 func (n *Node) onBodyDiscarded() {
 	n.events.Log(eventBodyDiscarded, func() logrus.Fields {
