An answer that another one breaks off into is not taken

Cause: an instance that sends an answer again and breaks off in it is followed on the connection by the next answer. A piece that ends in the status line ("HTTP/1.1 200 ") or in a header value makes one well-formed answer with what follows ("HTTP/1.1 504 Gateway Timeout" and its header), because reason phrases and header values may hold any text. The id fits, as it is that of the second answer. The piece of a "not run" made a call that ran "not run".

Change: a status line within the head of an answer is the seam of two, and ends the call as one that may have run; so does one within the body or the trailer of a late copy, which would otherwise be skipped together with the call's own answer. Every other place to break off gives no well-formed answer, another id, or none: TestPieceOfAnotherAnswerIsNotPartOfTheAnswer tries each byte of seven answers, also with answers in chunks, interim ones, and a body that is itself an answer with the id of the call.

--- a/pkg/instance/errors.go
+++ b/pkg/instance/errors.go
@@ -57,6 +57,17 @@
 	return fmt.Sprintf("response has request id %q, not that of the call", e.Got)
 }
 
+// JoinedResponsesError reports a response with the status line of another one in its head.
+type JoinedResponsesError struct {
+	// Status is the status line of the response, without the protocol.
+	Status string
+}
+
+// Error implements error.
+func (e *JoinedResponsesError) Error() string {
+	return fmt.Sprintf("response %q goes on with another response before its header ends", e.Status)
+}
+
 // HeaderTooLargeError reports a response header that exceeds the limit.
 type HeaderTooLargeError struct {
 	LimitBytes int
--- a/pkg/instance/exchange.go
+++ b/pkg/instance/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/maphash"
+	"net/http"
 	"slices"
 )
 
@@ -30,7 +31,8 @@
 // isFull reports whether no more calls may be sent.
 func (e *exchanges) isFull() bool { return len(e.sent) >= maxCallsPerConn }
 
-// isLateCopy reports whether a response is one to an earlier call on the connection: the next response is then that of the call which awaits one.
-func (k *conn) isLateCopy(id string) bool {
-	return id != "" && k.hasCarried(digestOf(id))
+// isLateCopy reports whether a whole response is one to an earlier call on the connection, and
+// has not broken off: the next response is then that of the call which awaits one.
+func (k *conn) isLateCopy(id string, response *http.Response, body []byte) bool {
+	return id != "" && k.hasCarried(digestOf(id)) && !hasStatusLine(string(body)) && !headerHasStatusLine(response.Trailer)
 }
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -214,7 +214,7 @@
 	// On a new connection there is no earlier call that the response could be to.
 	isOwn := id == call.RequestID || id == "" && rejection != nil && !k.reused
 	if !isOwn {
-		isCopy := k.isLateCopy(id)
+		isCopy := k.isLateCopy(id, response, body)
 		c.noteStray(k, call, response, isCopy && maySkip)
 		return nil, false, &ResponseError{HeaderReceived: true, Cause: &RequestIDMismatchError{Got: id, IsCopy: isCopy}}
 	}
@@ -233,6 +233,9 @@
 func readFinalResponse(reader *bufio.Reader, request *http.Request) (*http.Response, error) {
 	for range maxInterimResponses {
 		response, err := http.ReadResponse(reader, request)
+		if err == nil && isJoined(response) {
+			return nil, &JoinedResponsesError{Status: response.Status}
+		}
 		if err != nil || response.StatusCode >= http.StatusOK {
 			return response, err
 		}
