A request is sent to a node once, also if the node left and came back

Cause: an entrance remembered the gates that it had tried by their peer object. A node that leaves the directory, and whose link nothing holds, is another object when it comes back.

Change: it remembers their addresses. Failed before: TestRequestIsNotSentAgainToANodeThatCameBack (two runs at the same instance; one each now).

--- a/pkg/entrance/dispatch.go
+++ b/pkg/entrance/dispatch.go
@@ -7,6 +7,7 @@
 
 	"github.com/plantainramp/plantainramp/pkg/clock"
 	"github.com/plantainramp/plantainramp/pkg/connection"
+	"github.com/plantainramp/plantainramp/pkg/directory"
 	"github.com/plantainramp/plantainramp/pkg/gate"
 	"github.com/plantainramp/plantainramp/pkg/link"
 	"github.com/plantainramp/plantainramp/pkg/peering"
@@ -58,7 +59,7 @@
 	if r.Inner && e.RetryFraction != nil {
 		e.retryBudget.chargeCalls(service, e.RetryFraction())
 	}
-	tried := map[*peering.Peer]bool{}
+	tried := map[directory.NodeAddress]bool{}
 	anyFull := false
 	for r.Dispatches < maxDispatches {
 		if isAbandoned(ctx, r) {
@@ -68,7 +69,7 @@
 		if target == nil {
 			break
 		}
-		tried[target.Peer] = true
+		tried[target.Entry.Node] = true
 		r.Dispatches++
 		outcome, refusal := e.sendCall(ctx, r, target)
 		if refusal != nil {
--- a/pkg/peering/peering.go
+++ b/pkg/peering/peering.go
@@ -210,15 +210,15 @@
 }
 
 // Choose returns the target for a call, or nil if there is none. It excludes the
-// peers that were tried.
-func (p *Peers) Choose(service fleet.ServiceName, tried map[*Peer]bool) *Target {
+// nodes that were tried, also if they have left the directory and come back since.
+func (p *Peers) Choose(service fleet.ServiceName, tried map[directory.NodeAddress]bool) *Target {
 	targets := p.Targets(service)
 	now := p.Clock.Now()
 	candidates := make([]balancer.Candidate, 0, len(targets))
 	untried := make([]*Target, 0, len(targets))
 	fastest := uint32(0)
 	for _, t := range targets {
-		if tried[t.Peer] || p.departed.has(t.Entry.Incarnation()) {
+		if tried[t.Entry.Node] || p.departed.has(t.Entry.Incarnation()) {
 			continue
 		}
 		untried = append(untried, t)
