--- a/pkg/entrance/entrance.go
+++ b/pkg/entrance/entrance.go
@@ -76,6 +76,9 @@
 	// OnBorrowError is called with a peer that could not be asked for tokens; nil
 	// is allowed.
 	OnBorrowError func(r *Request, peer *peering.Peer, err error)
+	// OnForeignAnswer is called with a request for which a gate returned the answer to another
+	// one, and with the request id in that answer; nil is allowed.
+	OnForeignAnswer func(r *Request, got string)
 	// OnFinish is called at the end of each request; nil is allowed.
 	OnFinish func(r *Request, status int, outcome *linkrpc.Outcome, refusal *problem.Error)
 
--- a/pkg/mesh/events.go
+++ b/pkg/mesh/events.go
@@ -36,6 +36,7 @@
 	eventBodyDiscarded    logs.EventKind = "large body of a peer discarded"
 	eventNotAccepted      logs.EventKind = "connection not accepted"
 	eventRepeatedID       logs.EventKind = "request id sent to the instance again"
+	eventForeignAnswer    logs.EventKind = "gate returned the answer to another request"
 	eventStray            logs.EventKind = "response of the instance belongs to no call"
 	// eventAnsweredAgain is logged in place of eventAnswered and eventFailed.
 	eventAnsweredAgain logs.EventKind = "request answered after a lost answer"
@@ -196,6 +197,14 @@
 	})
 }
 
+// onForeignAnswer logs and counts an answer that is not that of its request.
+func (n *Node) onForeignAnswer(r *entrance.Request, got string) {
+	n.meter.CountForeignAnswer()
+	n.events.Log(eventForeignAnswer, func() logrus.Fields {
+		return logrus.Fields{"request": r.ID, "gotRequest": got, "sentTo": r.SentTo, "queried": r.Queried}
+	})
+}
+
 // onRepeatedID logs a call whose id was sent to the local instance before.
 func (n *Node) onRepeatedID(id string) {
 	n.events.Log(eventRepeatedID, func() logrus.Fields { return logrus.Fields{"request": id} })
--- a/pkg/meter/meter.go
+++ b/pkg/meter/meter.go
@@ -131,5 +131,8 @@
 	m.scope.Tagged(map[string]string{"skipped": strconv.FormatBool(skipped)}).Counter("responses_stray").Inc(1)
 }
 
+// CountForeignAnswer counts an answer that a gate returned for another request.
+func (m *Meter) CountForeignAnswer() { m.scope.Counter("answers_foreign").Inc(1) }
+
 // CountPanic counts a piece of work that panicked.
 func (m *Meter) CountPanic() { m.scope.Counter("panics").Inc(1) }
