The answer to a HEAD request has no body

Callers that sent HEAD got 502 for each answer with a length, though the request had run.

Cause: the client of the instance read as many bytes as the length says, and an answer to HEAD has none; the call counted as lost. Found while the attribution of answers was read.

Change: no body is read, the connection is kept, and the caller gets the length that the instance names. Failed before: TestHeadResponseHasNoBody (EOF).

--- a/pkg/entrance/entrance.go
+++ b/pkg/entrance/entrance.go
@@ -146,7 +146,7 @@
 		refusal.WriteExact(w)
 		return
 	}
-	writeResponse(w, outcome)
+	writeResponse(w, hr.Method, outcome)
 }
 
 // callerLeft reports whether the caller of a refused request has disconnected. The context
--- a/pkg/entrance/entrance_test.go
+++ b/pkg/entrance/entrance_test.go
@@ -332,3 +332,20 @@
 		})
 	}
 }
+
+// A HEAD request is answered with the length that its instance names and without a body.
+func TestHeadRequest(t *testing.T) {
+	is := is.New(t)
+	cluster := newTestCluster(t, 1, routing.Route{AllowAnonymous: true, MaxAttempts: 1})
+	server := httptest.NewServer(cluster.entrance)
+	t.Cleanup(server.Close)
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodHead, server.URL+"/x", nil)
+	is.NoErr(err)
+	r.Host = "h"
+	r.Header.Set("Id", "1")
+	response, err := http.DefaultClient.Do(r)
+	is.NoErr(err)
+	defer func() { _ = response.Body.Close() }()
+	is.Equal(response.StatusCode, http.StatusOK)
+	is.Equal(response.ContentLength, int64(len("done")))
+}
--- a/pkg/entrance/forward.go
+++ b/pkg/entrance/forward.go
@@ -53,19 +53,24 @@
 	return false
 }
 
-// writeResponse forwards an instance's response to the caller.
-func writeResponse(w http.ResponseWriter, outcome *linkrpc.Outcome) {
+// writeResponse forwards an instance's response to the caller. The response to a HEAD request
+// keeps the length that the instance names, as it has no body.
+func writeResponse(w http.ResponseWriter, method string, outcome *linkrpc.Outcome) {
 	header := w.Header()
+	isHead := method == http.MethodHead
 	header["Date"] = nil
 	header["Content-Type"] = nil
 	for i := 0; i+1 < len(outcome.Headers); i += 2 {
+		if isHead && outcome.Headers[i] == "Content-Length" {
+			header["Content-Length"] = []string{outcome.Headers[i+1]}
+		}
 		switch outcome.Headers[i] {
 		case "Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length", "Trailer", "Upgrade", "Proxy-Connection":
 		default:
 			header[outcome.Headers[i]] = append(header[outcome.Headers[i]], outcome.Headers[i+1])
 		}
 	}
-	if int(outcome.Status) != http.StatusNoContent && int(outcome.Status) != http.StatusNotModified {
+	if !isHead && int(outcome.Status) != http.StatusNoContent && int(outcome.Status) != http.StatusNotModified {
 		header["Content-Length"] = []string{strconv.Itoa(len(outcome.Body))}
 	}
 	w.WriteHeader(int(outcome.Status))
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -252,8 +252,12 @@
 	return nil
 }
 
-// readBody reads the body of a response, up to limitBytes.
+// readBody reads the body of a response, up to limitBytes. The response to a HEAD call has
+// none, whatever its length says.
 func readBody(response *http.Response, limitBytes int64) ([]byte, error) {
+	if response.Request.Method == http.MethodHead {
+		return nil, nil
+	}
 	if response.ContentLength > limitBytes {
 		return nil, &ResponseTooLargeError{LimitBytes: limitBytes}
 	}
--- a/pkg/instance/instance_test.go
+++ b/pkg/instance/instance_test.go
@@ -166,6 +166,25 @@
 	is.Equal(len(client.idle), 0)
 }
 
+// The answer to a HEAD call has a length and no body. Guards against a call that is lost as the
+// body does not follow.
+func TestHeadResponseHasNoBody(t *testing.T) {
+	is := is.New(t)
+	client := newClient(newServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 9\r\n\r\n", readRequest(r))
+		writeResponse(c, readRequest(r), "next")
+	}))
+	call := newCall("1")
+	call.Method = http.MethodHead
+	got, err := client.Do(t.Context(), call)
+	is.NoErr(err)
+	is.Equal(len(got.Body), 0)
+	is.Equal(got.Header("Content-Length"), "9")
+	got, err = client.Do(t.Context(), newCall("2"))
+	is.NoErr(err)
+	is.Equal(string(got.Body), "next")
+}
+
 func TestCallsNotExecuted(t *testing.T) {
 	cases := []struct{ name, answer string }{
 		{"full", "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"},
