--- a/pkg/entrance/ownanswer_test.go
+++ b/pkg/entrance/ownanswer_test.go
@@ -62,15 +62,27 @@
 // A gate replies with the answer to another request. Guards against a caller that gets it,
 // whatever mixed up the two on the way.
 func TestAnswerToAnotherRequestIsNotPassedOn(t *testing.T) {
-	for name, headers := range map[string][]string{"another id": {"Id", "other"}, "two ids": {"Id", "1", "Id", "other"}, "no id": {}} {
-		t.Run(name, func(t *testing.T) {
+	cases := []struct {
+		name    string
+		headers []string
+		status  int
+		// reported is what OnForeignAnswer is called with.
+		reported []string
+	}{
+		{"own id", []string{"Id", "1"}, http.StatusOK, nil},
+		{"another id", []string{"Id", "other"}, http.StatusBadGateway, []string{"other"}},
+		{"two ids", []string{"Id", "1", "Id", "other"}, http.StatusBadGateway, []string{"1, other"}},
+		{"no id", nil, http.StatusBadGateway, []string{""}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			cluster := newTestCluster(t, 0, routing.Route{AllowAnonymous: true, MaxAttempts: 1})
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
 			is.NoErr(err)
 			hello := func() *linkrpc.Hello { return &linkrpc.Hello{Incarnation: 5} }
 			server := &link.Server{Clock: clock.System{}, Hello: hello, Handle: func(context.Context, link.Request) proto.Message {
-				return &linkrpc.Outcome{Fate: linkrpc.Fate_FATE_ANSWERED, Status: http.StatusOK, Headers: headers, Body: []byte("other")}
+				return &linkrpc.Outcome{Fate: linkrpc.Fate_FATE_ANSWERED, Status: http.StatusOK, Headers: c.headers, Body: []byte("other")}
 			}}
 			go func() { _ = server.Serve(listener) }()
 			t.Cleanup(func() { _ = listener.Close(); server.Close() })
@@ -79,7 +91,10 @@
 				Nodes:    map[directory.NodeAddress]directory.Entry{entry.Node: entry},
 				Services: map[fleet.ServiceName][]directory.Entry{"desk": {entry}},
 			})
-			is.Equal(cluster.sendRequest(t.Context()).Code, http.StatusBadGateway)
+			var reported []string
+			cluster.entrance.OnForeignAnswer = func(_ *Request, got string) { reported = append(reported, got) }
+			is.Equal(cluster.sendRequest(t.Context()).Code, c.status)
+			is.Equal(reported, c.reported)
 		})
 	}
 }
