The older daemon's upstream gets each call on a connection of its own

What callers saw: if the upstream sends an earlier answer once more just after the next request has reached it, the next caller got that answer: a success where its own was a 504, with the body of another request. Pieces of such an answer in front of one's own (cut in the status line or in a header value) gave one's own body with the other's status. Besides, an action with an idempotency key and no body ran twice where the upstream ran it and then reset a kept connection.

Cause: pkg/upstream kept its connections. net/http takes the next bytes on one for the answer of the request on it; it drops a connection on which bytes come while it is idle, but not between a request's sending and its answer. Upstreams are not asked to repeat an id (docs/OPERATING.md; our stand-in doesn't), and the id of a request would not do: several calls of one request bear the same. net/http also sends a request again by itself when a kept connection breaks, if it is a GET, or has an Idempotency-Key, and has no body.

Change: keep-alives are off. What comes on a connection can only belong to its one request, and net/http never sends again on a first use.

Ruled out: a check of a repeated id, because no upstream is asked to send one; a check of Plantainramp-Context where it is repeated: it leaves pieces of answers that are cut before it.

--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -21,11 +21,7 @@
 	"github.com/plantainramp/plantainramp/pkg/problem"
 )
 
-const (
-	// maxIdleConns bounds the idle connections to the upstream.
-	maxIdleConns = 512
-	dialTimeout  = time.Second
-)
+const dialTimeout = time.Second
 
 // hopByHopHeaders lists the headers that apply to one connection only and are never
 // forwarded.
@@ -53,7 +49,9 @@
 
 	once sync.Once
 	// transport follows no redirects and requests no compression, so that responses
-	// pass unmodified. It is set by init.
+	// pass unmodified. Each connection carries one request: upstreams need not echo an id,
+	// so that on a reused connection, a late duplicate of an earlier response could not
+	// be told from the response to the request. It is set by init.
 	transport *http.Transport
 	// runningCalls maps Token to *call.Call.
 	runningCalls sync.Map
@@ -63,7 +61,7 @@
 	u.once.Do(func() {
 		dialer := &net.Dialer{Timeout: dialTimeout}
 		u.transport = &http.Transport{
-			DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConns, DisableCompression: true,
+			DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true,
 		}
 	})
 }
