A reply between older nodes names the message that it belongs to

Then the reply to an earlier message passed for that to the next on a kept connection: the stored response of another organisation's action (Recall), a verdict on another intent (Intend), tokens of another organisation, or the same tokens twice (Borrow). Run and Fetch were safe: their replies bear the id of the call and a hash.

Cause: of the seven messages only Run and Fetch have an id in the reply; the others were tied to it by their order on the connection alone.

Change: a request bears the number of the message at its sender (Pr-Id), the reply repeats it, and a reply with another number is refused. A reply without one is taken, as that of an older node; it should be refused too once no such node runs.

The authentication code of the request would not do as that number: two Borrow messages are often the same.

--- a/pkg/peer/auth.go
+++ b/pkg/peer/auth.go
@@ -8,8 +8,11 @@
 	"crypto/hmac"
 	"crypto/sha256"
 	"encoding/base64"
+	"fmt"
 	"io"
 	"net/http"
+	"strconv"
+	"sync/atomic"
 
 	"github.com/rotisserie/eris"
 )
@@ -18,6 +21,9 @@
 	// headerMAC is the header with the authentication code of a request. Its name is
 	// short because headers are the largest part of control messages.
 	headerMAC = "Pr-Mac"
+	// headerMessageID is the header with the number of a message at its sender. The
+	// reply repeats it.
+	headerMessageID = "Pr-Id"
 	// macBytes is the length of the authentication code before encoding.
 	macBytes = 16
 	// maxMessageBytes limits the size of a request body.
@@ -40,10 +46,25 @@
 	return base64.RawURLEncoding.EncodeToString(mac.Sum(nil)[:macBytes])
 }
 
-// signer is an HTTP client that adds an authentication code to each request.
+// MessageMismatchError is the error of a message whose reply belongs to another one, as
+// that of a late duplicate on a reused connection. The message may have been handled.
+type MessageMismatchError struct {
+	Message, ReplyMessage string
+}
+
+// Error implements error.
+func (e *MessageMismatchError) Error() string {
+	return fmt.Sprintf("reply to peer message %q belongs to message %q", e.Message, e.ReplyMessage)
+}
+
+// signer is an HTTP client that adds an authentication code and a message ID to each
+// request, and returns only replies with that ID, or with none: those of older nodes.
 type signer struct {
 	secret Secret
 	next   http.RoundTripper
+	// lastMessage is the number of the last message. Numbers do not repeat on a
+	// connection.
+	lastMessage atomic.Uint64
 }
 
 // Do implements the HTTPClient interface of Twirp.
@@ -60,7 +81,17 @@
 	}
 	req.Header.Set("User-Agent", "") // keeps the HTTP client from adding its own
 	req.Header.Set(headerMAC, s.secret.mac(req.URL.Path, body))
-	return s.next.RoundTrip(req)
+	id := strconv.FormatUint(s.lastMessage.Add(1), 36)
+	req.Header.Set(headerMessageID, id)
+	resp, err := s.next.RoundTrip(req)
+	if err != nil {
+		return nil, err
+	}
+	if got := resp.Header.Get(headerMessageID); got != "" && got != id {
+		_ = resp.Body.Close()
+		return nil, &MessageMismatchError{Message: id, ReplyMessage: got}
+	}
+	return resp, nil
 }
 
 // Verify returns a handler that passes only requests with a valid authentication code
@@ -68,6 +99,9 @@
 // status 400.
 func Verify(secret Secret, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if id := r.Header.Get(headerMessageID); id != "" {
+			w.Header().Set(headerMessageID, id)
+		}
 		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxMessageBytes))
 		if err != nil {
 			http.Error(w, "message too large or cut short", http.StatusBadRequest)
--- a/pkg/peer/pool.go
+++ b/pkg/peer/pool.go
@@ -67,8 +67,8 @@
 	}
 	uncached := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}
 	created := &Peer{Address: address, transport: transport, ignoreStalls: p.IgnoreStalls}
-	created.client = peerrpc.NewPeerProtobufClient("http://"+address, &signer{p.Secret, transport})
-	created.uncached = peerrpc.NewPeerProtobufClient("http://"+address, &signer{p.Secret, uncached})
+	created.client = peerrpc.NewPeerProtobufClient("http://"+address, &signer{secret: p.Secret, next: transport})
+	created.uncached = peerrpc.NewPeerProtobufClient("http://"+address, &signer{secret: p.Secret, next: uncached})
 	found, _ := p.peers.LoadOrStore(address, created)
 	return found.(*Peer)
 }
