A verdict counts only for the intent that it names

A verdict on an intent of another organisation, taken for that on one's own, answered the action with that organisation's stored response, if method, path and body are the same.

Cause: recordIntent took the only verdict in a reply, whatever it named. The message number of pkg/peer keeps late replies away, but not those of nodes that don't repeat it yet.

Change: the verdict must name the intent and its key, as it has always done.

Evidence: TestVerdictOnOtherIntentIsNotUsed: before, "lima" got the response of "dakar"; after, its own.

--- a/pkg/action/writer.go
+++ b/pkg/action/writer.go
@@ -164,8 +164,10 @@
 	req := &peerrpc.IntendRequest{Partition: int32(partition), Intents: []*peerrpc.Intent{message}}
 	for ctx.Err() == nil {
 		reply, err := w.Intend(ctx, RecorderOf(w.Follower.View(), partition), req)
-		if err == nil && len(reply.GetVerdicts()) == 1 && reply.GetVerdicts()[0].GetDecided() {
-			return reply.GetVerdicts()[0], nil
+		if err == nil {
+			if verdict := decidedVerdict(reply, e.intent); verdict != nil {
+				return verdict, nil
+			}
 		}
 		if clock.Sleep(ctx, w.Clock, logRetryDelay/4) != nil {
 			break
@@ -174,6 +176,19 @@
 	return nil, &UndecidedError{Intent: e.intent.ID}
 }
 
+// decidedVerdict returns the verdict on an intent, or nil if reply has none or is the
+// reply to another request.
+func decidedVerdict(reply *peerrpc.IntendReply, intent Intent) *peerrpc.Verdict {
+	if len(reply.GetVerdicts()) != 1 {
+		return nil
+	}
+	verdict := reply.GetVerdicts()[0]
+	if !verdict.GetDecided() || IntentID(verdict.GetId()) != intent.ID || KeyDigest(verdict.GetFirst().GetKeyDigest()) != intent.Key {
+		return nil
+	}
+	return verdict
+}
+
 // abandon marks an intent as abandoned and returns the refusal for its caller. The
 // record of the intent may still appear in the log, but its action never runs.
 func (w *Writer) abandon(e *entry, cause error) error {
