Peers: a reply read late does not make deadlines early

Cause: a call carries its deadline by the clock of the peer, converted with the clock in the last reply. Each reply replaced the reading before, however late it was read: a node that got no processor for 700 ms, or that fetched a stored reply over another connection, took 700 ms off the deadline of each call until the next reply. The peer refused these calls at once ("the time to start the call had passed when it arrived") or cancelled them while they ran.

Change: the best reading of the last two windows of 2 s converts times. A reply that shows less than the readings allow (a suspended or restarted peer) replaces them.

--- a/pkg/member/gossip.go
+++ b/pkg/member/gossip.go
@@ -146,12 +146,13 @@
 	defer cancel()
 	p := g.Pool.Get(address)
 	before := g.Follower.View().State.NextOffset
+	sent := g.Clock.Now()
 	reply, err := p.Client().Exchange(ctx, &peerrpc.ExchangeRequest{Member: string(g.Self), NextOffset: int64(before)})
 	if err != nil {
 		p.CloseIdleConnections()
 		return err
 	}
-	p.SetClock(g.Clock.Now(), reply.GetClock())
+	p.SetClock(sent, g.Clock.Now(), reply.GetClock())
 	g.applyFromPeer(ctx, address, platformlog.Offset(reply.GetNextOffset()), platformlog.Offset(reply.GetRecordsFrom()), reply.GetRecords())
 	return nil
 }
--- a/pkg/peer/pool.go
+++ b/pkg/peer/pool.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/plantainramp/plantainramp/pkg/clock"
@@ -24,13 +23,6 @@
 	idleTimeout = 30 * time.Second
 )
 
-// clockReading relates a peer's clock to the local one: at the time local, the peer's
-// clock showed at least peerNanos.
-type clockReading struct {
-	local     time.Time
-	peerNanos int64
-}
-
 // Peer is the client of one node. It is safe for concurrent use.
 type Peer struct {
 	Address string
@@ -39,8 +31,7 @@
 	// transport holds the connections of client.
 	transport    *http.Transport
 	ignoreStalls bool
-	// clockReading is nil until the peer's clock is known.
-	clockReading atomic.Pointer[clockReading]
+	clock        peerClock
 }
 
 // Pool holds a client for each address. Secret must be set. It is safe for concurrent
@@ -92,37 +83,33 @@
 // opens a new one.
 func (p *Peer) CloseIdleConnections() { p.transport.CloseIdleConnections() }
 
-// SetClock records that a reply with the peer's clock arrived at now. A peerNanos of 0
-// means that the reply had no reading, and is ignored.
-func (p *Peer) SetClock(now time.Time, peerNanos int64) {
+// SetClock records the peer's clock in the reply to a request that was sent at sent. The
+// reply arrived at received. A peerNanos of 0 means that the reply had no reading, and is
+// ignored.
+func (p *Peer) SetClock(sent, received time.Time, peerNanos int64) {
 	if peerNanos != 0 {
-		p.clockReading.Store(&clockReading{local: now, peerNanos: peerNanos})
+		p.clock.record(sent, received, peerNanos)
 	}
 }
 
 // ToPeerClock converts a local time to the peer's clock, in nanoseconds. The result may
-// be early, by the time that the last reading took to arrive, but not late. It reports
-// false until the peer's clock is known.
-func (p *Peer) ToPeerClock(t time.Time) (int64, bool) {
-	reading := p.clockReading.Load()
-	if reading == nil {
-		return 0, false
-	}
-	return reading.peerNanos + int64(t.Sub(reading.local)), true
-}
+// be early, by the time that the best of the recent readings took to arrive, but not
+// late. It reports false until the peer's clock is known.
+func (p *Peer) ToPeerClock(t time.Time) (int64, bool) { return p.clock.convert(t) }
 
 // EnsureClock requests the peer's clock if it is not known yet.
 func (p *Peer) EnsureClock(ctx context.Context, c clock.Clock) error {
-	if p.clockReading.Load() != nil {
+	if _, known := p.ToPeerClock(c.Now()); known {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, clockTimeout)
 	defer cancel()
+	sent := c.Now()
 	reply, err := p.client.Exchange(ctx, &peerrpc.ExchangeRequest{})
 	if err != nil {
 		p.CloseIdleConnections()
 		return err
 	}
-	p.SetClock(c.Now(), reply.GetClock())
+	p.SetClock(sent, c.Now(), reply.GetClock())
 	return nil
 }
--- a/pkg/peer/run.go
+++ b/pkg/peer/run.go
@@ -77,8 +77,9 @@
 // so that it never starts. The error is a *NotSentError, a *LostError or an
 // *InvalidReplyError.
 func (p *Peer) Run(ctx context.Context, c clock.Clock, req *peerrpc.RunRequest) (*peerrpc.RunReply, error) {
+	sent := c.Now()
 	if p.ignoreStalls {
-		return p.runIgnoringStalls(ctx, c, req)
+		return p.runIgnoringStalls(ctx, c, sent, req)
 	}
 	sendCtx, cancelSend := context.WithCancel(ctx)
 	defer cancelSend()
@@ -88,7 +89,7 @@
 	notStalled := stopTimer()
 	if err == nil {
 		f.received.Store(true)
-		return p.check(c, req, reply)
+		return p.check(c, sent, req, reply)
 	}
 	if notStalled && dialFailed(err) {
 		return nil, &NotSentError{Cause: err}
@@ -98,24 +99,24 @@
 	}
 	<-f.done
 	if f.reply != nil {
-		return p.check(c, req, f.reply)
+		return p.check(c, sent, req, f.reply)
 	}
 	return nil, &LostError{Cause: errors.Join(err, f.lastError)}
 }
 
 // runIgnoringStalls sends a call and waits for its reply until ctx ends.
-func (p *Peer) runIgnoringStalls(ctx context.Context, c clock.Clock, req *peerrpc.RunRequest) (*peerrpc.RunReply, error) {
+func (p *Peer) runIgnoringStalls(ctx context.Context, c clock.Clock, sent time.Time, req *peerrpc.RunRequest) (*peerrpc.RunReply, error) {
 	reply, err := p.client.Run(ctx, req)
 	if err != nil {
 		return nil, &LostError{Cause: err}
 	}
-	return p.check(c, req, reply)
+	return p.check(c, sent, req, reply)
 }
 
 // check returns the reply if its body hash is right and it belongs to the call. It also
-// records the peer's clock.
-func (p *Peer) check(c clock.Clock, req *peerrpc.RunRequest, reply *peerrpc.RunReply) (*peerrpc.RunReply, error) {
-	p.SetClock(c.Now(), reply.GetClock())
+// records the peer's clock. sent is the time before the request was sent.
+func (p *Peer) check(c clock.Clock, sent time.Time, req *peerrpc.RunRequest, reply *peerrpc.RunReply) (*peerrpc.RunReply, error) {
+	p.SetClock(sent, c.Now(), reply.GetClock())
 	if reply.GetCallId() != req.GetCallId() || reply.GetBodyHash() != xxhash.Sum64(reply.GetBody()) {
 		return nil, &InvalidReplyError{Call: req.GetCallId(), ReplyCall: reply.GetCallId()}
 	}
