Quota: a node that gets to know the fleet holds no share beside its gifts

What callers saw: nothing traced.

Cause: a node that has given keeps half of its share free in its bucket, as the pool may hold it. The refill heeds this, but the cut of the share did not: a node that took itself for one of few gave, refilled, and kept a whole share of the larger fleet beside its gift. Six nodes that knew only themselves held 5 tokens of a burst of 4 once they knew all.

Change: where the share shrinks, the bucket is cut to the same room as at the refill.

--- a/pkg/quota/fleet_test.go
+++ b/pkg/quota/fleet_test.go
@@ -247,3 +247,59 @@
 		})
 	}
 }
+
+// Each node knows a part of the fleet only, gives what it does not need, and then gets to
+// know all of it. Guards against shares that nodes hold beside what they gave as part of a
+// smaller fleet: requests that come then would exceed the burst.
+func TestNodesThatGetToKnowTheFleetStayWithinBurst(t *testing.T) {
+	const nodes = 6
+	limit := Limit{Rate: 2, Burst: 4}
+	for known := 1; known < nodes; known++ {
+		for intervals := 1; intervals <= 8; intervals++ {
+			t.Run(fmt.Sprintf("%d known, %d intervals", known, intervals), func(t *testing.T) {
+				is := is.New(t)
+				f := newKnownFleet(nodes, known, limit)
+				for range intervals {
+					f.clock.Advance(GiveInterval)
+					for _, l := range f.limiters {
+						keepSurplus(l)
+					}
+				}
+				for _, l := range f.limiters {
+					l.Update(map[fleet.OrganisationID]Limit{"dakar": limit}, nodes)
+				}
+				is.True(f.tokens("dakar") <= float64(limit.Burst)+roundingError)
+			})
+		}
+	}
+}
+
+// roundingError bounds the error of sums of tokens.
+const roundingError = 1e-9
+
+// newKnownFleet returns nodes that know of the given number of nodes.
+func newKnownFleet(nodes, known int, limit Limit) *testFleet {
+	f := &testFleet{clock: &clock.Fake{}}
+	for range nodes {
+		l := &Limiter{Clock: f.clock, StartFull: true}
+		l.Update(map[fleet.OrganisationID]Limit{"dakar": limit}, known)
+		f.limiters = append(f.limiters, l)
+	}
+	return f
+}
+
+// keepSurplus lets a node give its surplus to itself.
+func keepSurplus(l *Limiter) {
+	for _, g := range l.Surplus() {
+		l.Keep(g)
+	}
+}
+
+// tokens returns all tokens of an organisation that nodes hold.
+func (f *testFleet) tokens(id fleet.OrganisationID) float64 {
+	sum := 0.0
+	for _, l := range f.limiters {
+		sum += l.buckets[id].tokens + l.PoolTokens(id)
+	}
+	return sum
+}
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -108,7 +108,7 @@
 			l.buckets[id] = b
 		}
 		b.refill(now, l.uptime())
-		b.setLimit(limit, l.nodes)
+		b.setLimit(limit, l.nodes, l.uptime())
 		if startsFull {
 			b.tokens = b.capacity
 		}
@@ -131,7 +131,8 @@
 }
 
 // setLimit sets the limit and the number of nodes that share it; 0 nodes leave no share.
-func (b *bucket) setLimit(limit Limit, nodes int) {
+func (b *bucket) setLimit(limit Limit, nodes int, uptime time.Duration) {
+	before := b.capacity
 	b.limit = limit
 	b.rate, b.capacity = 0, 0
 	if nodes > 0 {
@@ -139,19 +140,25 @@
 		b.capacity = float64(limit.Burst) / float64(nodes)
 	}
 	b.tokens = min(b.tokens, b.capacity)
+	if b.capacity < before {
+		b.tokens = min(b.tokens, b.room(uptime))
+	}
 	b.pool.capacityPerGiver = pooledFraction * b.capacity
 	b.pool.trim()
 }
 
-// refill adds the tokens of the time since the last refill. What a pool may hold of the
-// node's share is no room in its bucket.
-func (b *bucket) refill(now time.Time, uptime time.Duration) {
-	room := b.capacity
+// room returns what the bucket may hold beside what a pool may hold of the node's share.
+func (b *bucket) room(uptime time.Duration) float64 {
 	if b.gave && uptime-b.gaveAt < giftLifetime+giftTransitTime {
-		room *= 1 - pooledFraction
+		return b.capacity * (1 - pooledFraction)
 	}
+	return b.capacity
+}
+
+// refill adds the tokens of the time since the last refill.
+func (b *bucket) refill(now time.Time, uptime time.Duration) {
 	if elapsed := now.Sub(b.refilledAt); elapsed > 0 {
-		b.tokens = min(b.tokens+b.rate*elapsed.Seconds(), max(room, b.tokens))
+		b.tokens = min(b.tokens+b.rate*elapsed.Seconds(), max(b.room(uptime), b.tokens))
 	}
 	b.refilledAt = now
 }
