Headers that are not UTF-8 pass between nodes unchanged

HTTP allows bytes 0x80-0xff in header values. A caller whose answer had such a header, from the instance of another node, waited until its deadline and got 504 for an answer that was made. A request with such a header, target or id got 503, as if no instance took it.

Cause: these texts are strings in Run and Outcome, and protobuf marshals no string that is not valid UTF-8. The local gate takes the message without marshalling, so that it hid the fault.

Change: link.EncodeText and DecodeText. A text that is valid UTF-8 stays as it is. Any other becomes a NUL, which no text of HTTP contains, and for each byte the character of the same number. The entrance encodes id, method, host, target and headers, and the gate decodes them; the gate encodes the headers of the answer, and the entrance decodes them. The message format is the same. Ruled out: bytes fields (another format between builds), and escaping as in URLs (it would change texts that have an escape already).

Nodes of earlier builds do not decode: between builds a text that is not UTF-8 arrives encoded, where the call failed before. Other texts are not affected.

Failed before: TestAnswerThatIsNotUTF8ArrivesUnchanged/another_node: 504 after 3.00 s TestRequestThatIsNotUTF8ReachesTheInstanceUnchanged/another_node: 503, with either id Both passed at the local node, and hold it now. TestGateDecodesTextsOfCalls fails without the change of admit.go, and without that of execute.go.

Tests of pkg/link, gate, entrance, instance, peering and mesh pass. Not green: ./platform, at a load of 50 on 8 cores. The load is the likely cause, not shown.

--- a/pkg/entrance/dispatch.go
+++ b/pkg/entrance/dispatch.go
@@ -75,7 +75,7 @@
 		if refusal != nil {
 			return nil, refusal
 		}
-		outcome = e.withOwnAnswer(r, outcome)
+		outcome = e.withOwnAnswer(r, withDecodedHeaders(outcome))
 		switch outcome.Fate {
 		case linkrpc.Fate_FATE_ANSWERED:
 			return outcome, nil
--- a/pkg/entrance/forward.go
+++ b/pkg/entrance/forward.go
@@ -2,17 +2,20 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 
+	"github.com/plantainramp/plantainramp/pkg/link"
 	"github.com/plantainramp/plantainramp/rpc/linkrpc"
 )
 
 // fillMessage sets the fields of the message that is sent to gates.
 func (e *Entrance) fillMessage(hr *http.Request, r *Request, body []byte) {
 	message := &r.message
-	message.Request, message.ConfigVersion, message.CallerService = r.ID, uint64(r.View.Version), string(e.Service)
-	message.Method, message.Host, message.Target, message.Body = hr.Method, hr.Host, hr.RequestURI, body
+	message.Request, message.ConfigVersion, message.CallerService = link.EncodeText(r.ID), uint64(r.View.Version), string(e.Service)
+	message.Method, message.Host, message.Target = link.EncodeText(hr.Method), link.EncodeText(hr.Host), link.EncodeText(hr.RequestURI)
+	message.Body = body
 	message.Idempotent, message.Inner, message.Route = r.Route.Idempotent, r.Inner, string(r.Route.Name)
 	message.Headers = e.forwardedHeaders(hr.Header)
 	priority := r.Route.Priority
@@ -26,7 +29,7 @@
 }
 
 // forwardedHeaders returns the headers to forward, as alternating names and
-// values.
+// values, encoded for the message.
 func (e *Entrance) forwardedHeaders(header http.Header) []string {
 	var connectionOptions []string
 	for _, v := range header["Connection"] {
@@ -38,7 +41,7 @@
 			continue
 		}
 		for _, v := range values {
-			forwarded = append(forwarded, name, v)
+			forwarded = append(forwarded, link.EncodeText(name), link.EncodeText(v))
 		}
 	}
 	return forwarded
@@ -53,6 +56,21 @@
 	return false
 }
 
+// withDecodedHeaders returns an outcome with the headers as the instance sent them. It leaves
+// the given one as it is, which the local gate retains.
+func withDecodedHeaders(outcome *linkrpc.Outcome) *linkrpc.Outcome {
+	if !slices.ContainsFunc(outcome.Headers, link.IsEncodedText) {
+		return outcome
+	}
+	headers := make([]string, len(outcome.Headers))
+	for i, text := range outcome.Headers {
+		headers[i] = link.DecodeText(text)
+	}
+	return &linkrpc.Outcome{
+		Fate: outcome.Fate, Reason: outcome.Reason, Status: outcome.Status, Headers: headers, Body: outcome.Body, Load: outcome.Load,
+	}
+}
+
 // writeResponse forwards an instance's response to the caller. The response to a HEAD request
 // keeps the length that the instance names, as it has no body.
 func writeResponse(w http.ResponseWriter, method string, outcome *linkrpc.Outcome) {
--- a/pkg/gate/admit.go
+++ b/pkg/gate/admit.go
@@ -6,6 +6,7 @@
 
 	"github.com/plantainramp/plantainramp/pkg/clock"
 	"github.com/plantainramp/plantainramp/pkg/fleet"
+	"github.com/plantainramp/plantainramp/pkg/link"
 	"github.com/plantainramp/plantainramp/pkg/routing"
 	"github.com/plantainramp/plantainramp/pkg/waitqueue"
 	"github.com/plantainramp/plantainramp/rpc/linkrpc"
@@ -81,8 +82,8 @@
 	if view == nil || uint64(view.Version) <= run.ConfigVersion {
 		return true
 	}
-	path := pathOf(run.Target)
-	route := view.Lookup(run.Host, path)
+	path := pathOf(link.DecodeText(run.Target))
+	route := view.Lookup(link.DecodeText(run.Host), path)
 	if route == nil || !route.RoutesTo(fleet.ServiceName(run.Service)) {
 		return false
 	}
--- a/pkg/gate/execute.go
+++ b/pkg/gate/execute.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/plantainramp/plantainramp/pkg/instance"
+	"github.com/plantainramp/plantainramp/pkg/link"
 	"github.com/plantainramp/plantainramp/rpc/linkrpc"
 )
 
@@ -36,8 +37,8 @@
 	}
 	local := g.local.Load()
 	call := &instance.Call{
-		Method: run.Method, Target: run.Target, Host: run.Host, Body: run.Body,
-		Idempotent: run.Idempotent, RequestID: run.Request, ExpectedInstance: string(local.ID), Headers: g.instanceHeaders(run, local, remaining),
+		Method: link.DecodeText(run.Method), Target: link.DecodeText(run.Target), Host: link.DecodeText(run.Host), Body: run.Body,
+		Idempotent: run.Idempotent, RequestID: link.DecodeText(run.Request), ExpectedInstance: string(local.ID), Headers: g.instanceHeaders(run, local, remaining),
 	}
 	response, err := g.Instance.Do(ctx, call)
 	d.SentAt = call.SentAt
@@ -46,7 +47,7 @@
 	switch {
 	case err == nil:
 		return &linkrpc.Outcome{
-			Fate: linkrpc.Fate_FATE_ANSWERED, Status: uint32(response.Status), Headers: response.Headers, Body: response.Body,
+			Fate: linkrpc.Fate_FATE_ANSWERED, Status: uint32(response.Status), Headers: encodedHeaders(response.Headers), Body: response.Body,
 		}, nil
 	case errors.As(err, &notSent):
 		return g.unsentOutcome(ctx), err
@@ -72,10 +73,20 @@
 	return NotRunOutcome(linkrpc.Reason_REASON_CANCELLED)
 }
 
+// encodedHeaders encodes the headers of a response, in place, for the outcome.
+func encodedHeaders(headers []string) []string {
+	for i, text := range headers {
+		headers[i] = link.EncodeText(text)
+	}
+	return headers
+}
+
 // instanceHeaders returns the headers of a call with those that the gate adds.
 func (g *Gate) instanceHeaders(run *linkrpc.Run, local *LocalInstance, remaining time.Duration) []string {
 	headers := make([]string, len(run.Headers), len(run.Headers)+8)
-	copy(headers, run.Headers)
+	for i, text := range run.Headers {
+		headers[i] = link.DecodeText(text)
+	}
 	headers = append(headers, g.Headers.Deadline, strconv.FormatInt(remaining.Milliseconds(), 10),
 		g.Headers.ExpectedInstance, string(local.ID), g.Headers.CallerService, run.CallerService)
 	if run.Organisation != "" {
--- a/pkg/mesh/events.go
+++ b/pkg/mesh/events.go
@@ -14,6 +14,7 @@
 	"github.com/plantainramp/plantainramp/pkg/fleet"
 	"github.com/plantainramp/plantainramp/pkg/gate"
 	"github.com/plantainramp/plantainramp/pkg/instance"
+	"github.com/plantainramp/plantainramp/pkg/link"
 	"github.com/plantainramp/plantainramp/pkg/logs"
 	"github.com/plantainramp/plantainramp/pkg/peering"
 	"github.com/plantainramp/plantainramp/pkg/problem"
@@ -161,7 +162,7 @@
 func (n *Node) decisionFields(d *gate.Decision) logrus.Fields {
 	load := n.gate.Slots.Load()
 	f := logrus.Fields{
-		"rateLimitPerS": n.gate.RateLimit(), "request": d.Run.Request, "route": d.Run.Route, "inner": d.Run.Inner, "reason": d.Outcome.Reason.String(), "waitedMs": milliseconds(d.Waited),
+		"rateLimitPerS": n.gate.RateLimit(), "request": link.DecodeText(d.Run.Request), "route": d.Run.Route, "inner": d.Run.Inner, "reason": d.Outcome.Reason.String(), "waitedMs": milliseconds(d.Waited),
 		"ranMs": milliseconds(d.Ran), "inFlight": load.InFlight, "limit": load.Limit, "queued": load.Queued, "runMs": milliseconds(load.MeanSlotTime),
 		"schedDelayMs": milliseconds(n.processor.Delay()),
 	}
