A reply that cannot be encoded leaves no caller waiting

A caller whose answer could not be encoded for its node waited until its deadline and got 504. No log said so.

Cause: Server.reply dropped each error of send but *BacklogError, a failed marshalling included: the peer got no reply, on a connection that was well. What a link did not send for the same reason was dropped too (Notify) or seen as a peer out of reach (Call).

Change: send returns *EncodeError. The server passes it to OnUnencodable and replies with a lost outcome to a Run or an Ask, never with one that has not run, and with an empty message to any other request (no tokens, no records). Link reports such messages through a hook of the same name. Of the errors of a reply, only that of a closed connection is left, which the peer learns from the connection. Ruled out: closing the connection, which would lose the other calls on it, and whose outcome, asked for again, would fail again.

--- a/pkg/entrance/text_test.go
+++ b/pkg/entrance/text_test.go
@@ -12,7 +12,10 @@
 
 	"github.com/plantainramp/plantainramp/pkg/directory"
 	"github.com/plantainramp/plantainramp/pkg/fleet"
+	"github.com/plantainramp/plantainramp/pkg/gate"
+	"github.com/plantainramp/plantainramp/pkg/problem"
 	"github.com/plantainramp/plantainramp/pkg/routing"
+	"github.com/plantainramp/plantainramp/rpc/linkrpc"
 )
 
 // newPlainUpstream starts an instance that checks nothing of what it gets. It passes each
@@ -100,3 +103,15 @@
 		}
 	}
 }
+
+// Guards against a caller that waits until its deadline for an answer that a gate cannot encode,
+// and against one that is told that its request has not run.
+func TestAnswerThatCannotBeEncodedCountsAsLost(t *testing.T) {
+	is := is.New(t)
+	cluster := newTestCluster(t, 1, routing.Route{AllowAnonymous: true, MaxAttempts: 1})
+	cluster.gates[0].OnDecision = func(d *gate.Decision) { d.Outcome.Headers = append(d.Outcome.Headers, "Name", "\xff") }
+	var lost bool
+	cluster.entrance.OnFinish = func(r *Request, _ int, _ *linkrpc.Outcome, _ *problem.Error) { lost = r.ResponseLost }
+	is.Equal(cluster.sendRequest(t.Context()).Code, http.StatusBadGateway)
+	is.True(lost)
+}
--- a/pkg/link/frame.go
+++ b/pkg/link/frame.go
@@ -7,6 +7,7 @@
 	"bufio"
 	"bytes"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -103,6 +104,36 @@
 	return "send queue to peer is full: the peer is not reading from the connection"
 }
 
+// EncodeError reports a message that cannot be encoded, so that nothing was sent.
+type EncodeError struct {
+	Kind  Kind
+	Cause error
+}
+
+// Error implements error.
+func (e *EncodeError) Error() string {
+	return fmt.Sprintf("message of kind %d cannot be encoded: %v", e.Kind, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *EncodeError) Unwrap() error { return e.Cause }
+
+// reportUnencodable passes an *EncodeError to a function, which may be nil, and reports whether
+// the error is one.
+func reportUnencodable(err error, report func(error)) bool {
+	if err == nil {
+		return false
+	}
+	var unencodable *EncodeError
+	if !errors.As(err, &unencodable) {
+		return false
+	}
+	if report != nil {
+		report(unencodable)
+	}
+	return true
+}
+
 // framer reads and writes messages on a connection. send may be called
 // concurrently; writeLoop and readMessage each belong to one goroutine.
 type framer struct {
@@ -155,8 +186,8 @@
 }
 
 // send queues a message for writeLoop. On a closed connection it returns the
-// error that closed it, after finishWrites net.ErrClosed, and *BacklogError when the
-// queue is full. The queue always takes the cancellation of a request. With isRequest set,
+// error that closed it, after finishWrites net.ErrClosed, *BacklogError when the
+// queue is full, and *EncodeError. The queue always takes the cancellation of a request. With isRequest set,
 // the stream is passed to beforeWrite.
 func (f *framer) send(kind Kind, stream StreamID, message proto.Message, isRequest bool) error {
 	f.mu.Lock()
@@ -177,7 +208,7 @@
 		encoded, err := proto.MarshalOptions{}.MarshalAppend(f.pending, message)
 		if err != nil {
 			f.pending = f.pending[:start]
-			return err
+			return &EncodeError{Kind: kind, Cause: err}
 		}
 		f.pending = encoded
 	}
--- a/pkg/link/link.go
+++ b/pkg/link/link.go
@@ -96,6 +96,9 @@
 	// OnStateChange is called after each dial and after a connection was lost, with
 	// the cause of a failure; nil is allowed.
 	OnStateChange func(connected bool, cause error)
+	// OnUnencodable receives an *EncodeError for each message that cannot be encoded; nil is
+	// allowed.
+	OnUnencodable func(error)
 
 	// mu guards the fields below, except connected.
 	mu sync.Mutex
@@ -143,6 +146,7 @@
 	stream, pending := c.openStream()
 	if err := c.send(kind, stream, message, true); err != nil {
 		c.dropStream(stream)
+		reportUnencodable(err, l.OnUnencodable)
 		return Reply{}, &NotSentError{Cause: err}
 	}
 	select {
@@ -163,12 +167,17 @@
 }
 
 // Notify sends a message that has no reply. It drops the message, and returns false, when
-// no connection is open or its send queue is full.
+// no connection is open, its send queue is full or the message cannot be encoded.
 func (l *Link) Notify(kind Kind, message proto.Message) bool {
 	l.mu.Lock()
 	c := l.conn
 	l.mu.Unlock()
-	return c != nil && c.send(kind, 0, message, false) == nil
+	if c == nil {
+		return false
+	}
+	err := c.send(kind, 0, message, false)
+	reportUnencodable(err, l.OnUnencodable)
+	return err == nil
 }
 
 // Peer returns the handshake message of the connected peer, or nil while no connection is
--- a/pkg/link/server.go
+++ b/pkg/link/server.go
@@ -62,6 +62,9 @@
 	// OnUnreadable receives the error of each message without a reply that cannot be
 	// decoded; nil is allowed.
 	OnUnreadable func(error)
+	// OnUnencodable receives an *EncodeError for each reply that cannot be encoded; nil is
+	// allowed. The peer gets the reply of substituteReply instead.
+	OnUnencodable func(error)
 	// OnPanic receives *recovery.PanicError if the handling of a message panics; nil is
 	// allowed. A request gets no reply then.
 	OnPanic func(error)
@@ -214,14 +217,40 @@
 	}
 }
 
-// reply queues the reply to a request. While the queue is full it waits, as the peer would
-// wait for a reply that is dropped until the time of its request has passed.
+// reply queues the reply to a request, or another one if it cannot be encoded: the peer would
+// wait for a reply that is dropped until the time of its request has passed. Only a connection
+// that is closed takes no reply, which its peer learns.
 func (s *Server) reply(c *serverConn, r *serverRequest, reply proto.Message) {
-	var backlog *BacklogError
-	for errors.As(c.send(KindReply, r.stream, reply, false), &backlog) {
+	err := s.queueReply(c, r.stream, reply)
+	if reportUnencodable(err, s.OnUnencodable) {
+		_ = s.queueReply(c, r.stream, substituteReply(r.Kind))
+	}
+}
+
+// substituteReply returns the reply to a request whose own reply cannot be encoded. A call may
+// have run. All other replies are empty, which grants nothing and tells nothing.
+func substituteReply(request Kind) proto.Message {
+	switch request {
+	case KindRun, KindAsk:
+		return &linkrpc.Outcome{Fate: linkrpc.Fate_FATE_LOST, Reason: linkrpc.Reason_REASON_BROKEN}
+	}
+	return nil
+}
+
+// queueReply queues a reply. While the queue is full it waits.
+func (s *Server) queueReply(c *serverConn, stream StreamID, reply proto.Message) error {
+	for {
+		err := c.send(KindReply, stream, reply, false)
+		if err == nil {
+			return nil
+		}
+		var backlog *BacklogError
+		if !errors.As(err, &backlog) {
+			return err
+		}
 		select {
 		case <-c.ended:
-			return
+			return err
 		case <-s.Clock.After(backlogPollInterval):
 		}
 	}
--- a/pkg/mesh/events.go
+++ b/pkg/mesh/events.go
@@ -41,9 +41,11 @@
 	eventStray            logs.EventKind = "response of the instance belongs to no call"
 	// eventAnsweredAgain is logged in place of eventAnswered and eventFailed.
 	eventAnsweredAgain logs.EventKind = "request answered after a lost answer"
-	// eventBorrowFailed and eventMessageUnreadable concern messages between nodes.
-	eventBorrowFailed      logs.EventKind = "peer not asked for tokens"
-	eventMessageUnreadable logs.EventKind = "message of a peer cannot be read"
+	// eventBorrowFailed, eventMessageUnreadable and eventMessageUnencodable concern messages
+	// between nodes.
+	eventBorrowFailed       logs.EventKind = "peer not asked for tokens"
+	eventMessageUnreadable  logs.EventKind = "message of a peer cannot be read"
+	eventMessageUnencodable logs.EventKind = "message to a peer cannot be encoded"
 )
 
 // onFinished logs and meters a request that has ended at this node's entrance.
@@ -283,4 +285,9 @@
 	n.events.Log(eventMessageUnreadable, func() logrus.Fields { return logrus.Fields{"what": subject, "error": err.Error()} })
 }
 
+// logUnencodable logs a message to a peer that cannot be encoded.
+func (n *Node) logUnencodable(err error) {
+	n.events.Log(eventMessageUnencodable, func() logrus.Fields { return logrus.Fields{"error": err.Error()} })
+}
+
 func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
--- a/pkg/peering/peering.go
+++ b/pkg/peering/peering.go
@@ -45,6 +45,9 @@
 	Hello      func() *linkrpc.Hello
 	// Dial connects to a peer; nil means link.DialTCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// OnUnencodable receives the error of each message to a peer that cannot be encoded; nil
+	// is allowed.
+	OnUnencodable func(error)
 
 	// mu guards peers and leaving.
 	mu    sync.Mutex
@@ -116,7 +119,7 @@
 		return &Peer{Node: entry.Node, gate: p.Gate, noteLeaving: p.NoteLeaving}
 	}
 	peer := &Peer{Node: entry.Node, noteLeaving: p.NoteLeaving}
-	peer.link = &link.Link{Address: string(entry.Node), Clock: p.Clock, Hello: p.Hello, Dial: p.Dial, OnStateChange: func(connected bool, cause error) {
+	peer.link = &link.Link{Address: string(entry.Node), Clock: p.Clock, Hello: p.Hello, Dial: p.Dial, OnUnencodable: p.OnUnencodable, OnStateChange: func(connected bool, cause error) {
 		logger := p.Logger.WithField("peer", entry.Node)
 		if connected {
 			logger.Info("peer reached")
