soak: servers that stutter, and answers compared with what they gave

A success, or any response with the mark of a server, must be what a server gave to that id, with its body; this holds for callers and for calls of servers, with all seeds. A read on a kept connection, which the client sends once, must not be executed if it is rejected; so far that was checked for actions only. New cases of TestCheckOutcomes hold that each of these is found; the old ones stay, but that a sound success now bears the mark of its server.

--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -15,6 +15,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -28,6 +29,8 @@
 const (
 	testHost = "homes.example"
 	apiKey   = "key-dakar-1"
+	// signatureHeader marks the responses of servers.
+	signatureHeader = "Plantainramp-Response-Signature"
 	// gracePeriod is the time within which a node must exit after a signal, as in
 	// settingsTemplate.
 	gracePeriod = 4 * time.Second
@@ -108,6 +111,8 @@
 	machines []*machine
 	// version is the version of the newest configuration.
 	version int
+	// stutter makes the servers stutter and fail some requests.
+	stutter stutter
 
 	// mu guards the fields below. violations are the texts of the violations found so
 	// far.
@@ -123,17 +128,15 @@
 	c.violations = append(c.violations, fmt.Sprintf(format, args...))
 }
 
-// serveHTTP serves handler on a free local port until the test ends, and returns
-// its address.
-func serveHTTP(t *testing.T, handler http.Handler) string {
+// listen listens on a free local port until the test ends.
+func listen(t *testing.T) net.Listener {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = l.Close() })
-	go func() { _ = http.Serve(l, handler) }()
-	return l.Addr().String()
+	return l
 }
 
 // lockPorts waits until no other soak test on this host uses the ports, and keeps others
@@ -169,10 +172,11 @@
 	c := &cluster{t: t, binary: buildNode(t), store: platformtest.NewStore(), version: 1}
 	lockPorts(t)
 	c.putConfig()
-	address := serveHTTP(t, c.store.Handler())
+	store := listen(t)
+	go func() { _ = http.Serve(store, c.store.Handler()) }()
 	downstream := platformtest.NestedCall{Prefix: "/homes/", Host: testHost, Path: "/days/x", Times: 2}
 	for i, service := range []string{"showcase", "showcase", "desk", "desk", "calendar", "calendar", "archive", "archive"} {
-		c.addMachine(i, service, address, downstream)
+		c.addMachine(i, service, store.Addr().String(), downstream)
 	}
 	return c
 }
@@ -233,7 +237,10 @@
 		ID: "i-" + m.name, Service: service, Zone: fmt.Sprintf("z%d", i%2), Slots: 24, ServiceTime: serviceTimes[service],
 		ControlAddress: local(1), OutboundAddress: local(0), NestedCalls: []platformtest.NestedCall{downstream}, HeartbeatInterval: heartbeatInterval, StartUnixMs: time.Now().UnixMilli(),
 	}
-	m.server.Address = serveHTTP(c.t, m.server)
+	c.stutter.prepare(m.server, stutterSeed(faultSeed(c.t), i))
+	l := listen(c.t)
+	m.server.Address = l.Addr().String()
+	go func() { _ = m.server.Serve(l) }()
 	folder := c.t.TempDir()
 	m.settings = filepath.Join(folder, "node.ini")
 	text := fmt.Sprintf(settingsTemplate, m.name, service, m.server.Zone, port, port+1, port+2, port+3, m.server.Address, store)
@@ -327,6 +334,8 @@
 type result struct {
 	status int
 	body   string
+	// signature is that of the server, empty if the node made the response.
+	signature string
 	// cut reports whether the connection was closed without a complete response. It is
 	// false if the client gave the request up or the connection was refused.
 	cut bool
@@ -341,7 +350,7 @@
 	if err != nil {
 		return result{cut: isCut(err)}
 	}
-	return result{status: response.StatusCode, body: string(data)}
+	return result{status: response.StatusCode, body: string(data), signature: response.Header.Get(signatureHeader)}
 }
 
 func isCut(err error) bool {
@@ -417,15 +426,30 @@
 	}
 }
 
-// executions returns how often each request id was executed, over all servers.
-func (c *cluster) executions() map[string]int {
-	executions := map[string]int{}
+// records are what the servers did, by request id.
+type records struct {
+	executions map[string]int
+	answers    map[string][]platformtest.Answer
+}
+
+// records returns what all servers did.
+func (c *cluster) records() records {
+	r := records{executions: map[string]int{}, answers: map[string][]platformtest.Answer{}}
 	for _, m := range c.machines {
 		for id, n := range m.server.Executions() {
-			executions[id] += n
+			r.executions[id] += n
+		}
+		for id, answers := range m.server.Answers() {
+			r.answers[id] = append(r.answers[id], answers...)
 		}
 	}
-	return executions
+	return r
+}
+
+// gave reports whether a server gave the response to the request.
+func (r records) gave(id string, response result) bool {
+	given := slices.Contains(r.answers[id], platformtest.Answer{Status: response.status, Body: response.body})
+	return given && response.signature == "signed-"+id
 }
 
 // logTail returns the last n bytes of the node's log.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -53,7 +53,9 @@
 	// machine is the name of the machine that the request was sent to.
 	id, path, machine string
 	action            bool
-	start, end        time.Time
+	// kept reports whether the request was sent on a kept connection, and so once only.
+	kept       bool
+	start, end time.Time
 }
 
 // sendFunc sends a request to a node.
@@ -77,7 +79,7 @@
 		c.group.Go(func() {
 			for n := 0; ctx.Err() == nil; n++ {
 				prefix := []string{"/homes/", "/swaps/"}[n%2]
-				c.group.Go(func() { c.sendRequest(m.send, m.name, fmt.Sprintf("s%d-%d", i, n), prefix) })
+				c.group.Go(func() { c.sendRequest(m.send, outcome{id: fmt.Sprintf("s%d-%d", i, n), machine: m.name}, prefix) })
 				time.Sleep(requestInterval)
 			}
 		})
@@ -92,7 +94,7 @@
 				k := &keptConnection{machine: m}
 				defer k.close()
 				for n := 0; ctx.Err() == nil; n++ {
-					c.sendRequest(k.send, m.name, fmt.Sprintf("k%d-%d-%d", i, j, n), []string{"/homes/", "/swaps/", "/archive/"}[(j+n)%3])
+					c.sendRequest(k.send, outcome{id: fmt.Sprintf("k%d-%d-%d", i, j, n), machine: m.name, kept: true}, []string{"/homes/", "/swaps/", "/archive/"}[(j+n)%3])
 					time.Sleep(requestInterval)
 				}
 			})
@@ -100,14 +102,14 @@
 	}
 }
 
-// sendRequest sends a read, or an action, and records its outcome.
-func (c *clients) sendRequest(send sendFunc, machine, id, prefix string) {
-	o := outcome{id: id, machine: machine, action: prefix == "/swaps/", path: prefix + id, start: time.Now()}
+// sendRequest sends a read, or an action, and records its outcome in o.
+func (c *clients) sendRequest(send sendFunc, o outcome, prefix string) {
+	o.action, o.path, o.start = prefix == "/swaps/", prefix+o.id, time.Now()
 	method := "GET"
 	if o.action {
 		method = "POST"
 	}
-	o.result = send(context.Background(), method, o.path, id)
+	o.result = send(context.Background(), method, o.path, o.id)
 	o.end = time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -282,20 +284,22 @@
 	return d
 }
 
-// checkOutcomes compares the outcomes that clients saw with the number of
-// executions of each request, and records violations of the guarantees.
-func checkOutcomes(c *cluster, executions map[string]int, outcomes []outcome) {
+// checkOutcomes compares the outcomes that clients saw with what the servers did, and
+// records violations of the guarantees.
+func checkOutcomes(c *cluster, r records, outcomes []outcome) {
 	for _, o := range outcomes {
-		n := executions[o.id]
+		n := r.executions[o.id]
 		switch {
 		case o.action && n > 1:
 			c.addViolation("action %s was executed %d times", o.id, n)
-		case o.action && n > 0 && (o.status == 429 || o.status == 503):
-			c.addViolation("action %s was rejected with status %d but was executed", o.id, o.status)
+		case (o.action || o.kept) && n > 0 && (o.status == 429 || o.status == 503):
+			c.addViolation("request %s was rejected with status %d (signature %q) but was executed", o.id, o.status, o.signature)
 		case o.status == 200 && n == 0:
 			c.addViolation("request %s succeeded but was never executed", o.id)
 		case o.status == 200 && !strings.Contains(o.body, " "+o.path+" "+o.id+" "):
 			c.addViolation("request %s got the response of another request: %q", o.id, o.body)
+		case (o.status == 200 || o.signature != "") && !r.gave(o.id, o.result):
+			c.addViolation("request %s got status %d and body %q with signature %q, but servers gave %v", o.id, o.status, o.body, o.signature, r.answers[o.id])
 		case o.status >= 400 && o.status < 429 && o.status != 408 && o.status != 421:
 			c.addViolation("request %s was denied with status %d", o.id, o.status)
 		case n > 0 && o.cut && c.cutByStop(o):
@@ -326,6 +330,12 @@
 	action := func(id string, status int) outcome {
 		return outcome{id: id, path: "/swaps/" + id, action: true, result: result{status: status, body: "i POST /swaps/" + id + " " + id + " 0"}}
 	}
+	// signed returns a response with the mark of a server.
+	signed := func(status int, body string) outcome {
+		o := action("a", status)
+		o.body, o.signature = body, "signed-a"
+		return o
+	}
 	// The node m is stopped in the seconds 10 to 14, and killed in those 14.5 to 15.
 	at := func(seconds float64) time.Time {
 		return time.Unix(100, 0).Add(time.Duration(seconds * float64(time.Second)))
@@ -334,16 +344,24 @@
 	unanswered := func(cut bool, machine string, start, end float64) outcome {
 		return outcome{id: "a", path: "/homes/a", machine: machine, start: at(start), end: at(end), result: result{cut: cut}}
 	}
+	sound := action("a", 200).body
 	for name, test := range map[string]struct {
 		executions int
 		outcome    outcome
 		want       int
 	}{
-		"sound":                       {1, action("a", 200), 0},
+		"sound":                       {1, signed(200, sound), 0},
+		"sound failure":               {1, signed(500, "i failed a"), 0},
+		"success without signature":   {1, action("a", 200), 1},
+		"success for a failure":       {1, signed(200, "i failed a"), 1},
+		"another status":              {1, signed(504, "i failed a"), 1},
+		"part of a body":              {1, signed(200, "i POST /swaps/a a "), 1},
 		"refused":                     {0, action("a", 503), 0},
 		"execution unknown":           {1, action("a", 502), 0},
 		"twice":                       {2, action("a", 502), 1},
 		"rejected but executed":       {1, action("a", 503), 1},
+		"read rejected but executed":  {1, outcome{id: "a", kept: true, result: result{status: 503}}, 1},
+		"read that was sent again":    {1, outcome{id: "a", result: result{status: 503}}, 0},
 		"success without execution":   {0, action("a", 200), 1},
 		"response of another request": {1, outcome{id: "a", path: "/swaps/a", result: result{status: 200, body: "i POST /swaps/b b 0"}}, 1},
 		"denied":                      {0, action("a", 401), 1},
@@ -357,7 +375,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := &cluster{shutdowns: shutdowns}
-			checkOutcomes(c, map[string]int{"a": test.executions}, []outcome{test.outcome})
+			answers := map[string][]platformtest.Answer{"a": {{Status: 200, Body: sound}, {Status: 500, Body: "i failed a"}}}
+			checkOutcomes(c, records{map[string]int{"a": test.executions}, answers}, []outcome{test.outcome})
 			is.New(t).Equal(len(c.violations), test.want)
 		})
 	}
@@ -376,7 +395,7 @@
 // Node processes are killed, stopped, suspended and restarted while the store fails
 // or is restored from an older copy, and responses are lost. Guards against an action
 // that is executed twice, a rejected action that is executed, a success without
-// execution, requests that reach a server after their callers have left, a node that exits
+// execution or with another answer than that of the server, requests that reach a server after their callers have left, a node that exits
 // unexpectedly or takes longer than its grace period to
 // stop, an executed request that a stopping node does not answer, a configuration that
 // is not in force or an entry that the directory lacks after a restore, and goodput
@@ -403,14 +422,17 @@
 	defer stop()
 	load := &clients{cluster: c}
 	load.run(ctx)
+	c.stutter.set(stutters(seed))
 	history := injectFaults(c, rand.New(rand.NewPCG(seed, 5)), faultDuration(t))
+	c.stutter.set(false)
 	recovered := time.Now().Add(recoveryTimeout)
 	time.Sleep(recoveryTimeout + 2*time.Second)
 	stop()
 	load.group.Wait()
 	fraction, total := load.goodput(recovered, recovered.Add(2*time.Second))
-	t.Logf("SOAK_SEED=%d: %v; %d requests; %.4f of %d succeeded after the recovery timeout", seed, history, len(load.outcomes), fraction, total)
-	checkOutcomes(c, c.executions(), load.outcomes)
+	t.Logf("SOAK_SEED=%d: %v; %d requests; %d second answers; %.4f of %d succeeded after the recovery timeout", seed, history, len(load.outcomes), c.stutter.count.Load(), fraction, total)
+	checkOutcomes(c, c.records(), load.outcomes)
+	c.checkNestedCalls()
 	load.checkLeft()
 	c.checkDirectory(c.store.Newest(platform.TopicDirectory))
 	if lacking := c.lackingConfig(t.Context()); len(lacking) > 0 {
