soak: keep the nodes' logs, and tell what the callers got after the recovery timeout

The last 2,000 bytes of each node's log show calls to the showcase that are handed back as full and runs of 288 ms; they don't tell why, nor what the others got. SOAK_LOGS=FOLDER now keeps the logs, and the soak prints how many requests got which status by route, with the median time. No check is changed.

--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -241,7 +241,7 @@
 	l := listen(c.t)
 	m.server.Address = l.Addr().String()
 	go func() { _ = m.server.Serve(l) }()
-	folder := c.t.TempDir()
+	folder := nodeFolder(c.t, m.name)
 	m.settings = filepath.Join(folder, "node.ini")
 	text := fmt.Sprintf(settingsTemplate, m.name, service, m.server.Zone, port, port+1, port+2, port+3, m.server.Address, store)
 	if err := os.WriteFile(m.settings, []byte(text), 0o600); err != nil {
@@ -260,6 +260,21 @@
 	})
 }
 
+// nodeFolder returns a new folder for a node's settings and log. It is kept after the test if
+// the environment variable SOAK_LOGS names a folder to hold it.
+func nodeFolder(t *testing.T, name string) string {
+	t.Helper()
+	logs := os.Getenv("SOAK_LOGS")
+	if logs == "" {
+		return t.TempDir()
+	}
+	folder := filepath.Join(logs, name)
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	return folder
+}
+
 // startNode starts the node of a machine and records a violation if it exits
 // before it is stopped.
 func (c *cluster) startNode(m *machine) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -164,6 +166,25 @@
 	return float64(succeeded) / float64(max(total, 1)), total
 }
 
+// summary returns the number and the median time of the requests started in [from, to), by
+// route and status.
+func (c *clients) summary(from, to time.Time) string {
+	times := map[string][]time.Duration{}
+	for _, o := range c.outcomes {
+		if !o.start.Before(from) && o.start.Before(to) {
+			route, _, _ := strings.Cut(o.path[1:], "/")
+			key := fmt.Sprintf("%s %d", route, o.status)
+			times[key] = append(times[key], o.end.Sub(o.start))
+		}
+	}
+	var text strings.Builder
+	for _, key := range slices.Sorted(maps.Keys(times)) {
+		slices.Sort(times[key])
+		fmt.Fprintf(&text, "%s: %d, %s; ", key, len(times[key]), times[key][len(times[key])/2].Round(time.Millisecond))
+	}
+	return text.String()
+}
+
 // faultFunctions returns the faults by name. Each fault ends without further
 // calls: before its function returns or, for lost responses, after the next few
 // requests of the server.
@@ -431,6 +452,7 @@
 	load.group.Wait()
 	fraction, total := load.goodput(recovered, recovered.Add(2*time.Second))
 	t.Logf("SOAK_SEED=%d: %v; %d requests; %d second answers; %.4f of %d succeeded after the recovery timeout", seed, history, len(load.outcomes), c.stutter.count.Load(), fraction, total)
+	t.Logf("then by route and status, with the median time: %s", load.summary(recovered, recovered.Add(2*time.Second)))
 	checkOutcomes(c, c.records(), load.outcomes)
 	c.checkNestedCalls()
 	load.checkLeft()
