platformtest: records of answers in one place

The test in platform/ and the soak compared responses with what servers gave in two copies of the same code. Records holds executions and answers, and Gave compares; both use it.

--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -15,7 +15,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -29,8 +28,6 @@
 const (
 	testHost = "homes.example"
 	apiKey   = "key-dakar-1"
-	// signatureHeader marks the responses of servers.
-	signatureHeader = "Plantainramp-Response-Signature"
 	// gracePeriod is the time within which a node must exit after a signal, as in
 	// settingsTemplate.
 	gracePeriod = 4 * time.Second
@@ -356,6 +353,11 @@
 	cut bool
 }
 
+// answer returns what a server gave if the result is that of a server.
+func (r result) answer() platformtest.Answer {
+	return platformtest.Answer{Status: r.status, Body: r.body}
+}
+
 func resultOf(response *http.Response, err error) result {
 	if err != nil {
 		return result{cut: isCut(err)}
@@ -365,7 +367,7 @@
 	if err != nil {
 		return result{cut: isCut(err)}
 	}
-	return result{status: response.StatusCode, body: string(data), signature: response.Header.Get(signatureHeader)}
+	return result{status: response.StatusCode, body: string(data), signature: response.Header.Get(platformtest.SignatureHeader)}
 }
 
 func isCut(err error) bool {
@@ -441,32 +443,15 @@
 	}
 }
 
-// records are what the servers did, by request id.
-type records struct {
-	executions map[string]int
-	answers    map[string][]platformtest.Answer
-}
-
 // records returns what all servers did.
-func (c *cluster) records() records {
-	r := records{executions: map[string]int{}, answers: map[string][]platformtest.Answer{}}
+func (c *cluster) records() platformtest.Records {
+	r := platformtest.NewRecords()
 	for _, m := range c.machines {
-		for id, n := range m.server.Executions() {
-			r.executions[id] += n
-		}
-		for id, answers := range m.server.Answers() {
-			r.answers[id] = append(r.answers[id], answers...)
-		}
+		r.Add(m.server.Records())
 	}
 	return r
 }
 
-// gave reports whether a server gave the response to the request.
-func (r records) gave(id string, response result) bool {
-	given := slices.Contains(r.answers[id], platformtest.Answer{Status: response.status, Body: response.body})
-	return given && response.signature == "signed-"+id
-}
-
 // logTail returns the last n bytes of the node's log.
 func (m *machine) logTail(n int) string {
 	data, err := os.ReadFile(m.log.Name())
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -307,9 +307,9 @@
 
 // checkOutcomes compares the outcomes that clients saw with what the servers did, and
 // records violations of the guarantees.
-func checkOutcomes(c *cluster, r records, outcomes []outcome) {
+func checkOutcomes(c *cluster, r platformtest.Records, outcomes []outcome) {
 	for _, o := range outcomes {
-		n := r.executions[o.id]
+		n := r.Executions[o.id]
 		switch {
 		case o.action && n > 1:
 			c.addViolation("action %s was executed %d times", o.id, n)
@@ -319,8 +319,8 @@
 			c.addViolation("request %s succeeded but was never executed", o.id)
 		case o.status == 200 && !strings.Contains(o.body, " "+o.path+" "+o.id+" "):
 			c.addViolation("request %s got the response of another request: %q", o.id, o.body)
-		case (o.status == 200 || o.signature != "") && !r.gave(o.id, o.result):
-			c.addViolation("request %s got status %d and body %q with signature %q, but servers gave %v", o.id, o.status, o.body, o.signature, r.answers[o.id])
+		case (o.status == 200 || o.signature != "") && !r.Gave(o.id, o.answer(), o.signature):
+			c.addViolation("request %s got status %d and body %q with signature %q, but servers gave %v", o.id, o.status, o.body, o.signature, r.Answers[o.id])
 		case o.status >= 400 && o.status < 429 && o.status != 408 && o.status != 421:
 			c.addViolation("request %s was denied with status %d", o.id, o.status)
 		case n > 0 && o.cut && c.cutByStop(o):
@@ -397,7 +397,7 @@
 		t.Run(name, func(t *testing.T) {
 			c := &cluster{shutdowns: shutdowns}
 			answers := map[string][]platformtest.Answer{"a": {{Status: 200, Body: sound}, {Status: 500, Body: "i failed a"}}}
-			checkOutcomes(c, records{map[string]int{"a": test.executions}, answers}, []outcome{test.outcome})
+			checkOutcomes(c, platformtest.Records{Executions: map[string]int{"a": test.executions}, Answers: answers}, []outcome{test.outcome})
 			is.New(t).Equal(len(c.violations), test.want)
 		})
 	}
--- a/soak/stutter_test.go
+++ b/soak/stutter_test.go
@@ -64,9 +64,9 @@
 	r := c.records()
 	for _, m := range c.machines {
 		for id, response := range m.server.NestedResponses() {
-			got := result{status: response.Status, body: response.Body, signature: response.Header.Get(signatureHeader)}
-			if (got.status == http.StatusOK || got.signature != "") && !r.gave(id, got) {
-				c.addViolation("call %s got status %d and body %q with signature %q, but servers gave %v", id, got.status, got.body, got.signature, r.answers[id])
+			got := result{status: response.Status, body: response.Body, signature: response.Header.Get(platformtest.SignatureHeader)}
+			if (got.status == http.StatusOK || got.signature != "") && !r.Gave(id, got.answer(), got.signature) {
+				c.addViolation("call %s got status %d and body %q with signature %q, but servers gave %v", id, got.status, got.body, got.signature, r.Answers[id])
 			}
 		}
 	}
