GONE: test of callers that left counts only what a node sends after its pause

Its log cannot tell which of the three faults below it was.

Cause, in the test, each seen in a traced round: - SIGSTOP was taken for done when kill returned. Beside load the node ran on, up to 59 ms: its gate read requests of callers that still waited, stopped while it handled them, and sent them on 2 ms after the pause. - A request on its way to the server that was not suspended, 3.7 ms after the last close and 271 ms before the end of the pause, counted as executed afterwards. - Callers that took long to connect left only 5 ms before the end of the pause, so that the entrance had hardly begun to cancel their calls.

Change: the test waits until the kernel reports the process stopped; the pause ends at least 200 ms after the last caller has left; a request counts if it arrives at a server, rejected or not, over 200 ms after its own caller left. So everything that a node sends after the pause counts, as before, and the bound stays 0. The soak uses the same count with its own bound.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -120,7 +120,8 @@
 
 // leave sends a slow read, closes its connection after the given time and records when.
 func (c *clients) leave(m *machine, id string, wait time.Duration) {
-	if sendAndLeave(context.Background(), m, "/archive/"+id, id, wait) != nil {
+	leftAt, err := sendAndLeave(context.Background(), m, "/archive/"+id, id, wait)
+	if err != nil {
 		return
 	}
 	c.mu.Lock()
@@ -128,7 +129,7 @@
 	if c.left == nil {
 		c.left = map[string]time.Time{}
 	}
-	c.left[id] = time.Now()
+	c.left[id] = leftAt
 }
 
 // checkLeft records a violation if more than a few requests reached a server long after
@@ -136,12 +137,7 @@
 func (c *clients) checkLeft() {
 	late := 0
 	for _, m := range c.cluster.machines {
-		for id, arrived := range m.server.Arrivals() {
-			left, hasLeft := c.left[id]
-			if hasLeft && arrived.Sub(left) > maxNoticeTime {
-				late++
-			}
-		}
+		late += arrivalsAfter(m.server, c.left, maxNoticeTime)
 	}
 	if late > maxLateArrivals {
 		c.cluster.addViolation("%d of %d requests reached a server over %s after their callers had left", late, len(c.left), maxNoticeTime)
