--- a/pkg/entrance/body_test.go
+++ b/pkg/entrance/body_test.go
@@ -177,6 +177,25 @@
 	}
 }
 
+// The rest of a body arrives after the time limit of its request. The response promises that
+// the request does not run, and names the time limit also while the node stops.
+func TestBodyAfterTheTimeLimitIsRefused(t *testing.T) {
+	for name, takes := range map[string]bool{"while the node takes requests": true, "while it stops": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newUploadServer(t, 0)
+			s.entrance.Takes = func(*Request) bool { return takes }
+			conn := s.open(t, "Left: 100", "Content-Length: 2")
+			_, err := conn.Write([]byte("s"))
+			is.NoErr(err)
+			is.Equal(conn.status(t).StatusCode, http.StatusRequestTimeout)
+			_, _ = conn.Write([]byte("w")) // the node may have closed the connection
+			time.Sleep(20 * time.Millisecond)
+			is.Equal(s.executions.Load(), int64(0))
+		})
+	}
+}
+
 // The rest of a body arrives late or never. Guards against a refusal that waits for it.
 func TestRefusalDoesNotWaitForBody(t *testing.T) {
 	for name, header := range map[string]string{"small": "Content-Length: 1000", "large": "Content-Length: 100000", "chunked": "Transfer-Encoding: chunked"} {
