--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -1,6 +1,12 @@
 // Package instance is an HTTP/1.1 client for the local instance of a node. It
 // manages its connections itself instead of using net/http, so that it can tell for
 // each failed call whether the call may have run.
+//
+// Instances may send a response again at any later time, whole or in part. A stray response is
+// any that is read while a call awaits its own. One that is whole and belongs to an earlier call
+// of the connection is a late copy, which is skipped. One that has broken off is joined with the
+// next, which shows as a second status line. Any stray but a late copy ends the call as one
+// that may have run.
 package instance
 
 import (
--- a/pkg/mesh/events.go
+++ b/pkg/mesh/events.go
@@ -191,28 +191,6 @@
 	})
 }
 
-// onStray logs and counts a response of the local instance that was not taken for that of
-// the call that awaited one.
-func (n *Node) onStray(s instance.Stray) {
-	n.meter.CountStrayResponse(s.Skipped)
-	n.events.Log(eventStray, func() logrus.Fields {
-		return logrus.Fields{"request": s.RequestID, "gotRequest": s.GotID, "status": s.Status, "connCalls": s.Calls, "skipped": s.Skipped}
-	})
-}
-
-// onForeignAnswer logs and counts an answer that is not that of its request.
-func (n *Node) onForeignAnswer(r *entrance.Request, got string) {
-	n.meter.CountForeignAnswer()
-	n.events.Log(eventForeignAnswer, func() logrus.Fields {
-		return logrus.Fields{"request": r.ID, "gotRequest": got, "sentTo": r.SentTo, "queried": r.Queried}
-	})
-}
-
-// onRepeatedID logs a call whose id was sent to the local instance before.
-func (n *Node) onRepeatedID(id string) {
-	n.events.Log(eventRepeatedID, func() logrus.Fields { return logrus.Fields{"request": id} })
-}
-
 // onBodyDiscarded logs a call that is handed back as the gate has no memory for its body.
 func (n *Node) onBodyDiscarded() {
 	n.events.Log(eventBodyDiscarded, func() logrus.Fields {
