The start of another answer in a body is found also if its rest is not read yet

What callers saw: a 200 with the instance's id and header whose body is cut and filled up with the head of another answer, or, without a length, goes on with another answer.

Cause: hasJoinedBody looked only where bytes were left in the read buffer. The last 4,096 bytes or more of a large body are read past the buffer, so that what follows stays in the socket; what follows may also arrive later; and behind a body without a length nothing follows.

Change: bytes that wait in the socket count as well, and the body itself is looked at: a status line that begins an answer to a call of this connection, which breaks off with the body, is a seam. A whole answer in a body with a length is a quote as before, and so is a status line alone or an answer with another id. In a body without a length each answer to a call of the connection is a seam.

Left: an own body without a length that quotes a whole answer to a call of its connection is lost. A seam is not seen if no more than the status line of the second answer lies in the body and the rest arrives later.

--- a/pkg/instance/conncheck.go
+++ b/pkg/instance/conncheck.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"errors"
 	"net"
 	"syscall"
 )
@@ -9,20 +10,36 @@
 // connection that the instance has closed, or on which it has sent data after the
 // last response, must not carry another call.
 func isOpenAndIdle(c net.Conn) bool {
-	syscallConn, ok := c.(syscall.Conn)
+	_, isSocket := c.(syscall.Conn)
+	_, err := peekByte(c)
+	return !isSocket || errors.Is(err, syscall.EAGAIN)
+}
+
+// hasData reports whether data that was not read has arrived on a connection.
+func hasData(c net.Conn) bool {
+	n, err := peekByte(c)
+	return err == nil && n > 0
+}
+
+// peekByte looks for a byte that has arrived on a socket, without reading it, and does not
+// wait. It returns 0 bytes at the end of the input and EAGAIN if there is nothing.
+func peekByte(c net.Conn) (n int, err error) {
+	socket, ok := c.(syscall.Conn)
 	if !ok {
-		return true
+		return 0, nil
 	}
-	raw, err := syscallConn.SyscallConn()
+	raw, err := socket.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	idle := false
+	var peekErr error
 	err = raw.Read(func(fd uintptr) bool {
 		var buffer [1]byte
-		_, _, errno := syscall.Recvfrom(int(fd), buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		idle = errno == syscall.EAGAIN
+		n, _, peekErr = syscall.Recvfrom(int(fd), buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		return true
 	})
-	return err == nil && idle
+	if err != nil {
+		return 0, err
+	}
+	return n, peekErr
 }
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -221,7 +221,7 @@
 		c.noteStray(k, call, response, skipped)
 		return nil, false, &ResponseError{HeaderReceived: true, Cause: &RequestIDMismatchError{Got: id, Skipped: skipped}}
 	}
-	if k.hasJoinedBody(body) {
+	if k.hasJoinedBody(response, body, c.Headers.RequestID) {
 		return nil, false, &ResponseError{HeaderReceived: true, Cause: &JoinedResponsesError{Status: response.Status}}
 	}
 	reusable := !response.Close && !joined
--- a/pkg/instance/joined.go
+++ b/pkg/instance/joined.go
@@ -5,6 +5,8 @@
 	"bytes"
 	"errors"
 	"io"
+	"iter"
+	"net/http"
 	"slices"
 )
 
@@ -59,17 +61,62 @@
 	}
 }
 
-// hasJoinedBody reports whether a body that was read contains the start of another response,
-// and data follows it: the body has broken off, and a response that was sent after it was read
-// in its place.
-func (k *conn) hasJoinedBody(body []byte) bool {
-	if k.reader.Buffered() == 0 {
-		return false
+// hasJoinedBody reports whether the body of a response contains the start of another one: it has
+// broken off, or has no length, and a response that was sent after it was read in its place or
+// behind it. A status line alone may be a quote if nothing follows the body.
+func (k *conn) hasJoinedBody(response *http.Response, body []byte, idHeader string) bool {
+	// Most bodies contain none, which this search tells sooner.
+	if !bytes.Contains(body, []byte(statusLineStart[:len("HTTP/1.")])) {
+		return k.endsInStatusLine(body)
+	}
+	for i := range statusLines(body) {
+		if k.hasUnreadData() || k.startsResponse(body[i:], idHeader, isDelimited(response)) {
+			return true
+		}
 	}
-	// A status line that begins behind the body is that of another response, not a part of it.
+	return k.endsInStatusLine(body)
+}
+
+// endsInStatusLine reports whether a status line begins in a body and ends in what was read
+// behind it. One that begins behind the body is that of another response, not a part of it.
+func (k *conn) endsInStatusLine(body []byte) bool {
 	next, _ := k.reader.Peek(min(k.reader.Buffered(), len(statusLineStart)-1))
-	last := body[max(0, len(body)-len(statusLineStart)):]
-	return hasStatusLine(body) || hasStatusLine(slices.Concat(last, next))
+	last := body[max(0, len(body)-len(statusLineStart)+1):]
+	return hasStatusLine(slices.Concat(last, next))
+}
+
+// hasUnreadData reports whether data has arrived that was not read.
+func (k *conn) hasUnreadData() bool { return k.reader.Buffered() > 0 || hasData(k.Conn) }
+
+// startsResponse reports whether a text that begins with a status line is the start of a response
+// to a call of the connection. If mayQuote is set, a whole response is a quote.
+func (k *conn) startsResponse(text []byte, idHeader string, mayQuote bool) bool {
+	if endOfHead(text) == 0 {
+		return isUnfinishedHead(text)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(text)), nil)
+	if err != nil {
+		return false
+	}
+	if id := response.Header.Get(idHeader); id == "" || !k.carried.has(digestOf(id)) {
+		return false
+	}
+	_, err = io.Copy(io.Discard, response.Body)
+	return err != nil || !mayQuote || !isDelimited(response)
+}
+
+// isDelimited reports whether a response says where its body ends. Otherwise it ends with its
+// connection.
+func isDelimited(response *http.Response) bool {
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+}
+
+// isUnfinishedHead reports whether a text is a status line and the start of a header, with the
+// name of a field at least.
+func isUnfinishedHead(text []byte) bool {
+	_, header, _ := bytes.Cut(text, []byte("\n"))
+	name, _, found := bytes.Cut(header, []byte(":"))
+	return found && len(name) > 0 && !bytes.ContainsAny(name, " \t\r\n")
 }
 
 // isJoined reports whether a head contains another status line behind its own: a response has
@@ -79,14 +126,23 @@
 
 // hasStatusLine reports whether a text contains the start of a status line.
 func hasStatusLine[T string | []byte](text T) bool {
-	for i := 0; i+len(statusLineStart) <= len(text); i++ {
-		if text[i] == statusLineStart[0] && startsStatusLine(text[i:i+len(statusLineStart)]) {
-			return true
-		}
+	for range statusLines(text) {
+		return true
 	}
 	return false
 }
 
+// statusLines returns the positions in a text at which a status line starts.
+func statusLines[T string | []byte](text T) iter.Seq[int] {
+	return func(yield func(int) bool) {
+		for i := 0; i+len(statusLineStart) <= len(text); i++ {
+			if text[i] == statusLineStart[0] && startsStatusLine(text[i:i+len(statusLineStart)]) && !yield(i) {
+				return
+			}
+		}
+	}
+}
+
 // startsStatusLine compares a text with statusLineStart, which is as long.
 func startsStatusLine[T string | []byte](text T) bool {
 	for i := range len(statusLineStart) {
