An answer that an instance begins and replaces on a new connection is not taken

What callers saw: a success in place of a failure, or "not run" of a call that ran, where an instance begins an answer, gives it up within its head and sends another one, as the answer to the first call of a connection: `HTTP/1.1 200 ` and then `HTTP/1.1 500 ...` was a 200 with the header and body of the 500.

Cause: on a new connection a second status line in a head was always held for a quote, as no answer to an earlier call can come there. But the instance can begin two answers to the same call.

Change: a head of a new connection may still quote a status line in its header, but only one with the code of its own status line, and not if it says that the call was not run.

Left: an answer that quotes another code in its header is lost, also on a new connection. If the first answer of a call is whole, it counts (as before).

--- a/pkg/instance/brokenoff_test.go
+++ b/pkg/instance/brokenoff_test.go
@@ -139,6 +139,7 @@
 		{runRecord{status: 200, body: "begun"}, runRecord{status: 500, body: "own"}},
 		{runRecord{status: 503, body: "begun", notRun: true}, runRecord{status: 200, body: "own"}},
 		{runRecord{status: 500, body: "begun"}, runRecord{status: 200, body: "own"}},
+		{runRecord{status: 503, body: "begun", notRun: true}, runRecord{status: 503, body: "own"}},
 	} {
 		for _, begun := range answerForms("2", c.begun) {
 			for _, own := range answerForms("2", c.own) {
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -221,7 +221,7 @@
 		c.noteStray(k, call, response, skipped)
 		return nil, false, &ResponseError{HeaderReceived: true, Cause: &RequestIDMismatchError{Got: id, Skipped: skipped}}
 	}
-	if k.hasJoinedBody(response, body, c.Headers.RequestID) {
+	if joined && rejection != nil || k.hasJoinedBody(response, body, c.Headers.RequestID) {
 		return nil, false, &ResponseError{HeaderReceived: true, Cause: &JoinedResponsesError{Status: response.Status}}
 	}
 	reusable := !response.Close && !joined
@@ -238,12 +238,15 @@
 
 // readFinalResponse reads a response, skipping interim (1xx) ones. It reports whether the head
 // of one of them contains another status line. On a connection that has carried earlier calls
-// that is an error. On a new one nothing can precede the response, which quotes the line.
+// that is an error. On a new one no answer to another call can precede the response, which may
+// quote its own status.
 func (k *conn) readFinalResponse(request *http.Request) (response *http.Response, joined bool, err error) {
 	for range maxInterimResponses {
-		joined = isJoined(k.peekHead()) || joined
+		head := k.peekHead()
+		joined = isJoined(head) || joined
+		isSeam := joined && (k.carried.count() > 1 || !quotesOwnStatus(head))
 		response, err := http.ReadResponse(k.reader, request)
-		if err == nil && joined && k.carried.count() > 1 {
+		if err == nil && isSeam {
 			return nil, joined, &JoinedResponsesError{Status: response.Status}
 		}
 		if err != nil || response.StatusCode >= http.StatusOK {
