--- a/pkg/instance/brokenoff_test.go
+++ b/pkg/instance/brokenoff_test.go
@@ -99,6 +99,20 @@
 	}
 }
 
+// A late copy is sent while the body of the call's own answer is: its length counts both, and the
+// rest is not read yet.
+func TestCopyWithinABodyIsNotPartOfIt(t *testing.T) {
+	run := runAnswer{runRecord: runRecord{status: 200, body: strings.Repeat("whole body ", 20)}}
+	own := answerText(200, "2", "", run.body)
+	headOfOwn, late := len(own)-len(run.body), answerText(200, "1", "", "x")
+	for at := headOfOwn; at < len(own)-len(late); at++ {
+		response, err := segmentsBehind(t, true, own[:at], late, own[at:len(own)-len(late)], own[len(own)-len(late):])
+		if problem := run.foreign(response, err); problem != "" {
+			t.Fatalf("after %d bytes of the body: %s", at-headOfOwn, problem)
+		}
+	}
+}
+
 // An answer without a length is followed by a second one before the connection ends.
 func TestBodyWithoutLengthIsNotFollowedByAnotherAnswer(t *testing.T) {
 	run := runAnswer{runRecord: runRecord{status: 200, body: "own body"}}
