A late copy within a body is no part of it

What callers saw: a success whose body is the first part of the instance's own, a late copy of the answer to an earlier call, and less of the rest.

Cause: a whole answer within a body counted as a quote, whichever call it answers, as long as no more data had arrived.

Change: only a whole answer with the id of the call itself is a quote; one to an earlier call of the connection is a late copy that was sent while the body was.

Left: a second answer to the call itself that lies whole within the body of the first cannot be told from a quote if the rest of the first arrives later.

--- a/pkg/instance/joined.go
+++ b/pkg/instance/joined.go
@@ -66,12 +66,16 @@
 // broken off, or has no length, and a response that was sent after it was read in its place or
 // behind it. A status line alone may be a quote if nothing follows the body.
 func (k *conn) hasJoinedBody(response *http.Response, body []byte, idHeader string) bool {
+	quotableID := ""
+	if isDelimited(response) {
+		quotableID = response.Header.Get(idHeader)
+	}
 	// Most bodies contain none, which this search tells sooner.
 	if !bytes.Contains(body, []byte(statusLineStart[:len("HTTP/1.")])) {
 		return k.endsInStatusLine(body)
 	}
 	for i := range statusLines(body) {
-		if k.hasUnreadData() || k.startsResponse(body[i:], idHeader, isDelimited(response)) {
+		if k.hasUnreadData() || k.startsResponse(body[i:], idHeader, quotableID) {
 			return true
 		}
 	}
@@ -90,8 +94,8 @@
 func (k *conn) hasUnreadData() bool { return k.reader.Buffered() > 0 || hasData(k.Conn) }
 
 // startsResponse reports whether a text that begins with a status line is the start of a response
-// to a call of the connection. If mayQuote is set, a whole response is a quote.
-func (k *conn) startsResponse(text []byte, idHeader string, mayQuote bool) bool {
+// to a call of the connection. A whole one with the id quotableID is a quote, unless that is empty.
+func (k *conn) startsResponse(text []byte, idHeader, quotableID string) bool {
 	if endOfHead(text) == 0 {
 		return isUnfinishedHead(text)
 	}
@@ -99,11 +103,12 @@
 	if err != nil {
 		return false
 	}
-	if id := response.Header.Get(idHeader); id == "" || !k.carried.has(digestOf(id)) {
+	id := response.Header.Get(idHeader)
+	if id == "" || !k.carried.has(digestOf(id)) {
 		return false
 	}
 	_, err = io.Copy(io.Discard, response.Body)
-	return err != nil || !mayQuote || !isDelimited(response)
+	return err != nil || id != quotableID || !isDelimited(response)
 }
 
 // isDelimited reports whether a response says where its body ends. Otherwise it ends with its
