A begun answer of another version is not taken for a quote

What callers saw: a 200 whose body contains the chunks as they are sent, where an instance begins an answer of HTTP/1.0 on a new connection and then sends one in chunks.

Cause: a quoted status line had to have the code of the head alone. HTTP/1.0 knows no chunks.

Change: version and code must be the same.

--- a/pkg/instance/brokenoff_test.go
+++ b/pkg/instance/brokenoff_test.go
@@ -146,6 +146,16 @@
 	}
 }
 
+// An instance begins an answer of HTTP/1.0, which has no chunks, and sends one in chunks. Guards
+// against a body that contains the chunks as they are sent.
+func TestBeginOfAnOlderVersionIsNotPartOfTheNextOnANewConnection(t *testing.T) {
+	run := runRecord{status: 200, body: "own body"}
+	for _, own := range answerForms("2", run) {
+		response, err := segmentsBehind(t, false, "HTTP/1.0 200 OK\r\nName: "+own.text)
+		is.New(t).Equal(own.foreign(response, err), "")
+	}
+}
+
 // An instance begins an answer, gives it up and sends another one on a new connection. Guards
 // against a success in place of a failure, and "not run" of a call that ran.
 func TestPieceOfAnAnswerIsNotPartOfTheNextOnANewConnection(t *testing.T) {
--- a/pkg/instance/joined.go
+++ b/pkg/instance/joined.go
@@ -8,7 +8,6 @@
 	"iter"
 	"net/http"
 	"slices"
-	"strings"
 )
 
 // statusLineStart is how a status line begins; each N stands for a digit.
@@ -130,25 +129,19 @@
 // line cannot be told from that.
 func isJoined(head []byte) bool { return len(head) > 0 && hasStatusLine(head[1:]) }
 
-// quotesOwnStatus reports whether each further status line in a head has the code of its own and
-// lies behind its first line. The status is then the same if one of them is a seam.
+// quotesOwnStatus reports whether each further status line in a head lies behind its first line
+// and has the version and the code of its own. Both are then the same if one of them is a seam.
 func quotesOwnStatus(head []byte) bool {
 	firstLine, _, _ := bytes.Cut(head, []byte("\n"))
-	own := string(statusCodeAt(head, 0))
 	for i := range statusLines(head) {
-		if i > 0 && (i < len(firstLine) || string(statusCodeAt(head, i)) != own) {
+		quoted := head[i : i+len(statusLineStart)]
+		if i > 0 && (i < len(firstLine) || !bytes.HasPrefix(head, quoted)) {
 			return false
 		}
 	}
 	return true
 }
 
-// statusCodeAt returns the code of the status line at a position, or what there is of it.
-func statusCodeAt(text []byte, start int) []byte {
-	start += strings.Index(statusLineStart, "NNN")
-	return text[min(start, len(text)):min(start+len("NNN"), len(text))]
-}
-
 // hasStatusLine reports whether a text contains the start of a status line.
 func hasStatusLine[T string | []byte](text T) bool {
 	for range statusLines(text) {
