--- a/pkg/entrance/entrance_test.go
+++ b/pkg/entrance/entrance_test.go
@@ -45,6 +45,8 @@
 	callTime time.Duration
 	// abortResponses makes instances run calls and abort the response.
 	abortResponses atomic.Bool
+	// answer replaces the handler of the instances; nil means that they answer "done".
+	answer http.HandlerFunc
 	// lend returns the tokens that the gates' nodes lend for one request; nil means none.
 	lend func() float64
 	// unreachable makes all dials from the entrance fail.
@@ -56,6 +58,10 @@
 
 func (tc *testCluster) serve(w http.ResponseWriter, r *http.Request) {
 	tc.executions.Add(1)
+	if tc.answer != nil {
+		tc.answer(w, r)
+		return
+	}
 	tc.running.Add(1)
 	defer tc.running.Add(-1)
 	n, _ := io.Copy(io.Discard, r.Body)
