A body that quotes the start of a head, and more, is whole

What callers saw: none yet on a release; since an own, whole answer whose body quotes a status line and header fields, and no empty line, was lost each time: `<pre>HTTP/1.1 200 OK, Server: desk, </pre>` in three lines.

Cause: one field name behind a status line was taken for an answer that breaks off with the body.

Change: a head that breaks off there has nothing but fields up to the end of the body; the last may be a part of one.

Evidence: TestBodyThatQuotesAnAnswerIsWhole has three more quotes, of which four cases failed before.

--- a/pkg/instance/brokenoff_test.go
+++ b/pkg/instance/brokenoff_test.go
@@ -136,6 +136,7 @@
 	for _, quoted := range []string{
 		`{"upstream":"HTTP/1.1 503 Service Unavailable"}`, "HTTP/1.1 503 Service Unavailable", "HTTP/1.1 200 OK\nno header",
 		"log: HTTP/1.1 200 OK\r\nId: other\r\n\r\nbody", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+		"<pre>HTTP/1.1 200 OK\nServer: desk\n</pre>", "HTTP/1.1 200 OK\r\nServer: desk\r\nand so on", "HTTP/1.1 200 OK\nsee section 4: headers",
 	} {
 		for _, answer := range []string{answerText(200, "2", "", quoted), "HTTP/1.1 200 OK\r\nId: 2\r\n\r\n" + quoted} {
 			is := is.New(t)
--- a/pkg/instance/joined.go
+++ b/pkg/instance/joined.go
@@ -13,6 +13,9 @@
 // statusLineStart is how a status line begins; each N stands for a digit.
 const statusLineStart = "HTTP/1.N NNN"
 
+// noFieldName holds characters of texts that the name of a header field cannot contain.
+const noFieldName = " \t<"
+
 // peekHead returns the head of the next response without reading it: its status line, its
 // header and the empty line at their end, or what there is of it if the connection ends first.
 // The slice is valid until the next read.
@@ -117,11 +120,17 @@
 }
 
 // isUnfinishedHead reports whether a text is a status line and the start of a header, with the
-// name of a field at least.
+// name of a field at least, and nothing else.
 func isUnfinishedHead(text []byte) bool {
-	_, header, _ := bytes.Cut(text, []byte("\n"))
-	name, _, found := bytes.Cut(header, []byte(":"))
-	return found && len(name) > 0 && !bytes.ContainsAny(name, " \t\r\n")
+	lines := bytes.Split(text, []byte("\n"))[1:]
+	for i, line := range lines {
+		name, _, found := bytes.Cut(bytes.TrimSuffix(line, []byte("\r")), []byte(":"))
+		isLast := i == len(lines)-1
+		if !found && (!isLast || i == 0) || found && len(name) == 0 || bytes.ContainsAny(name, noFieldName) {
+			return false
+		}
+	}
+	return len(lines) > 0
 }
 
 // isJoined reports whether a head contains another status line behind its own: a response has
