Node: signals are handled before other packages are initialised

Cause: the first statement of main took SIGTERM, but the packages of the node take some 3 ms to initialise before it (inittrace, x86-64), at a load of 50 more. A signal within that time ended the process, with its log empty and another code than 0.

Change: a package that only the node's program imports begins to handle SIGTERM, SIGINT and SIGHUP in its initialisation. Go initialises packages in the order of their paths once their imports have been, so that it comes after 0.5 ms, before protobuf, Prometheus and gob. A SIGHUP before the settings are read needs no more than not to end the process. What the operating system does before the runtime starts stays as it was.

--- a/cmd/plantainmesh/main.go
+++ b/cmd/plantainmesh/main.go
@@ -6,6 +6,7 @@
 	"os"
 
 	"github.com/plantainramp/plantainramp/internal/meshcmd"
+	_ "github.com/plantainramp/plantainramp/internal/stopsignal/early" // before other packages
 )
 
 func main() { os.Exit(meshcmd.Main(os.Args[1:], os.Stdout, os.Stderr)) }
