soak: a node that SIGTERM ends before it has started is let pass

Such a process has taken nothing, and the operating system's default applies.

Change: let pass is a process that SIGTERM itself ended and that has written nothing, counted from its own start. The node handles signals before it reads its settings (TestSignalsAreHandledBeforeSettingsAreRead) and logs that it has started; the soak now asks for that line of each node first. Such exits are printed. Every other exit stays a violation, which now shows the log of the process that ended alone.

Evidence: TestCheckStop stops processes of a shell: one that has started and dies of SIGTERM is reported, also after one that had not; an exit code, or another signal, with nothing written is reported.

--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -86,6 +86,8 @@
 	// mu guards the fields below.
 	mu      sync.Mutex
 	process *exec.Cmd
+	// logStart is the length of the log when the current process was started.
+	logStart int
 	// expectRunning is true while the node must run: an exit is then a violation.
 	expectRunning bool
 	// exited is closed when the current process has exited.
@@ -279,6 +281,7 @@
 	defer m.mu.Unlock()
 	process := exec.Command(c.binary, "--settings", m.settings)
 	process.Stdout, process.Stderr = m.log, m.log
+	m.logStart = len(m.logFrom(0))
 	if err := process.Start(); err != nil {
 		c.t.Fatal(err)
 	}
@@ -297,11 +300,11 @@
 
 // stopNode sends a terminating signal to the node and waits for its exit. A node
 // that takes longer than gracePeriod, or exits with another code than 0 after
-// SIGTERM, is recorded as a violation.
+// SIGTERM, is recorded as a violation, but for one that had not started.
 func (c *cluster) stopNode(m *machine, signal syscall.Signal) {
 	m.mu.Lock()
 	m.expectRunning = false
-	process, exited := m.process, m.exited
+	process, exited, logStart := m.process, m.exited, m.logStart
 	m.mu.Unlock()
 	s := shutdown{machine: m.name, signal: signal, from: time.Now()}
 	_ = process.Process.Signal(signal)
@@ -316,9 +319,22 @@
 	c.mu.Lock()
 	c.shutdowns = append(c.shutdowns, s)
 	c.mu.Unlock()
-	if code := process.ProcessState.ExitCode(); signal == syscall.SIGTERM && code != 0 {
-		c.addViolation("node %s ended after SIGTERM with %s: %s", m.name, process.ProcessState, m.logTail(crashLogBytes))
+	if signal != syscall.SIGTERM {
+		return
 	}
+	output := m.logFrom(logStart)
+	if endedBeforeStart(process.ProcessState.Sys().(syscall.WaitStatus), output) {
+		c.t.Logf("node %s ended by SIGTERM before it had started", m.name)
+	} else if process.ProcessState.ExitCode() != 0 {
+		c.addViolation("node %s ended after SIGTERM with %s: %q", m.name, process.ProcessState, output[max(0, len(output)-crashLogBytes):])
+	}
+}
+
+// endedBeforeStart reports whether SIGTERM ended a process that had written nothing. Until a
+// program handles the signal, which the node does before it reads its settings, the operating
+// system ends its process; once the node has started, its log says so.
+func endedBeforeStart(status syscall.WaitStatus, output string) bool {
+	return status.Signaled() && status.Signal() == syscall.SIGTERM && output == ""
 }
 
 // pause suspends the node's process for d.
@@ -452,13 +468,19 @@
 	return r
 }
 
-// logTail returns the last n bytes of the node's log.
-func (m *machine) logTail(n int) string {
+// logFrom returns the node's log without its first n bytes.
+func (m *machine) logFrom(n int) string {
 	data, err := os.ReadFile(m.log.Name())
 	if err != nil {
 		return err.Error()
 	}
-	return string(data[max(0, len(data)-n):])
+	return string(data[min(n, len(data)):])
+}
+
+// logTail returns the last n bytes of the node's log.
+func (m *machine) logTail(n int) string {
+	text := m.logFrom(0)
+	return text[max(0, len(text)-n):]
 }
 
 // logTails returns the last 2000 bytes of each node's log.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -6,6 +6,7 @@
 	"maps"
 	"math/rand/v2"
 	"os"
+	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
@@ -399,6 +400,45 @@
 	}
 }
 
+// Processes that do not handle signals stand in for the node. Guards against a soak test that
+// passes although SIGTERM ends a node that has started: only one that has not is let pass.
+func TestCheckStop(t *testing.T) {
+	const starts, silent = "echo node started; exec sleep 60", "exec sleep 60"
+	for name, test := range map[string]struct {
+		// scripts are those of the machine's processes, of which each is stopped.
+		scripts []string
+		want    int
+	}{
+		"not started":                 {[]string{silent}, 0},
+		"started":                     {[]string{starts}, 1},
+		"not started after a started": {[]string{starts, silent}, 1},
+		"started after a started":     {[]string{starts, starts}, 2},
+		"exit code, nothing written":  {[]string{"trap 'exit 1' TERM; : >$2.trapped; while :; do sleep 0.01; done"}, 1},
+		"handled":                     {[]string{"trap 'exit 0' TERM; echo node started; while :; do sleep 0.01; done"}, 0},
+		"other signal":                {[]string{"trap 'kill -KILL $$' TERM; : >$2.trapped; while :; do sleep 0.01; done"}, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			folder := t.TempDir()
+			log, err := os.Create(filepath.Join(folder, "node.log"))
+			is.NoErr(err)
+			defer func() { _ = log.Close() }()
+			c := &cluster{t: t, binary: filepath.Join(folder, "node")}
+			m := &machine{name: "m", settings: filepath.Join(folder, "node.ini"), log: log}
+			for _, script := range test.scripts {
+				is.NoErr(os.WriteFile(c.binary, []byte("#!/bin/sh\n"+script+"\n"), 0o700))
+				c.startNode(m)
+				is.True(platformtest.Await(5*time.Second, func() bool {
+					_, err := os.Stat(m.settings + ".trapped")
+					return script == silent || err == nil || m.logFrom(m.logStart) != ""
+				}))
+				c.stopNode(m, syscall.SIGTERM)
+			}
+			is.Equal(len(c.violations), test.want)
+		})
+	}
+}
+
 // Guards against a soak test that passes although the directory lacks an entry.
 func TestCheckDirectory(t *testing.T) {
 	is := is.New(t)
@@ -435,6 +475,9 @@
 		}
 		return true
 	}))
+	for _, m := range c.machines {
+		is.True(strings.Contains(m.logFrom(m.logStart), "node started")) // stopNode relies on it
+	}
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
 	load := &clients{cluster: c}
