Relay: nodes without the store ask a second node of each other data centre

Callers of a data centre that has lost the store got 503 for every request with a key, once their nodes' keys had expired, for as long as the first reader of the other data centre had lost the store, too, or was unreachable (the latter by the code, not run), however many others there followed the store. Seen first in TestKeysAreTrustedThroughAnotherDataCentre at a load of 44 to 60: the process stood still for 2.9 s, so that one read of the first reader passed its time limit. That node asks its peers for 5 s then and lends nothing meanwhile: 30 of 30 requests refused, the confirmation 5.9 to 9.1 s old.

Cause: a node that the store has failed asked one peer of its own data centre, the first reader of each other one, and then its own data centre again. The second reader, which reads for its data centre once the first cannot, was never asked.

Change: the first two readers of each other data centre are asked, the first of all before the second of any. The number of questions before the store is tried stays at three.

Two readers that are lost at once in each other data centre still leave the node without keys.

--- a/pkg/mesh/relay.go
+++ b/pkg/mesh/relay.go
@@ -26,6 +26,9 @@
 	// staleAvoidance is how long a peer is not asked that has lost the store. It may notice,
 	// and ask another itself.
 	staleAvoidance = 500 * time.Millisecond
+	// lendersPerDataCentre is the number of nodes of each other data centre that may be asked
+	// when the store has failed this node, so that it may have failed one of them, too.
+	lendersPerDataCentre = 2
 	// maxRelayPeers bounds the peers that are asked before the store is read.
 	maxRelayPeers = 3
 	// relayAnswerMargin is how much longer than its wait an answer of a peer may take.
@@ -108,15 +111,18 @@
 	return slices.Concat(own[:first], firstReaders(snapshot, n.settings.DataCentre), own[first:])
 }
 
-// firstReaders returns the first reader of each data centre except one.
+// firstReaders returns the first readers of each data centre except one: the first of each,
+// then the second of each, which reads for its data centre if the store fails the first.
 func firstReaders(s *directory.Snapshot, except fleet.DataCentre) []directory.NodeAddress {
-	var first []directory.NodeAddress
+	var byRank [lendersPerDataCentre][]directory.NodeAddress
 	for _, dataCentre := range otherDataCentres(s, except) {
-		if nodes := readers(s, dataCentre); len(nodes) > 0 {
-			first = append(first, nodes[0])
+		for rank, node := range readers(s, dataCentre) {
+			if rank < lendersPerDataCentre {
+				byRank[rank] = append(byRank[rank], node)
+			}
 		}
 	}
-	return first
+	return slices.Concat(byRank[:]...)
 }
 
 // otherDataCentres returns the data centres of all nodes, except one.
