Node: each part of a stop ends in time

Seen: TestStopEndsWithinShortGracePeriod took 513 ms of 500 ms at a load of 54 on 8 cores. The log of that stop: requests given up after 474 ms in place of 450, their answers written after 488 ms, controllers ended 0.4 ms later, links closed after 513 ms.

Cause of the first 20 ms: a part that is not quiet sleeps for a whole poll interval before it looks at its end, so that each part lasts up to 20 ms too long, whatever the grace period.

Change: the last sleep ends with the part.

TestPartOfStopEndsInTime failed before (20 ms in place of 5) and passes now.

--- a/pkg/mesh/drain.go
+++ b/pkg/mesh/drain.go
@@ -107,7 +107,7 @@
 		if !busy && n.sinceStop() > minTime && now.Sub(lastBusy) >= idleTime {
 			return
 		}
-		_ = clock.Sleep(context.Background(), n.clock, drainPollInterval)
+		_ = clock.Sleep(context.Background(), n.clock, min(drainPollInterval, maxTime-n.sinceStop()))
 	}
 }
 
