Node: a stop waits for the links only as long as its grace period lasts

Seen: the same stop of 513 ms of 500 ms. Its responses were written after 488 ms in place of 465, and it still waited the whole 20 ms for its peers to close their ends: links closed after 513 ms.

Cause: the last replies to peers had 4 % of the grace period from whenever they began, also where the responses to callers had taken that time already.

Change: the wait ends at 97 % of the grace period, where a stop in time ends it, too, and lasts 5 ms at least. Replies that the longer wait would have saved were cut by the end of the grace period.

TestLinksAreClosedWithinGracePeriod failed before (240 ms in place of 120 and 5) and passes now.

--- a/pkg/mesh/drain.go
+++ b/pkg/mesh/drain.go
@@ -23,8 +23,10 @@
 	// still being written are cut.
 	closeFraction = 0.93
 	// linkCloseFraction is the fraction of the grace period that the last replies to
-	// peers may take after that.
+	// peers may take after that, and minLinkCloseTime what they may take if the responses
+	// took longer.
 	linkCloseFraction = 0.04
+	minLinkCloseTime  = 5 * time.Millisecond
 	// minDrainTime is how long a stopping node keeps connections even if there are no
 	// requests. Callers learn only from the next readiness check that the node is stopping.
 	minDrainTime = 2500 * time.Millisecond
@@ -72,6 +74,12 @@
 	return time.Duration(fraction * float64(n.settings.GracePeriod))
 }
 
+// linkCloseTime returns how long the last replies to peers may take from now on.
+func (n *Node) linkCloseTime() time.Duration {
+	untilEnd := n.partOfGrace(closeFraction+linkCloseFraction) - n.sinceStop()
+	return max(minLinkCloseTime, min(n.partOfGrace(linkCloseFraction), untilEnd))
+}
+
 // admissionTime returns how long after the signal to stop the node takes requests.
 func (n *Node) admissionTime() time.Duration {
 	return min(n.partOfGrace(admissionFraction), maxAdmissionTime)
--- a/pkg/mesh/drain_test.go
+++ b/pkg/mesh/drain_test.go
@@ -40,3 +40,22 @@
 		is.Equal(n.sinceStop(), maxTime)
 	}
 }
+
+// Guards against a wait for the links to peers that lasts beyond the grace period, as the
+// responses to callers took longer than they should.
+func TestLinksAreClosedWithinGracePeriod(t *testing.T) {
+	const gracePeriod = 6 * time.Second
+	for name, test := range map[string]struct{ drained, want time.Duration }{
+		"nothing in flight": {drained: 2500 * time.Millisecond, want: 240 * time.Millisecond},
+		"in time":           {drained: 5580 * time.Millisecond, want: 240 * time.Millisecond},
+		"late":              {drained: 5700 * time.Millisecond, want: 120 * time.Millisecond},
+		"too late":          {drained: 5900 * time.Millisecond, want: minLinkCloseTime},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			n := newStoppingNode(gracePeriod)
+			n.clock.(*steppingClock).Advance(test.drained)
+			is.Equal(n.linkCloseTime(), test.want)
+		})
+	}
+}
--- a/pkg/mesh/run.go
+++ b/pkg/mesh/run.go
@@ -105,6 +105,7 @@
 	stopWork()
 	controllers.Wait()
 	_ = peerListener.Close()
+	n.links.CloseTimeout = n.linkCloseTime()
 	n.links.Close()
 	_ = n.meter.Close()
 	n.logger.Info("node stopped")
