--- a/pkg/instance/seam_test.go
+++ b/pkg/instance/seam_test.go
@@ -155,6 +155,7 @@
 		{"trailer", "HTTP/1.1 200 OK\r\nTrailer: S", failure("Transfer-Encoding: chunked\r\n", "6\r\nsecond\r\n0\r\n\r\n")},
 		{"transfer encoding", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked", failure("Content-Length: 6\r\n", "second")},
 		{"body of a copy", fmt.Sprintf("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: %d\r\n\r\n", headOfOwn), nestedOwn},
+		{"extension of the last chunk of a copy", "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n0;key=v", nestedOwn},
 		{"trailer of a copy", "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n0\r\nName: v", nestedOwn},
 	}
 	for _, c := range cases {
