A copy that breaks off in the extension of its last chunk is not skipped

What callers saw: a success in place of a failure, where a late copy breaks off behind `0;` and the own answer follows, whose body is an answer with the id of the call.

Cause: net/http passes over chunk extensions, so that the status line of the own answer left no trace: its header was the trailer of the copy, which was skipped as whole.

Change: a copy with a request id in its trailer is not whole.

Left: a piece that ends in the extension of a chunk that is not the last, as before.

--- a/pkg/instance/carried.go
+++ b/pkg/instance/carried.go
@@ -33,9 +33,13 @@
 
 // isLateCopy reports whether a response is a whole one to an earlier call on the connection:
 // the next response is then that of the call which awaits one. One that has broken off contains
-// the start of the next in its body or trailer.
-func (k *conn) isLateCopy(id string, response *http.Response, body []byte) bool {
-	return id != "" && k.carried.has(digestOf(id)) && !hasStatusLine(body) && !slices.ContainsFunc(trailerTexts(response), hasStatusLine[string])
+// the start of the next in its body or trailer, or, if that was in the extension of the last chunk,
+// the id of the next in its trailer.
+func (k *conn) isLateCopy(id string, response *http.Response, body []byte, idHeader string) bool {
+	if id == "" || !k.carried.has(digestOf(id)) || response.Trailer.Get(idHeader) != "" {
+		return false
+	}
+	return !hasStatusLine(body) && !slices.ContainsFunc(trailerTexts(response), hasStatusLine[string])
 }
 
 // trailerTexts returns the lines of the trailer of a response that was read whole.
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -217,7 +217,7 @@
 	// rejection may lack the id, as some do that are sent before the request is read.
 	isOwn := id == call.RequestID || id == "" && rejection != nil && k.carried.count() == 1
 	if !isOwn {
-		skipped := maySkip && call.Method != http.MethodHead && k.isLateCopy(id, response, body)
+		skipped := maySkip && call.Method != http.MethodHead && k.isLateCopy(id, response, body, c.Headers.RequestID)
 		c.noteStray(k, call, response, skipped)
 		return nil, false, &ResponseError{HeaderReceived: true, Cause: &RequestIDMismatchError{Got: id, Skipped: skipped}}
 	}
