--- a/pkg/quota/fleet_test.go
+++ b/pkg/quota/fleet_test.go
@@ -35,10 +35,17 @@
 }
 
 func (f *testFleet) start(i int, limit Limit, full bool) {
-	f.limiters[i] = &Limiter{Clock: f.clock, StartFull: full}
+	f.limiters[i] = &Limiter{Clock: f.clock, Uptime: f.uptime, StartFull: full}
 	f.limiters[i].Update(map[fleet.OrganisationID]Limit{"dakar": limit}, len(f.limiters))
 }
 
+// uptime is the clock that counts suspensions. It is the same at all nodes and above 0, as
+// for pools in use.
+func (f *testFleet) uptime() time.Duration { return f.clock.Now().Sub(fleetBooted) }
+
+// fleetBooted is a time before all times of clock.Fake.
+var fleetBooted = (&clock.Fake{}).Now().Add(-time.Hour)
+
 func (f *testFleet) isDown(i int) bool { return f.clock.Now().Before(f.down[i]) }
 
 // give lets one node give its surplus to the home, or lose it if that is down.
@@ -281,7 +288,7 @@
 func newKnownFleet(nodes, known int, limit Limit) *testFleet {
 	f := &testFleet{clock: &clock.Fake{}}
 	for range nodes {
-		l := &Limiter{Clock: f.clock, StartFull: true}
+		l := &Limiter{Clock: f.clock, Uptime: f.uptime, StartFull: true}
 		l.Update(map[fleet.OrganisationID]Limit{"dakar": limit}, known)
 		f.limiters = append(f.limiters, l)
 	}
@@ -303,3 +310,55 @@
 	}
 	return sum
 }
+
+// A pool counts a node as a giver and holds up to half of its share. Guards against a node
+// that holds more than the other half beside that: a burst would exceed the limit.
+func TestGiverHoldsHalfOfItsShare(t *testing.T) {
+	const share = 100
+	cases := []struct {
+		name string
+		play func(l *Limiter, c *clock.Fake)
+	}{
+		{"tokens are returned", func(l *Limiter, _ *clock.Fake) {
+			keepSurplus(l)
+			for range share {
+				l.Return("dakar")
+			}
+		}},
+		{"tokens are borrowed", func(l *Limiter, _ *clock.Fake) {
+			keepSurplus(l)
+			l.AddBorrowed("dakar", share)
+		}},
+		{"it needs its tokens", func(l *Limiter, c *clock.Fake) {
+			for range 10 * share {
+				l.Take("dakar")
+			}
+			c.Advance(time.Minute)
+			keepSurplus(l)
+		}},
+		{"it gave long ago", func(l *Limiter, c *clock.Fake) {
+			keepSurplus(l)
+			c.Advance(time.Minute)
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newKnownFleet(1, 1, Limit{Rate: share, Burst: share})
+			c.play(f.limiters[0], f.clock)
+			is.New(t).True(f.heldInBucket(0) <= (1-pooledFraction)*share)
+		})
+	}
+	t.Run("it gave before it restarted", func(t *testing.T) {
+		f := newTestFleet(1, Limit{Rate: share, Burst: share})
+		f.start(0, Limit{Rate: share, Burst: share}, false)
+		f.clock.Advance(time.Minute)
+		is.New(t).True(f.heldInBucket(0) <= (1-pooledFraction)*share)
+	})
+}
+
+// heldInBucket returns the tokens that a node holds beside its pool.
+func (f *testFleet) heldInBucket(i int) float64 {
+	b := *f.limiters[i].buckets["dakar"]
+	b.refill(f.clock.Now(), f.uptime())
+	return b.tokens
+}
