Quota: tokens that come back or are borrowed fill a bucket up to its room

What callers saw: nothing traced; found by TestSchedulesStayWithinLimit.

Cause: a node that gives holds half of its share, as a pool may hold the other half. The refill heeds this; the token of a request that did not run and borrowed tokens filled the bucket up to the whole share.

Neither takes tokens away any more.

--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -155,6 +155,11 @@
 	return b.capacity
 }
 
+// add adds tokens up to the room of the bucket, or up to most if that is more.
+func (b *bucket) add(tokens, most float64, uptime time.Duration) {
+	b.tokens = max(b.tokens, min(b.tokens+tokens, max(b.room(uptime), most)))
+}
+
 // refill adds the tokens of the time since the last refill.
 func (b *bucket) refill(now time.Time, uptime time.Duration) {
 	if elapsed := now.Sub(b.refilledAt); elapsed > 0 {
@@ -194,7 +199,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if b := l.buckets[id]; b != nil {
-		b.tokens = min(b.tokens+1, max(b.capacity, 1))
+		b.add(1, 1, l.uptime())
 	}
 }
 
@@ -240,14 +245,14 @@
 	return granted + fromBucket
 }
 
-// AddBorrowed adds tokens that a peer has deducted. Tokens beyond both the
-// capacity and maxBorrowedTokens are dropped: hoarded tokens would let a later
+// AddBorrowed adds tokens that a peer has deducted. Tokens beyond both the room of
+// the bucket and maxBorrowedTokens are dropped: hoarded tokens would let a later
 // burst exceed the limit.
 func (l *Limiter) AddBorrowed(id fleet.OrganisationID, granted float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if b := l.buckets[id]; b != nil && granted > 0 {
-		b.tokens = min(b.tokens+granted, max(b.capacity, maxBorrowedTokens))
+		b.add(granted, maxBorrowedTokens, l.uptime())
 	}
 }
 
