Quota: a giver that needs its tokens keeps no more than its half

What callers saw: nothing traced; found by TestSchedulesStayWithinLimit.

Cause: a node with much demand keeps three intervals of it, up to its whole share, and tells the home with a gift of 0 that it is a giver. The pool then has room for half of the share, which the gifts of others fill, beside the whole of it in the bucket.

Change: it keeps half of its share at most (or the 3 tokens that a node may borrow).

--- a/pkg/quota/pool.go
+++ b/pkg/quota/pool.go
@@ -104,9 +104,10 @@
 	return gifts
 }
 
-// surplus returns the tokens beyond what the node keeps for its own requests.
+// surplus returns the tokens beyond what the node keeps for its own requests. It keeps no
+// more than a giver may hold: the pool counts it as one, even if it gives nothing.
 func (b *bucket) surplus() float64 {
-	kept := keptDemand * b.demand
+	kept := min(keptDemand*b.demand, max((1-pooledFraction)*b.capacity, maxBorrowedTokens))
 	if kept < 1 {
 		// Less than a token is of no use here.
 		kept = 0
