Quota: a restarted node leaves room for what it gave before

What callers saw: nothing traced; found by TestSchedulesStayWithinLimit.

Cause: a node that starts does not know of gifts of its former process. Its bucket filled up to its whole share while the home's pool still held half of it.

Change: a bucket counts as that of a giver from its start, unless the fleet is new.

--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -104,7 +104,7 @@
 	for id, limit := range limits {
 		b := l.buckets[id]
 		if b == nil {
-			b = &bucket{refilledAt: now}
+			b = l.newBucket(now, startsFull)
 			l.buckets[id] = b
 		}
 		b.refill(now, l.uptime())
@@ -123,6 +123,12 @@
 	}
 }
 
+// newBucket returns an empty bucket. Unless the fleet is new, a pool may hold what this node
+// gave before it started.
+func (l *Limiter) newBucket(now time.Time, newFleet bool) *bucket {
+	return &bucket{refilledAt: now, gave: !newFleet, gaveAt: l.uptime()}
+}
+
 // SharesKnown reports whether this node knows its share of the limits.
 func (l *Limiter) SharesKnown() bool {
 	l.mu.Lock()
