Quota: a node that has given holds half of its share for good

What callers saw: nothing traced; found by TestSchedulesStayWithinLimit.

Cause: a node that had not given for 3 s took its former gifts for expired and filled its bucket up to its whole share. A gift may be on its way for longer (a link closes after about 2 s without an answer and the kernel gives up unacknowledged bytes after 2 s more; what has reached a suspended node waits until it goes on), and the home counts a giver up to 2.5 s after its arrival.

Change: a node that has given holds half of its share, without a time. Each gives at least once a second while it runs, so that this differs only after a suspension or a wait of the process.

--- a/pkg/quota/fleet_test.go
+++ b/pkg/quota/fleet_test.go
@@ -359,6 +359,6 @@
 // heldInBucket returns the tokens that a node holds beside its pool.
 func (f *testFleet) heldInBucket(i int) float64 {
 	b := *f.limiters[i].buckets["dakar"]
-	b.refill(f.clock.Now(), f.uptime())
+	b.refill(f.clock.Now())
 	return b.tokens
 }
--- a/pkg/quota/pool.go
+++ b/pkg/quota/pool.go
@@ -12,10 +12,8 @@
 	// maxGiftInterval is the time after which a node gives in any case, so that the home
 	// goes on counting it as a giver.
 	maxGiftInterval = 4 * GiveInterval
-	// giftLifetime is how long a gift counts for the capacity of a pool. The giver counts
-	// giftTransitTime more, which a gift may be on its way.
-	giftLifetime    = 2 * maxGiftInterval
-	giftTransitTime = time.Second
+	// giftLifetime is how long a gift counts for the capacity of a pool.
+	giftLifetime = 2 * maxGiftInterval
 	// giftThreshold is the fraction of the room of a bucket from which its surplus is given
 	// at once.
 	giftThreshold = 0.4
@@ -90,7 +88,7 @@
 	now, uptime := l.Clock.Now(), l.uptime()
 	var gifts []Gift
 	for id, b := range l.buckets {
-		b.refill(now, uptime)
+		b.refill(now)
 		b.demand += demandWeight * (b.taken - b.demand)
 		b.taken = 0
 		surplus := b.surplus()
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -81,7 +81,8 @@
 	borrowAt time.Time
 	// pool holds what other nodes gave.
 	pool pool
-	// gave reports whether the node has given, and gaveAt is the uptime of the last gift.
+	// gave reports whether a pool may hold what the node gave, and gaveAt is the uptime of the
+	// last gift, or of the start.
 	gave   bool
 	gaveAt time.Duration
 	// taken counts the requests since the last Surplus, and demand is their smoothed
@@ -107,8 +108,8 @@
 			b = l.newBucket(now, startsFull)
 			l.buckets[id] = b
 		}
-		b.refill(now, l.uptime())
-		b.setLimit(limit, l.nodes, l.uptime())
+		b.refill(now)
+		b.setLimit(limit, l.nodes)
 		if startsFull {
 			b.tokens = b.capacity
 		}
@@ -137,7 +138,7 @@
 }
 
 // setLimit sets the limit and the number of nodes that share it; 0 nodes leave no share.
-func (b *bucket) setLimit(limit Limit, nodes int, uptime time.Duration) {
+func (b *bucket) setLimit(limit Limit, nodes int) {
 	before := b.capacity
 	b.limit = limit
 	b.rate, b.capacity = 0, 0
@@ -147,29 +148,30 @@
 	}
 	b.tokens = min(b.tokens, b.capacity)
 	if b.capacity < before {
-		b.tokens = min(b.tokens, b.room(uptime))
+		b.tokens = min(b.tokens, b.room())
 	}
 	b.pool.capacityPerGiver = pooledFraction * b.capacity
 	b.pool.trim()
 }
 
-// room returns what the bucket may hold beside what a pool may hold of the node's share.
-func (b *bucket) room(uptime time.Duration) float64 {
-	if b.gave && uptime-b.gaveAt < giftLifetime+giftTransitTime {
+// room returns what the bucket may hold beside what a pool may hold of the node's share: a
+// gift may arrive at any time after it was sent.
+func (b *bucket) room() float64 {
+	if b.gave {
 		return b.capacity * (1 - pooledFraction)
 	}
 	return b.capacity
 }
 
 // add adds tokens up to the room of the bucket, or up to most if that is more.
-func (b *bucket) add(tokens, most float64, uptime time.Duration) {
-	b.tokens = max(b.tokens, min(b.tokens+tokens, max(b.room(uptime), most)))
+func (b *bucket) add(tokens, most float64) {
+	b.tokens = max(b.tokens, min(b.tokens+tokens, max(b.room(), most)))
 }
 
 // refill adds the tokens of the time since the last refill.
-func (b *bucket) refill(now time.Time, uptime time.Duration) {
+func (b *bucket) refill(now time.Time) {
 	if elapsed := now.Sub(b.refilledAt); elapsed > 0 {
-		b.tokens = min(b.tokens+b.rate*elapsed.Seconds(), max(b.room(uptime), b.tokens))
+		b.tokens = min(b.tokens+b.rate*elapsed.Seconds(), max(b.room(), b.tokens))
 	}
 	b.refilledAt = now
 }
@@ -183,7 +185,7 @@
 	if b == nil {
 		return true
 	}
-	b.refill(l.Clock.Now(), l.uptime())
+	b.refill(l.Clock.Now())
 	b.taken++
 	return b.take(l.uptime())
 }
@@ -205,7 +207,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if b := l.buckets[id]; b != nil {
-		b.add(1, 1, l.uptime())
+		b.add(1, 1)
 	}
 }
 
@@ -237,7 +239,7 @@
 	if b == nil || !(wanted > 0) {
 		return 0
 	}
-	b.refill(l.Clock.Now(), l.uptime())
+	b.refill(l.Clock.Now())
 	b.pool.expire(l.uptime())
 	granted := b.pool.lend(wanted)
 	// A fraction of a token is of no use here, but may complete one on the
@@ -258,7 +260,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if b := l.buckets[id]; b != nil && granted > 0 {
-		b.add(granted, maxBorrowedTokens, l.uptime())
+		b.add(granted, maxBorrowedTokens)
 	}
 }
 
--- a/pkg/quota/schedule_test.go
+++ b/pkg/quota/schedule_test.go
@@ -358,7 +358,7 @@
 	sum := 0.0
 	for i, l := range s.limiters {
 		b := *l.buckets["dakar"]
-		b.refill(s.nodes[i].clock.Now(), s.uptime())
+		b.refill(s.nodes[i].clock.Now())
 		sum += b.tokens + l.PoolTokens("dakar")
 	}
 	return sum
