quota: a test for homes that change (fails)

What callers may see: more requests of an organisation served than its rate and burst allow, when the node that pools its tokens changes and requests come after a pause.

Each node that gives counts for a pool for 2 s after its last gift. Where the home changes, nodes give to the next one at once, and the pool of the earlier home stays full beside it. Six nodes held up to 5.5 tokens of a burst of 4 (rate 2 a second); 12 of 12 cases failed.

--- a/pkg/quota/fleet_test.go
+++ b/pkg/quota/fleet_test.go
@@ -362,3 +362,25 @@
 	b.refill(f.clock.Now())
 	return b.tokens
 }
+
+// All nodes agree on the home of an organisation, but it changes again and again, as links
+// break and nodes come and go. Guards against pools of earlier homes that are still full
+// while the next one fills: requests that come then would exceed the burst.
+func TestNodesThatChangeTheirHomeStayWithinBurst(t *testing.T) {
+	const nodes = 6
+	limit := Limit{Rate: 2, Burst: 4}
+	for intervals := 1; intervals <= 12; intervals++ {
+		t.Run(fmt.Sprintf("%d intervals", intervals), func(t *testing.T) {
+			is := is.New(t)
+			f := newTestFleet(nodes, limit)
+			for i := range 8 * intervals {
+				f.home = i / intervals % nodes
+				f.clock.Advance(GiveInterval)
+				for giver := range nodes {
+					f.give(giver)
+				}
+				is.True(f.tokens("dakar") <= float64(limit.Burst)+roundingError)
+			}
+		})
+	}
+}
