Quota: a node that is no home any more hands over its pool

What callers may see: more requests of an organisation served than its rate and burst allow, when the node that pools its tokens changes and requests come after a pause; and requests refused though the earlier home holds tokens that nobody asks it for.

Cause: a pool counts each node that gives for 2 s after its last gift. Where the home changes, as a node joins or a link is restored, the givers count at both.

Change: each time that it gives, a node gives what it pools for organisations whose home is another node by its own view, too, and forgets their givers.

Not covered: a home that still believes to be one after its givers have left, as their link is cut, keeps its pool for up to 2 s. That TestRateLimitAcrossNodes once served more than rate and burst by this cause is not shown.

--- a/pkg/mesh/tokens.go
+++ b/pkg/mesh/tokens.go
@@ -82,7 +82,8 @@
 
 func (n *Node) giveTokens(homes *tokenHomes) {
 	gifts := map[*peering.Peer][]quota.Gift{}
-	for _, g := range n.rateLimiter.Surplus() {
+	isHome := func(id fleet.OrganisationID) bool { return homes.of(id) == nil }
+	for _, g := range append(n.rateLimiter.HandOver(isHome), n.rateLimiter.Surplus()...) {
 		home := homes.of(g.Organisation)
 		gifts[home] = append(gifts[home], g)
 	}
--- a/pkg/quota/fleet_test.go
+++ b/pkg/quota/fleet_test.go
@@ -48,9 +48,11 @@
 
 func (f *testFleet) isDown(i int) bool { return f.clock.Now().Before(f.down[i]) }
 
-// give lets one node give its surplus to the home, or lose it if that is down.
+// give lets one node give its surplus, and what it pools unless it is the home, to the home,
+// or lose it if that is down.
 func (f *testFleet) give(i int) {
-	for _, g := range f.limiters[i].Surplus() {
+	isHome := func(fleet.OrganisationID) bool { return i == f.home }
+	for _, g := range append(f.limiters[i].HandOver(isHome), f.limiters[i].Surplus()...) {
 		switch {
 		case i == f.home:
 			f.limiters[i].Keep(g)
--- a/pkg/quota/pool.go
+++ b/pkg/quota/pool.go
@@ -69,6 +69,15 @@
 	p.trim()
 }
 
+// empty forgets all givers and returns the tokens.
+func (p *pool) empty(now time.Duration) float64 {
+	p.expire(now)
+	tokens := p.tokens
+	p.tokens = 0
+	clear(p.lastGift)
+	return tokens
+}
+
 func (p *pool) trim() { p.tokens = min(p.tokens, p.capacityPerGiver*float64(len(p.lastGift))) }
 
 // lend deducts up to the wanted number of tokens.
@@ -126,6 +135,22 @@
 // organisation, or what could not be sent to another.
 func (l *Limiter) Keep(g Gift) { l.Receive("", g) }
 
+// HandOver deducts what this node pools for the organisations whose home is another node by
+// now and returns it, to be given to their homes. It must be called every GiveInterval: a
+// giver that has changed to the new home must not count here any more.
+func (l *Limiter) HandOver(isHome func(fleet.OrganisationID) bool) []Gift {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var gifts []Gift
+	for id, b := range l.buckets {
+		if len(b.pool.lastGift) == 0 || isHome(id) {
+			continue
+		}
+		gifts = append(gifts, Gift{Organisation: id, Tokens: b.pool.empty(l.uptime())})
+	}
+	return gifts
+}
+
 // TakeBorrowed is like Take, for a request that Take has counted already.
 func (l *Limiter) TakeBorrowed(id fleet.OrganisationID) bool {
 	l.mu.Lock()
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -9,9 +9,11 @@
 // lost on the way is not replaced. A node that does not know how many nodes share the limits
 // has no share: none is safe. Which node is an organisation's home is a hint only: two
 // that both believe to be hold different tokens, and the pool of each is bounded by the nodes
-// that give to it. The sum therefore stays within rate and burst during network partitions,
-// process crashes, pauses and restarts, without a call to the store. Beside it a node may
-// hold up to maxBorrowedTokens that it has borrowed and not spent.
+// that give to it. A node that is no home any more hands over what it pools. The sum therefore
+// stays within rate and burst during network partitions, process crashes, pauses and
+// restarts, without a call to the store, except that a home which cannot see that its givers
+// have left keeps what it pools beside the next home's pool, for giftLifetime. Beside the sum
+// a node may hold up to maxBorrowedTokens that it has borrowed and not spent.
 package quota
 
 import (
