link: a test for a close that cuts a peer which reads slowly (fails)

What callers see: a large reply that their peer is still reading is cut when its node stops, and the request ends as broken off, though most of the grace period is left.

The peer reads a reply of 12 MB steadily in about 2.5 s; the close of the server waits for 1 s from its begin, whatever is received meanwhile.

--- a/pkg/link/close_test.go
+++ b/pkg/link/close_test.go
@@ -32,6 +32,12 @@
 	// boundedTime is how long a close may take whose peers do not read. It is less than
 	// defaultCloseTimeout for each of two connections, and than writeTimeout.
 	boundedTime = 450 * time.Millisecond
+	// slowReadInterval is the time between two reads of slowConn, which take readBufferBytes
+	// at most, and slowReadBufferBytes is what its socket holds.
+	slowReadInterval    = 3 * time.Millisecond
+	slowReadBufferBytes = 64 << 10
+	// slowCloseTimeout is long enough for a slow reader on a busy machine to read some.
+	slowCloseTimeout = time.Second
 )
 
 // serve returns a server with a handler and its address.
@@ -93,6 +99,47 @@
 	is.True(len(reply.Payload) > unbufferedBytes)
 }
 
+// slowConn reads a few bytes at a time, and waits before each read.
+type slowConn struct{ net.Conn }
+
+func (c *slowConn) Read(b []byte) (int, error) {
+	time.Sleep(slowReadInterval)
+	return c.Conn.Read(b)
+}
+
+// newSlowLink returns a link that reads steadily, and takes much longer than
+// slowCloseTimeout for a reply of unbufferedBytes.
+func newSlowLink(t *testing.T, address string) *Link {
+	t.Helper()
+	l := &Link{Address: address, Clock: clock.System{}, Hello: hello, Dial: func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := DialTCP(ctx, address)
+		if c, ok := conn.(*net.TCPConn); ok {
+			_ = c.SetReadBuffer(slowReadBufferBytes)
+		}
+		return &slowConn{conn}, err
+	}}
+	t.Cleanup(l.Close)
+	return l
+}
+
+// Guards against a close that cuts a reply at a fixed time although its peer reads on.
+func TestClosingServerWritesReplyToPeerThatReadsSlowly(t *testing.T) {
+	is := is.New(t)
+	handled := make(chan struct{})
+	s, address := serve(t, func(context.Context, Request) proto.Message {
+		defer close(handled)
+		return &linkrpc.Outcome{Body: make([]byte, unbufferedBytes)}
+	})
+	s.CloseTimeout = slowCloseTimeout
+	go func() {
+		<-handled
+		s.Close()
+	}()
+	reply, err := newSlowLink(t, address).Call(t.Context(), KindRun, &linkrpc.Run{})
+	is.NoErr(err)
+	is.True(len(reply.Payload) > unbufferedBytes)
+}
+
 // Guards against TCP discarding a written reply that the peer has not received, because the peer sends something to a closed connection.
 func TestClosingServerDeliversReplyToPeerThatSends(t *testing.T) {
 	is := is.New(t)
