Link: a close goes on while its peers receive their replies

What callers saw: a reply that its peer was still reading was cut 0.04 of the grace period after a stopping node began to close its links (240 ms of 6 s), though a node that becomes quiet early has up to half of the grace left by then. The request ended as broken off after it had run, which counts as LOST.

Cause: the close waited for a fixed time, whatever its peers received meanwhile.

Change: the time begins again each time that a peer has received 128 KB, by the kernel's count of unconfirmed bytes. Peers that do not read are cut as before: of those the system took up to 94 KB more in 250 ms (window probes, measured on loopback).

The stop of a whole node beside a peer that reads slowly was not played.

--- a/pkg/link/close_test.go
+++ b/pkg/link/close_test.go
@@ -99,6 +99,9 @@
 	is.True(len(reply.Payload) > unbufferedBytes)
 }
 
+// noLimit returns a time that no close in a test takes.
+func noLimit() time.Duration { return time.Minute }
+
 // slowConn reads a few bytes at a time, and waits before each read.
 type slowConn struct{ net.Conn }
 
@@ -130,7 +133,7 @@
 		defer close(handled)
 		return &linkrpc.Outcome{Body: make([]byte, unbufferedBytes)}
 	})
-	s.CloseTimeout = slowCloseTimeout
+	s.CloseTimeout, s.CloseLimit = slowCloseTimeout, noLimit
 	go func() {
 		<-handled
 		s.Close()
@@ -140,6 +143,50 @@
 	is.True(len(reply.Payload) > unbufferedBytes)
 }
 
+// Guards against a close that a peer which reads slowly holds up for as long as it likes.
+func TestClosingServerCutsSlowReplyAtItsLimit(t *testing.T) {
+	is := is.New(t)
+	handled := make(chan struct{})
+	s, address := serve(t, func(context.Context, Request) proto.Message {
+		defer close(handled)
+		return &linkrpc.Outcome{Body: make([]byte, unbufferedBytes)}
+	})
+	s.CloseLimit = func() time.Duration { return defaultCloseTimeout }
+	go func() {
+		<-handled
+		s.Close()
+	}()
+	_, err := newSlowLink(t, address).Call(t.Context(), KindRun, &linkrpc.Run{})
+	var lost *ConnectionLostError
+	is.True(errors.As(err, &lost))
+}
+
+// Guards against a close that pings hold up, which a peer sends for as long as it waits for
+// a reply.
+func TestPingsDoNotHoldUpClose(t *testing.T) {
+	is := is.New(t)
+	begun := make(chan struct{})
+	s, address := serve(t, func(ctx context.Context, _ Request) proto.Message {
+		close(begun)
+		<-ctx.Done()
+		return nil
+	})
+	s.CloseLimit = noLimit
+	l := newLink(t, address)
+	var group sync.WaitGroup
+	group.Go(func() { _, _ = l.Call(t.Context(), KindRun, &linkrpc.Run{}) })
+	<-begun
+	ctx, cancel := context.WithCancel(t.Context())
+	group.Go(func() {
+		clock.Every(ctx, clock.System{}, clock.FixedPeriod(defaultCloseTimeout/10), func(context.Context) { l.Notify(KindPing, nil) })
+	})
+	started := time.Now()
+	s.Close()
+	is.True(time.Since(started) < noLimit()/2)
+	cancel()
+	group.Wait()
+}
+
 // Guards against TCP discarding a written reply that the peer has not received, because the peer sends something to a closed connection.
 func TestClosingServerDeliversReplyToPeerThatSends(t *testing.T) {
 	is := is.New(t)
--- a/pkg/link/frame.go
+++ b/pkg/link/frame.go
@@ -13,6 +13,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -170,6 +171,8 @@
 	closeErr error
 	// wake signals writeLoop that pending, finishing or closeErr has changed.
 	wake chan struct{}
+	// written is the number of bytes that the connection has taken.
+	written atomic.Int64
 	// beforeWrite receives the requests that are about to be written; nil is allowed.
 	beforeWrite func([]queuedRequest)
 }
@@ -296,7 +299,9 @@
 	}
 	for chunk := range slices.Chunk(batch, maxWriteBytes) {
 		_ = f.conn.SetWriteDeadline(f.clock.Now().Add(writeTimeout))
-		if _, err := f.conn.Write(chunk); err != nil {
+		n, err := f.conn.Write(chunk)
+		f.written.Add(int64(n))
+		if err != nil {
 			return err
 		}
 	}
--- a/pkg/link/server.go
+++ b/pkg/link/server.go
@@ -19,6 +19,15 @@
 const (
 	// defaultCloseTimeout is the value of Server.CloseTimeout where none is set.
 	defaultCloseTimeout = 250 * time.Millisecond
+	// defaultCloseLimit is the result of Server.CloseLimit where none is set.
+	defaultCloseLimit = 3 * time.Second
+	// closePollInterval is the time between two looks at what the peer of a closing
+	// connection has received.
+	closePollInterval = 10 * time.Millisecond
+	// closeProgressBytes is what a peer that reads receives in Server.CloseTimeout. The
+	// system of a peer that does not takes one segment of at most 64 KB now and then, and
+	// answers to pings are a few bytes.
+	closeProgressBytes = 128 << 10
 	// maxHeldRequests is the number of requests that are read before they are handled.
 	maxHeldRequests = 256
 	// acceptRetryInterval is the time after which an Accept that failed for lack of
@@ -76,9 +85,13 @@
 	Budget *memory.Budget
 
 	// CloseTimeout bounds how long Close waits for the requests being handled, the
-	// writing of their replies and the peers' receipt of these; 0 means
-	// defaultCloseTimeout.
+	// writing of their replies and the peers' receipt of these. It begins again each time
+	// that a peer has received closeProgressBytes. 0 means defaultCloseTimeout.
 	CloseTimeout time.Duration
+	// CloseLimit returns how long Close may take at most, although peers receive replies.
+	// It is called when Close begins. At least CloseTimeout is used; nil means
+	// defaultCloseLimit.
+	CloseLimit func() time.Duration
 
 	// mu guards conns and closed.
 	mu sync.Mutex
@@ -119,12 +132,9 @@
 
 // Close closes all connections, and those that are accepted later. It takes no more
 // requests, and waits for the replies to those being handled and until the peers have
-// received them, at most CloseTimeout. It does not close the listener.
+// received them, as CloseTimeout and CloseLimit say. It does not close the listener.
 func (s *Server) Close() {
-	timeout := s.CloseTimeout
-	if timeout == 0 {
-		timeout = defaultCloseTimeout
-	}
+	timeout, limit := s.closeBounds()
 	var group sync.WaitGroup
 	s.mu.Lock()
 	if !s.closed {
@@ -132,12 +142,24 @@
 	}
 	s.closed = true
 	for c := range s.conns {
-		group.Go(func() { c.finish(timeout) })
+		group.Go(func() { c.finish(timeout, limit) })
 	}
 	s.mu.Unlock()
 	group.Wait()
 }
 
+// closeBounds returns the CloseTimeout and CloseLimit in use.
+func (s *Server) closeBounds() (timeout, limit time.Duration) {
+	timeout, limit = s.CloseTimeout, defaultCloseLimit
+	if timeout == 0 {
+		timeout = defaultCloseTimeout
+	}
+	if s.CloseLimit != nil {
+		limit = s.CloseLimit()
+	}
+	return timeout, max(limit, timeout)
+}
+
 func (s *Server) serveConn(netConn net.Conn) {
 	c := &serverConn{framer: newFramer(netConn, s.Clock, nil), ended: make(chan struct{}), requests: map[StreamID]*serverRequest{}}
 	c.budget = s.Budget
--- a/pkg/link/serverconn.go
+++ b/pkg/link/serverconn.go
@@ -132,8 +132,9 @@
 }
 
 // finish closes the connection once the requests being handled are answered and the
-// peer has received that, at the latest after the timeout.
-func (c *serverConn) finish(timeout time.Duration) {
+// peer has received that. It does not wait longer once the peer has received too little in
+// the timeout, or after the limit.
+func (c *serverConn) finish(timeout, limit time.Duration) {
 	if !c.stopRequests() {
 		c.close()
 		return
@@ -142,13 +143,32 @@
 		c.handlers.Wait()
 		c.finishWrites()
 	}()
-	select {
-	case <-c.ended:
-	case <-c.clock.After(timeout):
+	if !c.awaitEnd(timeout, limit) {
 		c.close()
 	}
 }
 
+// awaitEnd waits until the connection has ended. It returns false once the peer has not
+// received closeProgressBytes for the timeout, or after the limit.
+func (c *serverConn) awaitEnd(timeout, limit time.Duration) bool {
+	started := c.clock.Now()
+	confirmedAt, confirmed := started, c.confirmedBytes()
+	for {
+		select {
+		case <-c.ended:
+			return true
+		case <-c.clock.After(min(closePollInterval, timeout)):
+		}
+		now := c.clock.Now()
+		if n := c.confirmedBytes(); n >= confirmed+closeProgressBytes {
+			confirmedAt, confirmed = now, n
+		}
+		if now.Sub(confirmedAt) >= timeout || now.Sub(started) >= limit {
+			return false
+		}
+	}
+}
+
 // close closes the connection and ends the contexts of its requests.
 func (c *serverConn) close() {
 	c.closeWithError(net.ErrClosed)
--- a/pkg/mesh/drain.go
+++ b/pkg/mesh/drain.go
@@ -23,8 +23,9 @@
 	// still being written are cut.
 	closeFraction = 0.93
 	// linkCloseFraction is the fraction of the grace period that the last replies to
-	// peers may take after that, and minLinkCloseTime what they may take if the responses
-	// took longer.
+	// peers may take after that without progress, and minLinkCloseTime what they may take if
+	// the responses took longer. Peers that read on get what is left of the grace period up
+	// to that moment.
 	linkCloseFraction = 0.04
 	minLinkCloseTime  = 5 * time.Millisecond
 	// minDrainTime is how long a stopping node keeps connections even if there are no
@@ -74,10 +75,15 @@
 	return time.Duration(fraction * float64(n.settings.GracePeriod))
 }
 
-// linkCloseTime returns how long the last replies to peers may take from now on.
+// linkCloseTime returns how long the last replies to peers may take from now on without
+// progress.
 func (n *Node) linkCloseTime() time.Duration {
-	untilEnd := n.partOfGrace(closeFraction+linkCloseFraction) - n.sinceStop()
-	return max(minLinkCloseTime, min(n.partOfGrace(linkCloseFraction), untilEnd))
+	return max(minLinkCloseTime, min(n.partOfGrace(linkCloseFraction), n.linkCloseLimit()))
+}
+
+// linkCloseLimit returns how long the last replies to peers may take from now on.
+func (n *Node) linkCloseLimit() time.Duration {
+	return n.partOfGrace(closeFraction+linkCloseFraction) - n.sinceStop()
 }
 
 // admissionTime returns how long after the signal to stop the node takes requests.
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -211,7 +211,7 @@
 		Relay:     n.relay(linkrpc.Topic_TOPIC_DIRECTORY, func() *topic.Follower { return n.directoryFollower }),
 	}
 	n.demand = &demand.Monitor{Clock: n.clock, LocalNode: self, Service: n.settings.Service, Load: n.gate.Load, View: n.view.Load, Directory: n.directory.Snapshot, OnPlan: n.onPlan}
-	n.links = &link.Server{Clock: n.clock, Hello: n.hello, Handle: n.handlePeerRequest, OnStatus: n.handleStatus, OnTokenGifts: n.handleTokenGifts, OnReports: n.handleReports, OnUnreadable: func(err error) { n.logUnreadable("message without a reply", err) }, OnUnencodable: n.logUnencodable, OnAcceptError: n.onAcceptFailed, OnPanic: n.onPanic, Budget: &n.peerBodies}
+	n.links = &link.Server{Clock: n.clock, Hello: n.hello, Handle: n.handlePeerRequest, OnStatus: n.handleStatus, OnTokenGifts: n.handleTokenGifts, OnReports: n.handleReports, OnUnreadable: func(err error) { n.logUnreadable("message without a reply", err) }, OnUnencodable: n.logUnencodable, OnAcceptError: n.onAcceptFailed, OnPanic: n.onPanic, CloseLimit: n.linkCloseLimit, Budget: &n.peerBodies}
 }
 
 func (n *Node) makeEntrance() {
