link: two tests of closing wait for events, not for times

The test slept for 50 ms three times and took the close to be as old as the sleeps are long; on a busy machine they last longer than the 250 ms that a close waits for a handler, which the close then rightly cuts.

TestClosingServerTakesNoNewRequests now waits until the first request runs, until the server takes no more, and until it has read the second request behind a ping. TestClosingServerWritesReplyBeingWritten lets the peer read as soon as the close has begun. Both give the close 1 s or more without progress, as its length is not what they test; that is tested by TestClosingServerDoesNotWaitForPeersThatDoNotRead, TestPingsDoNotHoldUpClose and TestClosingServerCutsSlowReplyAtItsLimit.

--- a/pkg/link/close_test.go
+++ b/pkg/link/close_test.go
@@ -32,6 +32,8 @@
 	// boundedTime is how long a close may take whose peers do not read. It is less than
 	// defaultCloseTimeout for each of two connections, and than writeTimeout.
 	boundedTime = 450 * time.Millisecond
+	// awaitTimeout is longer than what a test waits for takes on a busy machine.
+	awaitTimeout = 5 * time.Second
 	// slowReadInterval is the time between two reads of slowConn, which take readBufferBytes
 	// at most, and slowReadBufferBytes is what its socket holds.
 	slowReadInterval    = 3 * time.Millisecond
@@ -87,12 +89,14 @@
 		defer close(handled)
 		return &linkrpc.Outcome{Body: make([]byte, unbufferedBytes)}
 	})
+	s.CloseTimeout = slowCloseTimeout
 	resume := make(chan struct{})
 	go func() {
 		<-handled
-		time.AfterFunc(2*closingTime, func() { close(resume) })
 		time.Sleep(closingTime)
-		s.Close()
+		go s.Close()
+		awaitClosing(s)
+		close(resume)
 	}()
 	reply, err := newPausedLink(t, address, resume).Call(t.Context(), KindRun, &linkrpc.Run{})
 	is.NoErr(err)
@@ -237,13 +241,16 @@
 func TestClosingServerTakesNoNewRequests(t *testing.T) {
 	is := is.New(t)
 	var handled atomic.Int64
-	release := make(chan struct{})
+	begun, release := make(chan struct{}), make(chan struct{})
 	s, address := serve(t, func(context.Context, Request) proto.Message {
 		if handled.Add(1) == 1 {
+			close(begun)
 			<-release
 		}
 		return &linkrpc.Outcome{}
 	})
+	// The time that Close waits is not what is tested.
+	s.CloseTimeout = noLimit()
 	l := newLink(t, address)
 	firstErr, laterErr := make(chan error, 1), make(chan error, 1)
 	call := func(result chan<- error) {
@@ -251,11 +258,11 @@
 		result <- err
 	}
 	go call(firstErr)
-	time.Sleep(closingTime)
+	<-begun
 	go s.Close()
-	time.Sleep(closingTime)
+	awaitClosing(s)
 	go call(laterErr)
-	time.Sleep(closingTime)
+	awaitReceipt(l, 2)
 	close(release)
 	is.NoErr(<-firstErr)
 	var lost *ConnectionLostError
@@ -263,6 +270,50 @@
 	is.Equal(handled.Load(), int64(1))
 }
 
+// awaitClosing waits until a server takes no more requests.
+func awaitClosing(s *Server) {
+	await(func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		closing := s.closed
+		for c := range s.conns {
+			c.mu.Lock()
+			closing = closing && c.closing
+			c.mu.Unlock()
+		}
+		return closing
+	})
+}
+
+// awaitReceipt waits until the peer of a link has read so many requests that have no reply
+// yet: it answers a ping that was sent after them.
+func awaitReceipt(l *Link, requests int) {
+	l.mu.Lock()
+	c := l.conn
+	l.mu.Unlock()
+	await(func() bool {
+		c.streams.Lock()
+		defer c.streams.Unlock()
+		sent := 0
+		for _, pending := range c.streams.pending {
+			if pending.sent {
+				sent++
+			}
+		}
+		return sent == requests
+	})
+	before := c.lastRead.Load()
+	l.Notify(KindPing, nil)
+	await(func() bool { return c.lastRead.Load() > before })
+}
+
+// await waits for a condition that the test brings about, and gives up after awaitTimeout.
+func await(condition func() bool) {
+	for started := time.Now(); !condition() && time.Since(started) < awaitTimeout; {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // Guards against a close that peers which do not read hold up, one after another.
 func TestClosingServerDoesNotWaitForPeersThatDoNotRead(t *testing.T) {
 	is := is.New(t)
