Bytes that are no answer end their call at once

What callers saw: where an instance sends bytes that are no answer and keeps the connection open, their request waits until its time has passed, in place of being tried elsewhere, and holds a slot meanwhile.

Cause: since the client waits for the whole head, up to its empty line, before it reads it. Reading it failed at the first line that is none.

Change: the client waits no longer once a whole line has arrived that cannot belong to a head.

--- a/pkg/instance/joined.go
+++ b/pkg/instance/joined.go
@@ -17,8 +17,8 @@
 const noFieldName = " \t<"
 
 // peekHead returns the head of the next response without reading it: its status line, its
-// header and the empty line at their end, or what there is of it if the connection ends first.
-// The slice is valid until the next read.
+// header and the empty line at their end, or what there is of it if the connection ends first or
+// bytes that are no head have arrived. The slice is valid until the next read.
 func (k *conn) peekHead() []byte {
 	for want := 1; ; {
 		data, err := k.reader.Peek(want)
@@ -32,7 +32,7 @@
 			k.growBuffer()
 			continue
 		}
-		if err != nil {
+		if err != nil || isNoHead(data) {
 			return data
 		}
 		want = len(data) + 1
@@ -64,6 +64,35 @@
 	}
 }
 
+// isNoHead reports whether the whole lines of a text are not the beginning of a head, so that to
+// read it as a response fails at once. To wait for its end could take until the call expires.
+func isNoHead(data []byte) bool {
+	status, header, found := bytes.Cut(data, []byte("\n"))
+	if !found {
+		return false
+	}
+	if !isStatusLine(status) || len(header) > 0 && isFolded(header) {
+		return true
+	}
+	for line := range bytes.Lines(header) {
+		isWhole := line[len(line)-1] == '\n'
+		if isWhole && !isFolded(line) && !bytes.Contains(line, []byte(":")) {
+			return true
+		}
+	}
+	return false
+}
+
+// isFolded reports whether a line continues the one before.
+func isFolded(line []byte) bool { return line[0] == ' ' || line[0] == '\t' }
+
+// isStatusLine reports whether net/http may take a line, without its end, for a status line.
+func isStatusLine(line []byte) bool {
+	version, status, found := bytes.Cut(bytes.TrimSuffix(line, []byte("\r")), []byte(" "))
+	code, _, _ := bytes.Cut(bytes.TrimLeft(status, " "), []byte(" "))
+	return found && bytes.HasPrefix(version, []byte("HTTP/")) && len(code) == len("NNN")
+}
+
 // hasJoinedBody reports whether the body of a response contains the start of another one: it has
 // broken off, or has no length, and a response that was sent after it was read in its place or
 // behind it. A status line alone may be a quote if nothing follows the body.
