Answers that go on with another one are logged and counted

What on-call saw: a call that was lost because its answer had broken off into another one showed only the text of its error, at the gate; strays, the other half of the class, had an event and a counter.

Change: the instance's client tells of each such answer; the node logs `response of the instance goes on with another` and counts `responses_joined`. The text of the error no longer names the head alone, as bodies are looked at, too.

Evidence: TestJoinedResponsesAreReported; the tests of the packages pass.

--- a/pkg/instance/errors.go
+++ b/pkg/instance/errors.go
@@ -57,7 +57,7 @@
 	return fmt.Sprintf("response has request id %q, not that of the call", e.Got)
 }
 
-// JoinedResponsesError reports a response with the status line of another one in its head.
+// JoinedResponsesError reports a response that goes on with another one in its head or its body.
 type JoinedResponsesError struct {
 	// Status is the status line of the response, without the protocol.
 	Status string
@@ -65,7 +65,7 @@
 
 // Error implements error.
 func (e *JoinedResponsesError) Error() string {
-	return fmt.Sprintf("response %q goes on with another response before its header ends", e.Status)
+	return fmt.Sprintf("response %q goes on with another response", e.Status)
 }
 
 // HeaderTooLargeError reports a response header that exceeds the limit.
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -77,6 +77,9 @@
 	// OnStray is called for each response that is not taken for that of the call that
 	// awaits one; nil is allowed.
 	OnStray func(s Stray)
+	// OnJoined is called for each call whose response is joined with another one, with the number
+	// of calls that the connection has carried, including this one; nil is allowed.
+	OnJoined func(call *Call, err *JoinedResponsesError, calls int)
 	// OnRepeatedID is called for each call that passes over an idle connection, as that has
 	// carried its id; nil is allowed.
 	OnRepeatedID func(id string)
@@ -184,6 +187,10 @@
 		copies++
 		response, reusable, err = c.readResponse(k, call, copies < maxCopies)
 	}
+	var joined *JoinedResponsesError
+	if c.OnJoined != nil && errors.As(err, &joined) {
+		c.OnJoined(call, joined, k.carried.count())
+	}
 	select {
 	case writeErr := <-written:
 		reusable = reusable && writeErr == nil
--- a/pkg/instance/stray_test.go
+++ b/pkg/instance/stray_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"fmt"
+	"io"
 	"net"
 	"testing"
 
@@ -36,3 +38,18 @@
 		{RequestID: "3", GotID: "other", Status: 200, Calls: 1, Skipped: false},
 	})
 }
+
+// A response that goes on with another one is reported with the call that it ends.
+func TestJoinedResponsesAreReported(t *testing.T) {
+	is := is.New(t)
+	client := newClient(newServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 "+answerText(500, readRequest(r), "", "failed"))
+	}))
+	var reported []string
+	client.OnJoined = func(call *Call, err *JoinedResponsesError, calls int) {
+		reported = append(reported, fmt.Sprint(call.RequestID, " ", err.Status[:3], " ", calls))
+	}
+	_, err := client.Do(t.Context(), newCall("1"))
+	is.True(err != nil)
+	is.Equal(reported, []string{"1 200 1"})
+}
--- a/pkg/mesh/answerevents.go
+++ b/pkg/mesh/answerevents.go
@@ -20,6 +20,14 @@
 	n.events.Log(eventRepeatedID, func() logrus.Fields { return logrus.Fields{"request": id} })
 }
 
+// onJoined logs and counts a response of the local instance that goes on with another one.
+func (n *Node) onJoined(call *instance.Call, err *instance.JoinedResponsesError, calls int) {
+	n.meter.CountJoinedResponse()
+	n.events.Log(eventJoined, func() logrus.Fields {
+		return logrus.Fields{"request": call.RequestID, "status": err.Status, "connCalls": calls}
+	})
+}
+
 // onStray logs and counts a response of the local instance that was not taken for that of
 // the call that awaited one.
 func (n *Node) onStray(s instance.Stray) {
--- a/pkg/mesh/events.go
+++ b/pkg/mesh/events.go
@@ -39,6 +39,7 @@
 	eventRepeatedID       logs.EventKind = "request id sent to the instance again"
 	eventForeignAnswer    logs.EventKind = "gate returned the answer to another request"
 	eventStray            logs.EventKind = "response of the instance belongs to no call"
+	eventJoined           logs.EventKind = "response of the instance goes on with another"
 	// eventAnsweredAgain is logged in place of eventAnswered and eventFailed.
 	eventAnsweredAgain logs.EventKind = "request answered after a lost answer"
 	// eventBorrowFailed, eventMessageUnreadable and eventMessageUnencodable concern messages
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -189,7 +189,7 @@
 }
 
 func (n *Node) makeGate() {
-	n.instance = &instance.Client{Address: n.settings.InstanceAddress, Clock: n.clock, Headers: n.platform.InstanceHeaders, MaxBodyBytes: maxResponseBytes, OnStray: n.onStray, OnRepeatedID: n.onRepeatedID}
+	n.instance = &instance.Client{Address: n.settings.InstanceAddress, Clock: n.clock, Headers: n.platform.InstanceHeaders, MaxBodyBytes: maxResponseBytes, OnStray: n.onStray, OnJoined: n.onJoined, OnRepeatedID: n.onRepeatedID}
 	n.gate = &gate.Gate{Clock: n.clock, Headers: n.platform.GateHeaders, Instance: n.instance, View: n.view.Load, OnStart: n.onExecutionStarted, OnDecision: n.onDecided, OnRateLimit: n.onRateLimit, OnLeaving: n.onLeaving}
 	n.gate.Init()
 	n.heartbeats = &HeartbeatTracker{Clock: n.clock, Service: n.settings.Service, Interval: n.settings.HeartbeatInterval, HasDeparted: n.hasDeparted, OnChange: n.onInstanceChange}
--- a/pkg/meter/meter.go
+++ b/pkg/meter/meter.go
@@ -131,6 +131,9 @@
 	m.scope.Tagged(map[string]string{"skipped": strconv.FormatBool(skipped)}).Counter("responses_stray").Inc(1)
 }
 
+// CountJoinedResponse counts a response of the instance that goes on with another one.
+func (m *Meter) CountJoinedResponse() { m.scope.Counter("responses_joined").Inc(1) }
+
 // CountForeignAnswer counts an answer that a gate returned for another request.
 func (m *Meter) CountForeignAnswer() { m.scope.Counter("answers_foreign").Inc(1) }
 
