Quota: random schedules hand over pools as a node does

The schedules gave the surplus only; a node hands over what it pools for another home, too. Evidence: 100,000 schedules a case: those with one home hold; those with several homes failed once, after 6,021: 150.54 tokens of 150 were held (a limit that was lowered by half), by a home that does not know yet that it is none.

--- a/pkg/quota/schedule_test.go
+++ b/pkg/quota/schedule_test.go
@@ -152,7 +152,8 @@
 // giveSurplus gives as a node does: to its home, or to its own pool without a connection.
 func (s *schedule) giveSurplus(i int) {
 	n := s.nodes[i]
-	for _, g := range s.limiters[i].Surplus() {
+	isHome := func(fleet.OrganisationID) bool { return n.home == i }
+	for _, g := range append(s.limiters[i].HandOver(isHome), s.limiters[i].Surplus()...) {
 		if n.home == i || n.cut[n.home] {
 			s.limiters[i].Keep(g)
 			continue
