Node: a pause of the node does not close the gate of its instance

Seen beside loads of 40 to 60 on 8 cores, where even a process that only sleeps was up to 1.4 s late to run: after each pause of the process longer than three heartbeat intervals every node closed the gate of its instance and opened it 10 to 400 ms later. Callers got 503, 'every instance of the service is full' or 'no instance of the service takes the request' (25 of 522 calls after a pause of 0.7 s), nodes read the store themselves as no open node was left to ask, and the plan counted services as gone.

Cause: the check after the pause compared the age of the last heartbeat with the clock, before the node had read what the instance had sent meanwhile.

Change: the time by which a check is late does not count as silence. An instance that is silent while its node runs is closed as before.

TestNodeThatStoodStillKeepsItsInstance failed before and passes now.

--- a/pkg/mesh/heartbeat.go
+++ b/pkg/mesh/heartbeat.go
@@ -57,6 +57,10 @@
 	currentSince  time.Time
 	lastSequence  uint64
 	lastHeartbeat time.Time
+	// lastCheck is the time of the last CheckLiveness, and stoodStill the time since
+	// lastHeartbeat in which this node did not run, as far as its checks were late.
+	lastCheck  time.Time
+	stoodStill time.Duration
 	// slots is what the newest heartbeat says.
 	slots int
 	// confirmed is the incarnation that is known not to have departed before this process
@@ -87,6 +91,7 @@
 		t.currentSince = now
 	}
 	t.current, t.lastSequence, t.lastHeartbeat, t.slots = sender, h.Sequence, now, h.Slots
+	t.stoodStill = 0
 	if h.Draining || deregistered {
 		t.markDeparted(sender)
 	}
@@ -161,7 +166,7 @@
 		t.closeForGood()
 		return
 	}
-	if t.confirmed != t.current && t.heartbeatAge() <= maxMissedHeartbeats*t.Interval {
+	if t.confirmed != t.current && t.silence() <= maxMissedHeartbeats*t.Interval {
 		t.update()
 	}
 }
@@ -184,12 +189,15 @@
 		return
 	}
 	t.confirmed = i
-	if t.heartbeatAge() <= maxMissedHeartbeats*t.Interval {
+	if t.silence() <= maxMissedHeartbeats*t.Interval {
 		t.update()
 	}
 }
 
-func (t *HeartbeatTracker) heartbeatAge() time.Duration { return t.Clock.Now().Sub(t.lastHeartbeat) }
+// silence returns how long this node has run without a heartbeat. The caller holds mu.
+func (t *HeartbeatTracker) silence() time.Duration {
+	return t.Clock.Now().Sub(t.lastHeartbeat) - t.stoodStill
+}
 
 // HandleDeregistration closes the gate of an instance that has announced its shutdown, and
 // returns the incarnation that it was applied to. Before the first heartbeat it is kept for
@@ -232,15 +240,30 @@
 }
 
 // CheckLiveness closes the gate of an instance that has sent no heartbeat for more than
-// maxMissedHeartbeats intervals.
+// maxMissedHeartbeats intervals. It must be called every checkInterval: the time by which a
+// call is late does not count, as the node may have stood still, and not have read what the
+// instance has sent.
 func (t *HeartbeatTracker) CheckLiveness() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.heartbeatAge() > maxMissedHeartbeats*t.Interval {
+	t.countPause(t.Clock.Now())
+	if t.silence() > maxMissedHeartbeats*t.Interval {
 		t.closeUntilHeartbeat()
 	}
 }
 
+// countPause adds the time by which a check is late to stoodStill. The caller holds mu.
+func (t *HeartbeatTracker) countPause(now time.Time) {
+	due := t.lastCheck.Add(checkInterval)
+	if due.Before(t.lastHeartbeat) {
+		due = t.lastHeartbeat
+	}
+	if !t.lastCheck.IsZero() && now.After(due) {
+		t.stoodStill += now.Sub(due)
+	}
+	t.lastCheck = now
+}
+
 // MarkUnreachable closes the gate until the next heartbeat. It is called when the
 // address of the instance refuses connections.
 func (t *HeartbeatTracker) MarkUnreachable() {
