Rate: the test of critical calls says why one was refused

A refused critical call failed the test beside a load, and the test did not say with what error, after which wait. It prints these now, and the longest pause between two of its calls. Nothing that it checks is changed.

--- a/pkg/rate/strategies_test.go
+++ b/pkg/rate/strategies_test.go
@@ -261,6 +261,7 @@
 	f := newFleet(t, fleetNodes, false)
 	var calls sync.WaitGroup
 	var refusedCritical, refusedNormal atomic.Int64
+	began, last, longestPause := time.Now(), time.Now(), time.Duration(0)
 	for i := range 1500 {
 		l := f.limiters[i%fleetNodes]
 		calls.Go(func() {
@@ -270,14 +271,18 @@
 		})
 		if i%50 == 0 {
 			calls.Go(func() {
-				if f.call(l, fleet.ClassCritical) != nil {
+				sent := time.Now()
+				if err := f.call(l, fleet.ClassCritical); err != nil {
 					refusedCritical.Add(1)
+					t.Logf("critical call at node %d, made %s after the first: %v, after %s", i%fleetNodes, sent.Sub(began), err, time.Since(sent))
 				}
 			})
 		}
 		time.Sleep(2 * time.Millisecond)
+		longestPause, last = max(longestPause, time.Since(last)), time.Now()
 	}
 	calls.Wait()
+	t.Logf("longest pause between two calls: %s", longestPause)
 	is.True(refusedNormal.Load() > 900)
 	is.Equal(refusedCritical.Load(), int64(0))
 }
