soak: tell when its own process stood still, and how a late node ended

Cause: callers, servers and store run in the soak's own process. When it is not run for seconds, requests are late, stops end late and the store does not answer, as if nodes were at fault, and nothing told. Of a node that was still running after its grace period nothing told how, and when, it ended.

A violation of the grace period tells when the signal was sent, when and how the node ended, and the end of its log. All checks and bounds are as they were.

--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -42,6 +42,8 @@
 	lockTimeout = 2 * time.Minute
 	// crashLogBytes is how much of a node's log a violation shows if the node crashed.
 	crashLogBytes = 10000
+	// stopLogBytes is how much of it a violation shows if the node took too long to stop.
+	stopLogBytes = 1000
 	// requestTimeout is the time after which clients give a request up.
 	requestTimeout = 2500 * time.Millisecond
 )
@@ -311,9 +313,9 @@
 	select {
 	case <-exited:
 	case <-time.After(gracePeriod):
-		c.addViolation("node %s was still running %s after signal %s", m.name, gracePeriod, signal)
 		_ = process.Process.Kill()
 		<-exited
+		c.addViolation("node %s was still running %s after signal %s at %s, and ended after %s with %s: %q", m.name, gracePeriod, signal, s.from.UTC().Format(time.StampMilli), time.Since(s.from), process.ProcessState, m.logTail(stopLogBytes))
 	}
 	s.to = time.Now()
 	c.mu.Lock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -482,6 +482,8 @@
 	defer stop()
 	load := &clients{cluster: c}
 	load.run(ctx)
+	held := &holdUps{sleep: time.Sleep, now: time.Now}
+	go held.watch(ctx)
 	c.stutter.set(stutters(seed))
 	history := injectFaults(c, rand.New(rand.NewPCG(seed, 5)), faultDuration(t))
 	c.stutter.set(false)
@@ -492,6 +494,7 @@
 	fraction, total := load.goodput(recovered, recovered.Add(2*time.Second))
 	t.Logf("SOAK_SEED=%d: %v; %d requests; %d second answers; %.4f of %d succeeded after the recovery timeout", seed, history, len(load.outcomes), c.stutter.count.Load(), fraction, total)
 	t.Logf("then by route and status, with the median time: %s", load.summary(recovered, recovered.Add(2*time.Second)))
+	t.Logf("this process was held up at: %s", held)
 	checkOutcomes(c, c.records(), load.outcomes)
 	c.checkNestedCalls()
 	load.checkLeft()
