--- a/cmd/plantainmesh/main_test.go
+++ b/cmd/plantainmesh/main_test.go
@@ -43,20 +43,31 @@
 func TestSignalsAreHandledBeforeSettingsAreRead(t *testing.T) {
 	for _, signal := range []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP} {
 		t.Run(signal.String(), func(t *testing.T) {
-			is := is.New(t)
-			path := filepath.Join(t.TempDir(), "node.ini")
-			is.NoErr(unix.Mkfifo(path, 0o600))
-			process := exec.Command(os.Args[0], "--settings", path)
-			process.Env = append(os.Environ(), mainVariable+"=1")
-			is.NoErr(process.Start())
-			pipe, err := os.OpenFile(path, os.O_WRONLY, 0) // waits until the node opens it
-			is.NoErr(err)
-			is.NoErr(process.Process.Signal(signal))
-			_, err = pipe.WriteString("no settings")
-			is.NoErr(err)
-			is.NoErr(pipe.Close())
+			process := startAndSignal(t, signal, "no settings", nil)
 			_ = process.Wait()
-			is.Equal(process.ProcessState.String(), "exit status 2") // settings are not valid
+			is.New(t).Equal(process.ProcessState.String(), "exit status 2") // settings are not valid
 		})
 	}
 }
+
+// startAndSignal starts a node, sends it a signal while it waits for its settings, and then
+// gives it these.
+func startAndSignal(t *testing.T, signal syscall.Signal, settings string, log *os.File) *exec.Cmd {
+	t.Helper()
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "node.ini")
+	is.NoErr(unix.Mkfifo(path, 0o600))
+	process := exec.Command(os.Args[0], "--settings", path)
+	process.Env = append(os.Environ(), mainVariable+"=1")
+	if log != nil {
+		process.Stdout = log
+	}
+	is.NoErr(process.Start())
+	pipe, err := os.OpenFile(path, os.O_WRONLY, 0) // waits until the node opens it
+	is.NoErr(err)
+	is.NoErr(process.Process.Signal(signal))
+	_, err = pipe.WriteString(settings)
+	is.NoErr(err)
+	is.NoErr(pipe.Close())
+	return process
+}
