Logs: the end of a program does not wait for a stalled reader

What was seen: a node whose log nobody read any more stayed after SIGTERM, though it had answered all requests and closed its connections; it had to be killed after its grace period.

Cause: lines are written in the background and dropped while the reader stalls, but Close, the last thing before the exit, waited for all that were queued, without bound.

Change: Close waits 200 ms at most, by the clock that is passed in. Lines that a reader takes are written as before.

--- a/internal/meshcmd/meshcmd.go
+++ b/internal/meshcmd/meshcmd.go
@@ -68,7 +68,7 @@
 }
 
 func serve(ctx context.Context, hangups <-chan os.Signal, path string, s *mesh.Settings, out io.Writer) error {
-	logWriter := logs.NewAsyncWriter(out)
+	logWriter := logs.NewAsyncWriter(out, clock.System{})
 	defer logWriter.Close()
 	logger, err := logs.New(logWriter, s.LogLevel, s.LogFormat, s.NodeName)
 	if err != nil {
--- a/pkg/logs/asyncwriter.go
+++ b/pkg/logs/asyncwriter.go
@@ -4,19 +4,26 @@
 	"io"
 	"sync"
 	"sync/atomic"
+	"time"
+
+	"github.com/plantainramp/plantainramp/pkg/clock"
 )
 
 const (
 	// maxQueuedLines bounds the log lines queued while out is slow.
 	maxQueuedLines = 1024
+	// closeTimeout bounds how long the end of a program waits for lines that are queued. A
+	// node has a tenth of its grace period, which lasts seconds, for all that is left then.
+	closeTimeout = 200 * time.Millisecond
 )
 
 // AsyncWriter writes log lines to another writer in the background, such as a pipe. If
 // that writer blocks, lines are dropped, so logging never delays the caller. Its methods
 // are safe for concurrent use.
 type AsyncWriter struct {
-	out  io.Writer
-	done chan struct{}
+	out   io.Writer
+	clock clock.Clock
+	done  chan struct{}
 	// mu guards closed, and lines against a write after it was closed.
 	mu     sync.RWMutex
 	lines  chan []byte
@@ -26,8 +33,8 @@
 }
 
 // NewAsyncWriter returns a writer to out and starts its goroutine, which Close ends.
-func NewAsyncWriter(out io.Writer) *AsyncWriter {
-	w := &AsyncWriter{out: out, lines: make(chan []byte, maxQueuedLines), done: make(chan struct{})}
+func NewAsyncWriter(out io.Writer, c clock.Clock) *AsyncWriter {
+	w := &AsyncWriter{out: out, clock: c, lines: make(chan []byte, maxQueuedLines), done: make(chan struct{})}
 	go w.run()
 	return w
 }
@@ -52,7 +59,8 @@
 // Dropped returns the number of lines dropped because the queue was full or closed.
 func (w *AsyncWriter) Dropped() int64 { return w.dropped.Load() }
 
-// Close waits until all queued lines are written. Later lines are dropped.
+// Close waits until all queued lines are written, or closeTimeout has passed because out
+// blocks. Later lines are dropped.
 func (w *AsyncWriter) Close() {
 	w.mu.Lock()
 	if !w.closed {
@@ -60,7 +68,10 @@
 		close(w.lines)
 	}
 	w.mu.Unlock()
-	<-w.done
+	select {
+	case <-w.done:
+	case <-w.clock.After(closeTimeout):
+	}
 }
 
 func (w *AsyncWriter) run() {
--- a/pkg/logs/asyncwriter_test.go
+++ b/pkg/logs/asyncwriter_test.go
@@ -29,7 +29,7 @@
 func TestStalledWriterDoesNotBlock(t *testing.T) {
 	is := is.New(t)
 	out := &stalledWriter{release: make(chan struct{})}
-	w := NewAsyncWriter(out)
+	w := NewAsyncWriter(out, &clock.Fake{})
 	logger, err := New(w, "info", FormatJSON, "node")
 	is.NoErr(err)
 	started := time.Now()
@@ -43,6 +43,31 @@
 	is.True(strings.Count(out.text.String(), "\n") >= maxQueuedLines)
 }
 
+// Guards against a program that does not end because the reader of its log has stalled.
+func TestCloseDoesNotWaitForStalledWriter(t *testing.T) {
+	is := is.New(t)
+	out := &stalledWriter{release: make(chan struct{})}
+	defer close(out.release)
+	fake := &clock.Fake{}
+	w := NewAsyncWriter(out, fake)
+	_, err := w.Write([]byte("line\n"))
+	is.NoErr(err)
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		w.Close()
+	}()
+	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); {
+		fake.Advance(closeTimeout)
+		select {
+		case <-closed:
+			return
+		case <-time.After(time.Millisecond):
+		}
+	}
+	t.Fatal("the writer is not closed")
+}
+
 // Lines of one kind of event above the limit are omitted and counted, and lines of other
 // kinds are still written.
 func TestEventsAboveLimitAreOmitted(t *testing.T) {
@@ -69,7 +94,7 @@
 func TestLinesAfterCloseAreDropped(t *testing.T) {
 	is := is.New(t)
 	var out bytes.Buffer
-	w := NewAsyncWriter(&out)
+	w := NewAsyncWriter(&out, &clock.Fake{})
 	started := make(chan struct{})
 	var group sync.WaitGroup
 	for i := range 4 {
