Quota: schedules borrow as the entrance does; a test of a home that changes

A request of a schedule borrows only once its node has no token, and takes one of a loan that comes in time.

--- a/pkg/quota/fleet_test.go
+++ b/pkg/quota/fleet_test.go
@@ -386,3 +386,27 @@
 		})
 	}
 }
+
+// All nodes give to one home and then to another. Guards against tokens that the pool of the
+// first still holds while that of the second fills.
+func TestChangeOfHomeKeepsTokensWithinBurst(t *testing.T) {
+	is := is.New(t)
+	// As updateRateLimits of a node sets them, from a rate of 100 and a burst of a second.
+	limit := Limit{Rate: 109, Burst: 118}
+	f := newTestFleet(5, limit)
+	most := 0.0
+	for interval := range 40 {
+		f.home = interval / 20
+		f.clock.Advance(GiveInterval)
+		held := 0.0
+		for i, l := range f.limiters {
+			held += f.heldInBucket(i) + l.PoolTokens("dakar")
+		}
+		most = max(most, held)
+		for i := range f.limiters {
+			f.give(i)
+		}
+	}
+	t.Logf("%.2f tokens at most", most)
+	is.True(most <= float64(limit.Burst)+roundingError)
+}
--- a/pkg/quota/schedule_test.go
+++ b/pkg/quota/schedule_test.go
@@ -163,9 +163,9 @@
 	}
 }
 
-// borrowFrom asks a peer for a loan; the request or the loan may be late or lost. It may
-// arrive up to lateLoanTime after it was asked for if it is the only one of the node, as the
-// entrance sees to it, and up to loanTime otherwise.
+// borrowFrom asks a peer for a loan for a request; the question or the loan may be late or
+// lost. As in the entrance it may take up to lateLoanTime if it is the only one of the node,
+// and up to loanTime otherwise.
 func (s *schedule) borrowFrom(i, lender int) {
 	n, borrower := s.nodes[i], s.limiters[i]
 	if i == lender || n.cut[lender] {
@@ -179,8 +179,15 @@
 	s.send(lender, wait, 0, func() {
 		granted := s.limiters[lender].Lend("dakar", wanted)
 		left := wait - s.clock.Now().Sub(asked)
-		// A node that has restarted gets no answers to what it asked before.
-		s.send(i, left, granted, func() { borrower.AddBorrowed("dakar", granted) })
+		s.send(i, left, granted, func() {
+			if s.limiters[i] != borrower {
+				return // the node has restarted
+			}
+			borrower.AddBorrowed("dakar", granted)
+			if s.clock.Now().Sub(asked) <= loanTime && borrower.TakeBorrowed("dakar") {
+				s.notePassed(i, borrower)
+			}
+		})
 	})
 }
 
@@ -196,10 +203,14 @@
 	if !s.limiters[i].Take("dakar") {
 		return false
 	}
-	s.taken = append(s.taken, passed{s.clock.Now(), i, s.limiters[i], s.tokensOnTheWay()})
+	s.notePassed(i, s.limiters[i])
 	return true
 }
 
+func (s *schedule) notePassed(i int, l *Limiter) {
+	s.taken = append(s.taken, passed{s.clock.Now(), i, l, s.tokensOnTheWay()})
+}
+
 // takeAll takes all tokens that a node has.
 func (s *schedule) takeAll(i int) {
 	for s.pass(i) {
@@ -276,6 +287,11 @@
 	case "return":
 		s.returnToken()
 	case "borrow":
+		if !s.pass(i) {
+			s.borrowFrom(i, s.node("lender"))
+		}
+	case "borrow after all":
+		s.takeAll(i)
 		s.borrowFrom(i, s.node("lender"))
 	case "give":
 		s.giveSurplus(i)
@@ -313,7 +329,7 @@
 
 // scheduleSteps holds the steps of a schedule, the frequent ones several times.
 var scheduleSteps = []string{
-	"take", "take", "take one", "return", "borrow", "borrow", "give", "give", "all give", "all give", "all give",
+	"take", "take", "take one", "return", "borrow", "borrow after all", "borrow after all", "borrow after all", "give", "give", "all give", "all give", "all give",
 	"cut", "rehome", "all rehome", "restart", "limit", "agree", "agree", "all agree", "suspend",
 }
 
