Connection: a stopping node keeps connections on which a request has arrived

Seen: TestShutdownUnderLoad, 2 of 33 runs beside 8 to 16 busy processes (loads of 56 and 49 on 8 cores): one request got EOF in place of an answer. Traced at 49: its caller had written it 197 ms before its connection was closed, on which 238 bytes lay unread.

Cause: a stopping node closes connections that have waited for 100 ms. Whether data had arrived that the server had not come to read, as it waited for the processor, was not looked at.

Change: such connections are kept until the server has read them, and their requests are answered. The last close of a stop, after which no request is taken, closes all as before. A connection that the kernel has accepted and the node has not is still lost with its listener.

--- a/pkg/connection/connection.go
+++ b/pkg/connection/connection.go
@@ -139,13 +139,20 @@
 }
 
 // CloseWaiting closes the connections that have waited for a request for at least
-// minWait.
+// minWait. It keeps those on which data has arrived that the server has not come to read.
 func (t *Tracker) CloseWaiting(minWait time.Duration) {
 	now := t.Clock.Now()
+	t.closeWaiting(func(c *conn) bool {
+		return now.Sub(c.waitingSince) >= minWait && (c.raw == nil || !isUnread(c.raw))
+	})
+}
+
+// closeWaiting closes the connections that wait for a request and are due.
+func (t *Tracker) closeWaiting(due func(c *conn) bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, c := range t.conns {
-		if !c.busy && !c.closed && now.Sub(c.waitingSince) >= minWait {
+		if !c.busy && !c.closed && due(c) {
 			t.closeConn(c)
 		}
 	}
@@ -173,7 +180,7 @@
 	t.mu.Lock()
 	t.closed = true
 	t.mu.Unlock()
-	t.CloseWaiting(0)
+	t.closeWaiting(func(*conn) bool { return true })
 }
 
 // begin marks a connection busy, as a request was read from it. It returns false if the
--- a/pkg/connection/peerclosed.go
+++ b/pkg/connection/peerclosed.go
@@ -28,6 +28,17 @@
 	return closed || err != nil
 }
 
+// isUnread reports whether data has arrived on a socket that the server has not read.
+func isUnread(raw syscall.RawConn) bool {
+	unread := 0
+	err := raw.Control(func(fd uintptr) {
+		if n, ioctlErr := unix.IoctlGetInt(int(fd), unix.TIOCINQ); ioctlErr == nil {
+			unread = n
+		}
+	})
+	return err == nil && unread > 0
+}
+
 // rawConn returns the raw connection of a socket, or nil.
 func rawConn(netConn net.Conn) syscall.RawConn {
 	syscallConn, ok := netConn.(syscall.Conn)
