seam: the search for joined answers leaves the instance's client

Pure move, for the older daemon's client, which needs the same search: what is a status line, the head of a response, a seam in a head, the start of another response in a body. What has arrived on a connection without being read moves to pkg/socket.

--- a/pkg/instance/carried.go
+++ b/pkg/instance/carried.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"slices"
 	"strings"
+
+	"github.com/plantainramp/plantainramp/pkg/seam"
 )
 
 // maxCallsPerConn bounds the calls that a connection carries, and so the ids that it keeps.
@@ -39,7 +41,7 @@
 	if id == "" || !k.carried.has(digestOf(id)) || response.Trailer.Get(idHeader) != "" {
 		return false
 	}
-	return !hasStatusLine(body) && !slices.ContainsFunc(trailerTexts(response), hasStatusLine[string])
+	return !seam.HasStatusLine(body) && !slices.ContainsFunc(trailerTexts(response), seam.HasStatusLine[string])
 }
 
 // trailerTexts returns the lines of the trailer of a response that was read whole.
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"github.com/plantainramp/plantainramp/pkg/clock"
+	"github.com/plantainramp/plantainramp/pkg/seam"
 )
 
 const (
@@ -250,8 +251,8 @@
 func (k *conn) readFinalResponse(request *http.Request) (response *http.Response, joined bool, err error) {
 	for range maxInterimResponses {
 		head := k.peekHead()
-		joined = isJoined(head) || joined
-		isSeam := joined && (k.carried.count() > 1 || !quotesOwnStatus(head))
+		joined = seam.IsJoined(head) || joined
+		isSeam := joined && (k.carried.count() > 1 || !seam.QuotesOwnStatus(head))
 		response, err := http.ReadResponse(k.reader, request)
 		if err == nil && isSeam {
 			return nil, joined, &JoinedResponsesError{Status: response.Status}
--- a/pkg/instance/pool.go
+++ b/pkg/instance/pool.go
@@ -6,6 +6,8 @@
 	"net"
 	"slices"
 	"time"
+
+	"github.com/plantainramp/plantainramp/pkg/socket"
 )
 
 // conn is a connection to the instance. It carries one call at a time.
@@ -42,7 +44,7 @@
 		}
 		now := c.Clock.Now()
 		skipCheck := call.Idempotent && now.Sub(k.lastUsed) < skipCheckWithin
-		if now.Before(k.expiresAt) && (skipCheck || isOpenAndIdle(k.Conn)) {
+		if now.Before(k.expiresAt) && (skipCheck || socket.IsOpenAndIdle(k.Conn)) {
 			k.reused = true
 			return k, nil
 		}
--- a/pkg/instance/conncheck.go
+++ b/pkg/socket/socket.go
@@ -1,4 +1,5 @@
-package instance
+// Package socket tells what has arrived on a connection without reading it or waiting.
+package socket
 
 import (
 	"errors"
@@ -6,17 +7,17 @@
 	"syscall"
 )
 
-// isOpenAndIdle reports whether a connection is open and has no data to read. A
-// connection that the instance has closed, or on which it has sent data after the
+// IsOpenAndIdle reports whether a connection is open and has no data to read. A
+// connection that the peer has closed, or on which it has sent data after the
 // last response, must not carry another call.
-func isOpenAndIdle(c net.Conn) bool {
+func IsOpenAndIdle(c net.Conn) bool {
 	_, isSocket := c.(syscall.Conn)
 	_, err := peekByte(c)
 	return !isSocket || errors.Is(err, syscall.EAGAIN)
 }
 
-// hasData reports whether data that was not read has arrived on a connection.
-func hasData(c net.Conn) bool {
+// HasData reports whether data that was not read has arrived on a connection.
+func HasData(c net.Conn) bool {
 	n, err := peekByte(c)
 	return err == nil && n > 0
 }
