upstream: joined answers end their call as one that may have run

Callers of the older daemon got 200 for the 500 of an upstream that had begun a success and replaced it, and a 200 with a body that was filled up with the answer sent again, or had the second answer behind it. An action that the upstream had answered with 500 counted as a success.

Cause: net/http parses the bytes of a connection as one response and hides the raw head and what is left behind the body.

Such a call ends as "uncertain", and is sent once.

--- a/pkg/upstream/brokenoff_test.go
+++ b/pkg/upstream/brokenoff_test.go
@@ -224,3 +224,16 @@
 	is.NoErr(err)
 	is.Equal(r.foreign(got, err), "")
 }
+
+// A body that is too large is refused as such, also if it quotes an answer. Guards against a call
+// that ran and counts as one that may have, as the rest of its body is not read.
+func TestLargeBodyThatQuotesAnAnswerIsTooLarge(t *testing.T) {
+	is := is.New(t)
+	a := newAnswers(t)
+	a.client.MaxResponseBytes = 1 << 10
+	_, err := a.get(t, run{200, "log: HTTP/1.1 503 Service Unavailable" + strings.Repeat(" and so on", 1000)}.text(""))
+	p, refused := err.(*problem.Error)
+	is.True(refused)
+	is.Equal(p.Kind, problem.KindTooLarge)
+	is.Equal(p.Execution, problem.Executed)
+}
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -5,7 +5,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -35,7 +34,11 @@
 type Token string
 
 // Client sends calls to the upstream. Address, Clock and MaxResponseBytes must be set
-// before use. It is safe for concurrent use.
+// before use. It is safe for concurrent use. It follows no redirects and requests no compression, so
+// that responses pass unmodified. Each connection carries one request: upstreams need not echo an
+// id, so that on a reused connection, a late duplicate of an earlier response could not be told from
+// the response to the request. A response that is joined with another one ends its call as one that
+// may have run.
 type Client struct {
 	Address string
 	Clock   clock.Clock
@@ -47,25 +50,10 @@
 	// established.
 	OnDialError func()
 
-	once sync.Once
-	// transport follows no redirects and requests no compression, so that responses
-	// pass unmodified. Each connection carries one request: upstreams need not echo an id,
-	// so that on a reused connection, a late duplicate of an earlier response could not
-	// be told from the response to the request. It is set by init.
-	transport *http.Transport
 	// runningCalls maps Token to *call.Call.
 	runningCalls sync.Map
 }
 
-func (u *Client) init() {
-	u.once.Do(func() {
-		dialer := &net.Dialer{Timeout: dialTimeout}
-		u.transport = &http.Transport{
-			DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true,
-		}
-	})
-}
-
 // RunningCall returns the running call that a token identifies, or nil.
 func (u *Client) RunningCall(token Token) *call.Call {
 	if found, ok := u.runningCalls.Load(token); ok {
@@ -77,7 +65,6 @@
 // Handle runs a call on the upstream. It is a call.Handler. It checks the start
 // deadline of the call immediately before sending it.
 func (u *Client) Handle(ctx context.Context, c *call.Call) (*call.Response, error) {
-	u.init()
 	ctx, cancel := context.WithTimeout(ctx, c.Remaining(u.Clock.Now()))
 	defer cancel()
 	token := Token(fleet.NewID())
@@ -90,12 +77,7 @@
 	if !u.Unfenced && u.Clock.Now().After(c.StartDeadline()) {
 		return nil, problem.New(problem.KindDeadline, "the time to start the call had passed")
 	}
-	resp, err := u.transport.RoundTrip(req)
-	if err != nil {
-		return nil, u.transportError(ctx, err)
-	}
-	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, u.MaxResponseBytes+1))
+	resp, body, err := u.roundTrip(ctx, req, u.MaxResponseBytes)
 	if err != nil {
 		return nil, u.transportError(ctx, err)
 	}
@@ -112,8 +94,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "create upstream request")
 	}
-	// Without GetBody, the transport cannot replay a request on another connection.
-	req.GetBody = nil
+	req.Close = true
 	req.Header = c.Header.Clone()
 	if req.Header == nil {
 		req.Header = http.Header{}
@@ -141,6 +122,10 @@
 	if ctx.Err() != nil {
 		return problem.NewUncertain(problem.KindDeadline, "the call was cancelled while it ran")
 	}
+	var joined *JoinedResponsesError
+	if eris.As(err, &joined) {
+		return problem.NewUncertain(problem.KindUncertain, "the answer of the upstream is joined with another one")
+	}
 	return problem.NewUncertain(problem.KindUncertain, "the connection to the upstream broke before its whole answer came")
 }
 
