upstream: tests of bodies that end with a buffer, and of large ones that quote an answer

Two mutants of the search for joined answers had survived: bytes that wait in the socket, and bytes that were read ahead. TestBodyThatEndsWithABufferIsNotFilledUp fails on both, and on the code before the search.

--- a/pkg/upstream/brokenoff_test.go
+++ b/pkg/upstream/brokenoff_test.go
@@ -159,13 +159,31 @@
 	r := run{200, strings.Repeat("whole body ", 6000)}
 	own := r.text("")
 	for _, missing := range []int{readBufferBytes, 2*readBufferBytes + 1, len(r.body) / 2, len(r.body)} {
-		got, err := a.get(t, own[:len(own)-missing]+own)
-		if problem := r.foreign(got, err); problem != "" {
-			t.Errorf("%d bytes missing: %s", missing, problem)
+		// The second one has no header value in common with the first.
+		other := fmt.Sprintf("HTTP/1.1 500 No\r\nContent-Length: %d\r\n\r\n%s", len(r.body), r.body)
+		for _, second := range []string{own, other} {
+			got, err := a.get(t, own[:len(own)-missing]+second)
+			if problem := r.foreign(got, err); problem != "" {
+				t.Errorf("%d bytes missing: %s", missing, problem)
+			}
 		}
 	}
 }
 
+// A body that is filled up with another answer ends where a read buffer does, and the rest is not
+// in the buffer.
+func TestBodyThatEndsWithABufferIsNotFilledUp(t *testing.T) {
+	a := newAnswers(t)
+	const interim, second = "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 500 No\r\nContent-Length: 2\r\n\r\nno"
+	r := run{200, "sixteen bytes  ."}
+	size := len(r.text("")) + len("Name: \r\n")
+	own := r.text("Name: " + strings.Repeat("v", readBufferBytes-size) + "\r\n")
+	got, err := a.get(t, interim+own[:len(own)-len(r.body)]+second)
+	if problem := r.foreign(got, err); problem != "" {
+		t.Error(problem)
+	}
+}
+
 // An answer without a length is followed by a second one before the connection ends.
 func TestBodyWithoutLengthIsNotFollowedByAnotherAnswer(t *testing.T) {
 	a := newAnswers(t)
