acceptance: test processes have ports of their own, and a fleet that does not start shows its output

Cause of the first, by reading, not shown: two test processes gave out ports from 20000 + 20 * (process id mod 400) on, several hundred each, so that one could take the port of a node that the other had killed.

Change: a process claims blocks of ports by listening on the first of each while it lives. If a fleet is not ready in time, the ends of all outputs are logged. No check and no bound is changed.

Evidence: stop.txtar made to wait for one node too many fails and shows all outputs.

--- a/acceptance/harness_test.go
+++ b/acceptance/harness_test.go
@@ -13,7 +13,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -27,17 +26,58 @@
 	"github.com/plantainramp/plantainramp/pkg/ticket"
 )
 
-// nextPort is the last port given out. It starts below the range that the operating
-// system uses for outgoing connections, at a number that depends on the process id,
-// so that concurrent test processes use different ports.
-var nextPort atomic.Int32
+const (
+	// firstPort is the first port that is given out. All lie below the range that the
+	// operating system uses for outgoing connections.
+	firstPort = 20000
+	// blockPorts is the number of ports that a test process takes at a time, and portBlocks
+	// the number of such blocks. The tests of pkg/node use the ports above them.
+	blockPorts, portBlocks = 250, 32
+	// loggedBytes is how much of the output of a process is logged.
+	loggedBytes = 1000
+)
+
+// ports gives out ports of blocks that no other test process has.
+var ports struct {
+	sync.Mutex
+	// next is the next port of the block, and left the number of its ports that were not
+	// given out.
+	next, left int
+	// claims holds a listener on the first port of each block that this process has, which
+	// keeps other test processes from taking it.
+	claims []net.Listener
+}
 
-func init() { nextPort.Store(int32(20000 + os.Getpid()%400*20)) }
+// nextPort returns the next port.
+func nextPort() int {
+	ports.Lock()
+	defer ports.Unlock()
+	if ports.left == 0 {
+		claimBlock()
+	}
+	port := ports.next
+	ports.next++
+	ports.left--
+	return port
+}
+
+// claimBlock takes the next block that no process has. The caller holds ports.
+func claimBlock() {
+	for i := range portBlocks {
+		first := firstPort + i*blockPorts
+		if l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first)); err == nil {
+			ports.claims = append(ports.claims, l)
+			ports.next, ports.left = first+1, blockPorts-1
+			return
+		}
+	}
+	panic("no ports are left for test processes")
+}
 
 // listenFree returns a listener on a local address with a port that is free.
 func listenFree() net.Listener {
 	for {
-		if l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", nextPort.Add(1))); err == nil {
+		if l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", nextPort())); err == nil {
 			return l
 		}
 	}
@@ -237,7 +277,7 @@
 // members, including all running nodes.
 func (h *harness) waitForMembers(args []string) error {
 	want, _ := strconv.Atoi(args[0])
-	return await(20*time.Second, func() error {
+	err := await(20*time.Second, func() error {
 		running := map[fleet.MemberID]bool{}
 		for _, in := range h.runningInstances() {
 			status, err := (&adminclient.Client{URL: "http://" + in.admin}).Status(h.ctx())
@@ -258,6 +298,19 @@
 		}
 		return nil
 	})
+	if err != nil {
+		h.logOutputs()
+	}
+	return err
+}
+
+// logOutputs writes the ends of the outputs of all processes to the log of the script.
+func (h *harness) logOutputs() {
+	files, _ := filepath.Glob(filepath.Join(h.dir, "*.out"))
+	for _, file := range files {
+		output, err := os.ReadFile(file)
+		h.script.Logf("%s, %d bytes, %v: %s", filepath.Base(file), len(output), err, output[max(0, len(output)-loggedBytes):])
+	}
 }
 
 // runningInstances returns the instances whose node has not exited.
