Node: the heap grows to twice its live part, not to five times

Cause: the memory of nodes was the largest cost beside the machines, and it grows with the number of nodes; the heap was allowed to reach five times its live part. Ruled out: 50 percent, which takes 10 to 13 % more processor time for little. Change: garbage collection at 100 percent.

--- a/internal/meshcmd/meshcmd.go
+++ b/internal/meshcmd/meshcmd.go
@@ -30,9 +30,10 @@
 )
 
 const (
-	// gcPercent lets the heap grow to five times the live heap between garbage
-	// collections. The live heap of a node is small.
-	gcPercent = 400
+	// gcPercent lets the heap grow to twice the live heap between garbage collections.
+	// Nodes run beside instances on small machines: a higher value saves little processor
+	// time and doubles the memory.
+	gcPercent = 100
 	// maxMemoryBytes is the soft limit on the memory of the Go runtime. Near it, the
 	// garbage collector runs more often.
 	maxMemoryBytes = 96 << 20
