Gate: a cold instance gets no more calls than it can take

Cause: an instance that has just started takes only a few calls per second for some seconds, and crashes when it gets more. Heartbeats and health checks say how long that lasts, and the configuration how many calls it can take (cold_per_s), but nothing used either. After a restart under load the instance crashed again and again.

Change: the gate paces its calls at the lowest of the limit that the instance names and the cold rate, and checks each call against a sliding window of one second when it is written to the connection. A call that was admitted at a higher rate is returned as not executed (REASON_FULL). What is not known counts as cold: until the first heartbeat, and after the instance refused or ended a connection. The node then sends a health check at once and every 250 ms. Heartbeats of a process that has ended since are inconclusive. The bound is in the settings (coldOverage, coldSlack) and optional.

--- a/pkg/gate/execute.go
+++ b/pkg/gate/execute.go
@@ -44,14 +44,18 @@
 	d.SentAt = call.SentAt
 	var notSent *instance.NotSentError
 	var rejected *instance.RejectedError
+	var overLimit *ColdLimitError
 	switch {
 	case err == nil:
 		return &linkrpc.Outcome{
 			Fate: linkrpc.Fate_FATE_ANSWERED, Status: uint32(response.Status), Headers: encodedHeaders(response.Headers), Body: response.Body,
 		}, nil
+	case errors.As(err, &overLimit):
+		return NotRunOutcome(linkrpc.Reason_REASON_FULL), err
 	case errors.As(err, &notSent):
 		return g.unsentOutcome(ctx), err
 	case errors.As(err, &rejected):
+		g.noteRejection(rejected, local.ID)
 		return NotRunOutcome(linkrpc.Reason_REASON_REJECTED), err
 	case g.givenUp.Load() && errors.Is(ctx.Err(), context.Canceled):
 		return LostOutcome(linkrpc.Reason_REASON_BROKEN), &GivenUpError{Cause: err}
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -49,6 +49,9 @@
 	StartUnixMs int64
 	// Open reports whether the instance accepts new calls.
 	Open bool
+	// ColdUntil is when the instance stops being cold by its last heartbeat; zero if it is
+	// warm.
+	ColdUntil time.Time
 	// Leaving reports whether the instance has said that it leaves. It is not open then, and
 	// does not open again before it has started anew.
 	Leaving bool
@@ -81,6 +84,14 @@
 	// OnLeaving is called for each response in which the instance says that it leaves. It
 	// closes the gate before it returns. It may be nil.
 	OnLeaving func(a instance.Announcement)
+	// ColdRate returns the calls per second that a cold instance takes, or 0; nil means that
+	// there is no such limit.
+	ColdRate func() float64
+	// ColdBound bounds the calls to a cold instance.
+	ColdBound ColdBound
+	// OnColdUnknown is called when it is no longer known whether the instance is cold. It may
+	// be nil and must not block.
+	OnColdUnknown func()
 
 	Slots    Slots
 	limit    rateLimit
@@ -115,7 +126,8 @@
 func (g *Gate) Init() {
 	g.Slots.Clock = g.Clock
 	g.attempts.Clock = g.Clock
-	g.Instance.OnAnnouncement = g.handleAnnouncement
+	g.limit.coldRate, g.limit.bound = g.ColdRate, g.ColdBound
+	g.Instance.OnAnnouncement, g.Instance.BeforeSend, g.Instance.OnBroken = g.handleAnnouncement, g.checkSend, g.handleBroken
 }
 
 // handleAnnouncement applies what the instance says of itself in a response.
@@ -141,6 +153,7 @@
 	previous := g.local.Swap(local)
 	if previous == nil || previous.Incarnation() != local.Incarnation() {
 		g.limit.reset(g.Clock.Now())
+		g.limit.begin(ColdReport{Incarnation: local.Incarnation(), Known: true, Until: local.ColdUntil, At: g.Clock.Now()})
 	}
 	g.Slots.SetLimit(max(1, int(float64(local.Slots)*usableSlotFraction)))
 	g.updateSlots()
@@ -188,8 +201,11 @@
 	return load
 }
 
-// RateLimit returns the rate limit of the instance in calls per second, or 0.
-func (g *Gate) RateLimit() float64 { return g.limit.rate() }
+// RateLimit returns the rate in force in calls per second, or 0.
+func (g *Gate) RateLimit() float64 { return g.limit.rateAt(g.Clock.Now()) }
+
+// NamedRateLimit returns the rate limit that the instance names in calls per second, or 0.
+func (g *Gate) NamedRateLimit() float64 { return g.limit.namedRate() }
 
 // NotRunOutcome returns the outcome of a call that was not run and never will be.
 func NotRunOutcome(reason linkrpc.Reason) *linkrpc.Outcome {
--- a/pkg/gate/ratelimit.go
+++ b/pkg/gate/ratelimit.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -9,13 +10,24 @@
 	"github.com/plantainramp/plantainramp/rpc/linkrpc"
 )
 
-// rateLimit is the rate limit that the local instance names in its responses. Responses
-// are read in another order than they were written, so one counts only if its call was sent
-// after the response that named the present limit was read. The zero value has no limit. It
-// is safe for concurrent use.
+// assumedRunTime is the run time of a call at a cold instance while none has been measured.
+// Without it, an instance that has just started would report all its slots as capacity.
+const assumedRunTime = 50 * time.Millisecond
+
+// rateLimit is the rate at which calls are sent to the local instance. It is the lowest of
+// the limit that the instance names in its responses and of the rate that it takes while it
+// is cold. Responses are read in another order than they were written, so one counts only if
+// its call was sent after the response that named the present limit was read. The zero value
+// has no limit. It is safe for concurrent use.
 type rateLimit struct {
+	// coldRate returns the calls per second that a cold instance takes, or 0; nil means none.
+	coldRate func() float64
+	bound    ColdBound
+
 	mu    sync.Mutex
 	pacer pacing.Pacer
+	cold  coldState
+	sent  sendWindow
 	// named is the limit that the last response that counts named; limited reports whether
 	// it named one.
 	named   float64
@@ -33,8 +45,24 @@
 func (l *rateLimit) reset(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.pacer.Unlimit()
 	l.named, l.limited, l.heard, l.changedAt = 0, false, false, now
+	l.refresh(now)
+}
+
+// refresh sets the pacer to the rate in force. The caller holds mu.
+func (l *rateLimit) refresh(now time.Time) {
+	rate := math.Inf(1)
+	if l.limited {
+		rate = l.named
+	}
+	if cold := l.coldRateOf(); cold > 0 && l.cold.isCold(now) {
+		rate = min(rate, cold)
+	}
+	if math.IsInf(rate, 1) {
+		l.pacer.Unlimit()
+	} else {
+		l.pacer.Limit(rate)
+	}
 }
 
 // observe applies what a response says, and reports whether the limit changed.
@@ -44,17 +72,13 @@
 	if a.Err != nil || a.Sent.Before(l.changedAt) {
 		return false
 	}
-	adopted := !l.heard && l.pacer.Rate() > 0
+	adopted := !l.heard && l.limited
 	l.heard = true
 	if l.limited == a.Limited && l.named == a.RateLimit && !adopted {
 		return false
 	}
 	l.named, l.limited, l.changedAt = a.RateLimit, a.Limited, a.Read
-	if a.Limited {
-		l.pacer.Limit(a.RateLimit)
-	} else {
-		l.pacer.Unlimit()
-	}
+	l.refresh(a.Read)
 	return true
 }
 
@@ -63,23 +87,48 @@
 func (l *rateLimit) adopt(rate float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.heard && rate > 0 && l.pacer.Rate() == 0 {
+	if !l.heard && rate > 0 && !l.limited {
+		l.named, l.limited = rate, true
 		l.pacer.Limit(rate)
 	}
 }
 
-// rate returns the limit in calls per second, or 0.
+// rate returns the limit in calls per second that was last in force, or 0.
 func (l *rateLimit) rate() float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.pacer.Rate()
 }
 
+// rateAt returns the limit in calls per second that is in force now, or 0.
+func (l *rateLimit) rateAt(now time.Time) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refresh(now)
+	return l.pacer.Rate()
+}
+
+// namedRate returns the limit that the instance names, or 0.
+func (l *rateLimit) namedRate() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.limited {
+		return 0
+	}
+	var named pacing.Pacer
+	named.Limit(l.named)
+	return named.Rate()
+}
+
 // applyTo lowers the limit of a load to the calls that run at the rate limit, and adds the
 // calls that wait for their time.
 func (l *rateLimit) applyTo(load *linkrpc.Load, now time.Time, runTime time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.refresh(now)
+	if runTime == 0 && l.coldRateOf() > 0 {
+		runTime = assumedRunTime
+	}
 	load.Limit = uint32(l.pacer.Concurrency(int(load.Limit), runTime))
 	load.Queued += uint32(l.waiting)
 	load.RateLimit, load.RateFullness = l.pacer.Rate(), float32(l.pacer.Fullness(now))
@@ -90,6 +139,7 @@
 func (l *rateLimit) reserve(now time.Time, maxWait time.Duration) (time.Duration, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.refresh(now)
 	wait, reserved := l.pacer.Reserve(now, maxWait)
 	if reserved {
 		l.waiting++
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -54,9 +54,10 @@
 type Headers struct {
 	// RequestID is the header that repeats the id of the request, NotExecuted the one
 	// that marks a call as not run, InstanceID the one with the id of the instance,
-	// RateLimit the one with the calls per second that the instance takes, and Leaving the
-	// one that is true if the instance leaves.
-	RequestID, NotExecuted, InstanceID, RateLimit, Leaving string
+	// RateLimit the one with the calls per second that the instance takes, Leaving the one
+	// that is true if the instance leaves, and ColdRemaining the one with the milliseconds
+	// for which it stays cold.
+	RequestID, NotExecuted, InstanceID, RateLimit, Leaving, ColdRemaining string
 }
 
 // Client sends calls to one instance over a pool of connections. Set the exported
@@ -72,6 +73,12 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// OnConnect is called for each new connection; nil is allowed.
 	OnConnect func()
+	// BeforeSend is called each time that a call is about to be written to a connection. If
+	// it returns an error, the call is not sent. nil permits all calls.
+	BeforeSend func(call *Call) error
+	// OnBroken is called when the instance refuses a connection or ends one that is in use or
+	// kept for later calls, before Do returns or sends the call again; nil is allowed.
+	OnBroken func(err error)
 	// OnAnnouncement is called for each response of the instance that a call is addressed
 	// to, before Do returns; nil is allowed.
 	OnAnnouncement func(a Announcement)
@@ -106,6 +113,8 @@
 	// Idempotent reports whether the call may be repeated. Such a call skips the check
 	// of a recently used connection and may be lost if that has just been closed.
 	Idempotent bool
+	// HealthCheck reports whether the call is a health check of the node.
+	HealthCheck bool
 	// SentAt is set by Do before the first byte is written; zero if nothing was.
 	SentAt time.Time
 }
@@ -140,7 +149,7 @@
 		if err != nil {
 			return nil, &NotSentError{Cause: err}
 		}
-		if err := ctx.Err(); err != nil {
+		if err := c.checkSend(ctx, call); err != nil {
 			c.putIdle(k)
 			return nil, &NotSentError{Cause: err}
 		}
@@ -153,6 +162,7 @@
 		} else {
 			c.putIdle(k)
 		}
+		c.noteBroken(ctx, err)
 		var unsent *NotSentError
 		if reused && ctx.Err() == nil && errors.As(err, &unsent) {
 			continue
--- a/pkg/instance/pool.go
+++ b/pkg/instance/pool.go
@@ -44,23 +44,28 @@
 		}
 		now := c.Clock.Now()
 		skipCheck := call.Idempotent && now.Sub(k.lastUsed) < skipCheckWithin
-		if now.Before(k.expiresAt) && (skipCheck || socket.IsOpenAndIdle(k.Conn)) {
+		unexpired := now.Before(k.expiresAt)
+		if unexpired && (skipCheck || socket.IsOpenAndIdle(k.Conn)) {
 			k.reused = true
 			return k, nil
 		}
+		if unexpired && c.OnBroken != nil && !socket.HasData(k.Conn) {
+			c.OnBroken(&IdleConnClosedError{})
+		}
 		_ = k.Close()
 	}
 }
 
 func (c *Client) connect(ctx context.Context) (*conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	dial := c.Dial
 	if dial == nil {
 		dial = dialTCP
 	}
-	raw, err := dial(ctx, c.Address)
+	raw, err := dial(dialCtx, c.Address)
 	if err != nil {
+		c.noteNotConnected(ctx, err)
 		return nil, err
 	}
 	if c.OnConnect != nil {
--- /dev/null
+++ b/pkg/mesh/coldcheck.go
@@ -0,0 +1,192 @@
+package mesh
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/plantainramp/plantainramp/pkg/fleet"
+	"github.com/plantainramp/plantainramp/pkg/gate"
+	"github.com/plantainramp/plantainramp/pkg/instance"
+	"github.com/plantainramp/plantainramp/pkg/logs"
+)
+
+const (
+	// coldCheckInterval is the time between the starts of two health checks while it is not
+	// known whether the instance is cold.
+	coldCheckInterval = 250 * time.Millisecond
+	// unconfiguredColdRate is the rate in calls per second of a cold instance while no
+	// configuration has been read that names it.
+	unconfiguredColdRate = 1
+	// maxColdRemaining bounds the cold period that a health check may name, so that a wrong
+	// number does not overflow a duration.
+	maxColdRemaining = time.Hour
+)
+
+// coldChecks starts the health checks of an instance that may be cold.
+type coldChecks struct {
+	// wake holds a value if a check was requested since the last one began.
+	wake chan struct{}
+	// logged is the state that was last logged; only runChecks uses it.
+	logged, loggedOnce bool
+}
+
+// ColdRemainingError reports a health check that does not say how long the instance stays
+// cold, or not in a form that can be read.
+type ColdRemainingError struct {
+	Text string
+}
+
+// Error implements error.
+func (e *ColdRemainingError) Error() string {
+	return fmt.Sprintf("the cold period %q in the response to a health check is not a number of milliseconds", e.Text)
+}
+
+// request asks for a health check. It does not wait.
+func (c *coldChecks) request() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// limitColdCalls sets the limit of the gate for a cold instance. It must be called before the
+// gate is prepared.
+func (n *Node) limitColdCalls() {
+	n.coldChecks.wake = make(chan struct{}, 1)
+	n.gate.ColdRate, n.gate.OnColdUnknown = n.coldRate, n.coldChecks.request
+	n.gate.ColdBound = gate.ColdBound{Overage: n.settings.ColdOverage, Slack: n.settings.ColdSlack}
+}
+
+// coldRate returns the calls per second that a cold instance of this node's service takes, or
+// 0 if there is no limit. The lowest rate applies until a configuration is read, on
+// deployments with a bound: calls of peers that have read it may arrive before.
+func (n *Node) coldRate() float64 {
+	view := n.view.Load()
+	switch {
+	case view != nil:
+		return view.ColdRate(n.settings.Service)
+	case n.settings.ColdOverage > 0:
+		return unconfiguredColdRate
+	}
+	return 0
+}
+
+// runColdChecks sends health checks while it is not known whether the instance is cold: one
+// as soon as that is so, and then one every coldCheckInterval, until ctx ends. It addresses
+// instances that restart or break connections under load, where a heartbeat would tell seconds
+// later.
+func (n *Node) runColdChecks(ctx context.Context) {
+	check := n.guarded("the check of a cold instance", func() { n.checkCold(ctx) })
+	for ctx.Err() == nil {
+		if _, known := n.gate.Cold(); known {
+			select {
+			case <-n.coldChecks.wake:
+			case <-ctx.Done():
+			}
+			continue
+		}
+		next := n.clock.After(coldCheckInterval)
+		check(ctx)
+		select {
+		case <-next:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// treatedAsCold reports whether the instance is cold, or may be while that limits its calls.
+func (n *Node) treatedAsCold() (cold, known bool) {
+	cold, known = n.gate.Cold()
+	return cold && (known || n.coldRate() > 0), known
+}
+
+// checkCold asks the instance how long it stays cold, if that is not known and matters.
+func (n *Node) checkCold(ctx context.Context) {
+	view, local := n.view.Load(), n.gate.LocalInstance()
+	if _, known := n.gate.Cold(); known || view == nil || local == nil || n.coldRate() == 0 {
+		return
+	}
+	path := view.HealthPath(n.settings.Service)
+	if path == "" {
+		return
+	}
+	asked := n.clock.Now()
+	remaining, err := n.askColdRemaining(ctx, path, local.ID)
+	logger := logs.WithComponent(n.logger, logs.ComponentMember).WithField("id", local.ID)
+	if err != nil {
+		n.events.Log(eventColdCheckFailed, func() logrus.Fields { return logrus.Fields{"id": local.ID, "error": err.Error()} })
+		return
+	}
+	report := gate.ColdReport{Incarnation: local.Incarnation(), Known: true, At: asked}
+	if remaining > 0 {
+		report.Until = n.clock.Now().Add(remaining)
+	}
+	if n.gate.HandleColdHealthCheck(report) {
+		logger.WithField("coldMs", milliseconds(remaining)).Info("health check tells how long the instance stays cold")
+	}
+}
+
+// askColdRemaining sends a health check and returns how much longer the instance says that it
+// stays cold.
+func (n *Node) askColdRemaining(ctx context.Context, path string, id fleet.InstanceName) (time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, healthCheckTimeout)
+	defer cancel()
+	call := &instance.Call{Method: http.MethodGet, Target: path, Host: n.settings.InstanceAddress, Idempotent: true, HealthCheck: true}
+	response, err := n.instance.Do(ctx, call)
+	if err != nil {
+		return 0, err
+	}
+	if response.Status != http.StatusOK || response.Header(n.platform.InstanceHeaders.InstanceID) != string(id) {
+		return 0, &HealthCheckError{Status: response.Status, Instance: response.Header(n.platform.InstanceHeaders.InstanceID)}
+	}
+	text := response.Header(n.platform.InstanceHeaders.ColdRemaining)
+	remainingMs, err := strconv.ParseFloat(text, 64)
+	if err != nil || math.IsNaN(remainingMs) {
+		return 0, &ColdRemainingError{Text: text}
+	}
+	remainingMs = min(max(remainingMs, 0), float64(maxColdRemaining.Milliseconds()))
+	return time.Duration(remainingMs * float64(time.Millisecond)), nil
+}
+
+// HealthCheckError reports a health check that failed, or that another instance answered.
+type HealthCheckError struct {
+	Status   int
+	Instance string
+}
+
+// Error implements error.
+func (e *HealthCheckError) Error() string {
+	return fmt.Sprintf("health check got status %d of instance %q", e.Status, e.Instance)
+}
+
+// logCold logs the beginning and the end of a cold period.
+func (n *Node) logCold() {
+	local := n.gate.LocalInstance()
+	if local == nil {
+		return
+	}
+	cold, known := n.treatedAsCold()
+	c := &n.coldChecks
+	if c.loggedOnce && c.logged == cold {
+		return
+	}
+	c.logged, c.loggedOnce = cold, true
+	text := "instance is warm"
+	if cold {
+		text = "instance is cold"
+	}
+	logs.WithComponent(n.logger, logs.ComponentMember).WithField("id", local.ID).WithField("known", known).WithField("ratePerS", n.gate.RateLimit()).Info(text)
+}
+
+func zeroOrOne(condition bool) float64 {
+	if condition {
+		return 1
+	}
+	return 0
+}
--- a/pkg/mesh/events.go
+++ b/pkg/mesh/events.go
@@ -33,6 +33,7 @@
 	eventNotExecuted      logs.EventKind = "call handed back"
 	eventExecutionLost    logs.EventKind = "call lost at the instance"
 	eventRateLimit        logs.EventKind = "instance names another rate limit"
+	eventColdCheckFailed  logs.EventKind = "health check does not tell whether the instance is cold"
 	eventPanic            logs.EventKind = "panic"
 	eventBodyDiscarded    logs.EventKind = "large body of a peer discarded"
 	eventNotAccepted      logs.EventKind = "connection not accepted"
--- a/pkg/mesh/healthcheck.go
+++ b/pkg/mesh/healthcheck.go
@@ -52,7 +52,7 @@
 func (n *Node) isHealthy(ctx context.Context, path string, i fleet.Incarnation) bool {
 	ctx, cancel := context.WithTimeout(ctx, healthCheckTimeout)
 	defer cancel()
-	call := &instance.Call{Method: http.MethodGet, Target: path, Host: n.settings.InstanceAddress, Idempotent: true}
+	call := &instance.Call{Method: http.MethodGet, Target: path, Host: n.settings.InstanceAddress, Idempotent: true, HealthCheck: true}
 	response, err := n.instance.Do(ctx, call)
 	if err != nil {
 		logs.WithComponent(n.logger, logs.ComponentMember).WithField("id", i.Instance).WithError(err).Info("health check failed")
--- a/pkg/mesh/heartbeat.go
+++ b/pkg/mesh/heartbeat.go
@@ -25,6 +25,9 @@
 	StartUnixMs int64
 	// Sequence increases with each heartbeat of one incarnation.
 	Sequence uint64
+	// ColdRemaining is how much longer the instance stays cold; valid if ColdKnown.
+	ColdRemaining time.Duration
+	ColdKnown     bool
 }
 
 // Deregistration is the word of an instance that it leaves.
@@ -49,6 +52,10 @@
 	// OnChange is called with each new state, before the heartbeat that caused it is
 	// acknowledged.
 	OnChange func(*gate.LocalInstance)
+	// OnCold is called with what each applied heartbeat says on the cold period, before
+	// OnChange; nil is allowed. It is called with mu held and must not call methods of the
+	// tracker.
+	OnCold func(gate.ColdReport)
 
 	// mu guards the fields below.
 	mu sync.Mutex
@@ -63,6 +70,9 @@
 	stoodStill time.Duration
 	// slots is what the newest heartbeat says.
 	slots int
+	// coldUntil is when the current incarnation stops being cold by its newest heartbeat;
+	// zero if that says that it is warm, or does not say.
+	coldUntil time.Time
 	// confirmed is the incarnation that is known not to have departed before this process
 	// started. Another one stays closed, as its heartbeat may have been sent before it
 	// departed.
@@ -95,10 +105,22 @@
 	if h.Draining || deregistered {
 		t.markDeparted(sender)
 	}
+	t.noteCold(h, now)
 	t.update()
 	return true
 }
 
+// noteCold applies what a heartbeat says on the cold period. The caller holds mu.
+func (t *HeartbeatTracker) noteCold(h Heartbeat, now time.Time) {
+	t.coldUntil = time.Time{}
+	if h.ColdRemaining > 0 {
+		t.coldUntil = now.Add(h.ColdRemaining)
+	}
+	if t.OnCold != nil {
+		t.OnCold(gate.ColdReport{Incarnation: h.incarnation(), Known: h.ColdKnown, Until: t.coldUntil, At: now})
+	}
+}
+
 func (h Heartbeat) incarnation() fleet.Incarnation {
 	return fleet.Incarnation{Instance: h.Instance, StartUnixMs: h.StartUnixMs}
 }
@@ -127,7 +149,7 @@
 	}
 	departed := t.departed[t.current]
 	t.setInstance(gate.LocalInstance{
-		ID: t.current.Instance, Service: t.Service, Slots: t.slots, StartUnixMs: t.current.StartUnixMs, Open: !departed, Leaving: departed,
+		ID: t.current.Instance, Service: t.Service, Slots: t.slots, StartUnixMs: t.current.StartUnixMs, Open: !departed, Leaving: departed, ColdUntil: t.coldUntil,
 	})
 }
 
--- a/pkg/mesh/heartbeat_test.go
+++ b/pkg/mesh/heartbeat_test.go
@@ -234,3 +234,26 @@
 		is.True(!last.Open && last.Leaving)
 	})
 }
+
+// Heartbeats are late or out of order. Guards against one of an earlier start, or an older one
+// of the same start, that says how long the instance stays cold.
+func TestOnlyNewerHeartbeatsSayHowLongTheInstanceStaysCold(t *testing.T) {
+	is := is.New(t)
+	tracker, fake, last := newTracker()
+	var reports []gate.ColdReport
+	tracker.OnCold = func(r gate.ColdReport) { reports = append(reports, r) }
+	cold := func(born int64, sequence uint64, remaining time.Duration) {
+		h := heartbeat("i-1", born, sequence, false)
+		h.ColdKnown, h.ColdRemaining = true, remaining
+		tracker.HandleHeartbeat(h)
+	}
+	cold(20, 2, 3*time.Second)
+	is.Equal(last.ColdUntil, fake.Now().Add(3*time.Second))
+	cold(20, 1, 0)
+	cold(10, 9, 0)
+	is.Equal(len(reports), 1)
+	is.Equal(last.ColdUntil, fake.Now().Add(3*time.Second))
+	cold(20, 3, 0)
+	is.True(last.ColdUntil.IsZero())
+	is.Equal(reports[1], gate.ColdReport{Incarnation: fleet.Incarnation{Instance: "i-1", StartUnixMs: 20}, Known: true, At: fake.Now()})
+}
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -154,6 +154,7 @@
 	demand     *demand.Monitor
 	executions executionCounter
 	processor  processor.Monitor
+	coldChecks coldChecks
 	reports    reportBuffer
 	statuses   statusFilter
 	// panicCount counts the pieces of work that panicked.
@@ -190,9 +191,12 @@
 
 func (n *Node) makeGate() {
 	n.instance = &instance.Client{Address: n.settings.InstanceAddress, Clock: n.clock, Headers: n.platform.InstanceHeaders, MaxBodyBytes: maxResponseBytes, OnStray: n.onStray, OnJoined: n.onJoined, OnRepeatedID: n.onRepeatedID}
-	n.gate = &gate.Gate{Clock: n.clock, Headers: n.platform.GateHeaders, Instance: n.instance, View: n.view.Load, OnStart: n.onExecutionStarted, OnDecision: n.onDecided, OnRateLimit: n.onRateLimit, OnLeaving: n.onLeaving}
+	n.gate = &gate.Gate{
+		Clock: n.clock, Headers: n.platform.GateHeaders, Instance: n.instance, View: n.view.Load, OnStart: n.onExecutionStarted, OnDecision: n.onDecided, OnRateLimit: n.onRateLimit, OnLeaving: n.onLeaving,
+		ColdRate: n.coldRate, ColdBound: gate.ColdBound{Overage: n.settings.ColdOverage, Slack: n.settings.ColdSlack}, OnColdUnknown: n.coldChecks.request,
+	}
 	n.gate.Init()
-	n.heartbeats = &HeartbeatTracker{Clock: n.clock, Service: n.settings.Service, Interval: n.settings.HeartbeatInterval, HasDeparted: n.hasDeparted, OnChange: n.onInstanceChange}
+	n.heartbeats = &HeartbeatTracker{Clock: n.clock, Service: n.settings.Service, Interval: n.settings.HeartbeatInterval, HasDeparted: n.hasDeparted, OnChange: n.onInstanceChange, OnCold: n.gate.HandleColdHeartbeat}
 }
 
 func (n *Node) makeDirectory() {
--- a/pkg/mesh/run.go
+++ b/pkg/mesh/run.go
@@ -91,7 +91,7 @@
 	n.logger.WithField("service", n.settings.Service).WithField("incarnation", n.incarnation).Info("node started")
 	workCtx, stopWork := context.WithCancel(context.Background())
 	var controllers sync.WaitGroup
-	for _, c := range []func(context.Context){n.configFollower.Run, n.directoryFollower.Run, n.directory.Run, n.runChecks, n.runPlanner, n.runReporter, n.runTokenGiver, n.runHealthChecks, n.runFleetSize} {
+	for _, c := range []func(context.Context){n.configFollower.Run, n.directoryFollower.Run, n.directory.Run, n.runChecks, n.runPlanner, n.runReporter, n.runTokenGiver, n.runHealthChecks, n.runColdChecks, n.runFleetSize} {
 		controllers.Go(func() { c(workCtx) })
 	}
 	select {
@@ -120,5 +120,6 @@
 		n.heartbeats.CheckLiveness()
 		n.instance.CloseExpired()
 		n.peers.CheckLiveness()
+		n.logCold()
 	}))
 }
--- a/pkg/mesh/settings.go
+++ b/pkg/mesh/settings.go
@@ -18,6 +18,8 @@
 	// the process, in MB.
 	defaultMemoryMB = 256
 	minMemoryMB     = 64
+	// maxColdOverage is the upper bound of the setting coldOverage.
+	maxColdOverage = 1000
 )
 
 // Settings holds the settings of a mesh node.
@@ -49,6 +51,10 @@
 	// of requests.
 	MaxOverageFraction float64
 	MaxOverageBurst    fleet.Tokens
+	// ColdOverage and ColdSlack define the bound of a cold instance: in any second, it gets
+	// at most ColdOverage times the rate of a cold instance of its service, plus ColdSlack
+	// calls. Both are 0 if the settings define no bound.
+	ColdOverage, ColdSlack float64
 	// RetryLimits bounds the requests that are sent again to another instance.
 	RetryLimits entrance.RetryLimits
 	// GracePeriod is the time between the stop signal and the kill by the platform.
@@ -97,6 +103,8 @@
 	s.MaxRevocationDelay = b.Duration("revoke", 5*time.Second, 100*time.Millisecond)
 	s.MaxOverageFraction = b.Float("rateOverage", 0, 0, 1)
 	s.MaxOverageBurst = fleet.Tokens(b.Float("rateSlack", 0, 0, 1e6))
+	s.ColdOverage = b.Float("coldOverage", 0, 0, maxColdOverage)
+	s.ColdSlack = b.Float("coldSlack", 0, 0, 1e6)
 	s.RetryLimits.Ratio = b.Float("repeatRatio", 0.1, 0, 1)
 	s.RetryLimits.Slack = b.Float("repeatSlack", 10, 0, 1e6)
 	s.GracePeriod = b.Duration("grace", 6*time.Second, 100*time.Millisecond)
--- a/pkg/mesh/settings_test.go
+++ b/pkg/mesh/settings_test.go
@@ -44,6 +44,16 @@
 	is.Equal(s.MemoryBytes, int64(184<<20))
 	is.Equal(s.MetricsAddress, "")
 	is.Equal(s.RetryLimits.Slack, 48.0)
+	is.Equal(s.ColdOverage, 0.0)
+}
+
+// The bound of cold instances is optional.
+func TestSettingsWithColdBound(t *testing.T) {
+	is := is.New(t)
+	s, err := ParseSettings("f", []byte(strings.Replace(validSettings, "grace = 6s", "grace = 6s\ncoldOverage = 1.5\n\ncoldSlack = 8", 1)))
+	is.NoErr(err)
+	is.Equal(s.ColdOverage, 1.5)
+	is.Equal(s.ColdSlack, 8.0)
 }
 
 // The error lists all problems of the file, not only the first.
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -83,6 +83,8 @@
 	keys   map[KeyDigest]*Organisation
 	// healthPaths holds the path of the health check of each service that has one.
 	healthPaths map[fleet.ServiceName]string
+	// coldRates holds the calls per second that a cold instance of each service can take.
+	coldRates map[fleet.ServiceName]float64
 }
 
 // DigestKey returns the digest of a key.
@@ -97,7 +99,7 @@
 func NewBuilder(version Version, limits Limits) *Builder {
 	return &Builder{view: View{
 		Version: version, Limits: limits, routes: map[string]map[string]*Route{}, keys: map[KeyDigest]*Organisation{},
-		healthPaths: map[fleet.ServiceName]string{},
+		healthPaths: map[fleet.ServiceName]string{}, coldRates: map[fleet.ServiceName]float64{},
 	}}
 }
 
@@ -116,6 +118,12 @@
 	b.view.healthPaths[service] = path
 }
 
+// SetColdRate sets the calls per second that a cold instance of a service can take from all
+// nodes together; 0 means no limit.
+func (b *Builder) SetColdRate(service fleet.ServiceName, rate float64) {
+	b.view.coldRates[service] = rate
+}
+
 // AddOrganisation adds an organisation with its keys.
 func (b *Builder) AddOrganisation(o *Organisation, keys []string) {
 	b.view.Organisations = append(b.view.Organisations, o)
@@ -156,6 +164,10 @@
 // HealthPath returns the path of the health check of a service, or an empty path.
 func (v *View) HealthPath(service fleet.ServiceName) string { return v.healthPaths[service] }
 
+// ColdRate returns the calls per second that a cold instance of a service can take from all
+// nodes together, or 0 if there is no limit.
+func (v *View) ColdRate(service fleet.ServiceName) float64 { return v.coldRates[service] }
+
 // OrganisationByKey returns the organisation that holds the key with the given
 // digest, or nil.
 func (v *View) OrganisationByKey(d KeyDigest) *Organisation { return v.keys[d] }
