Evacuation of data centres: decision, choice of instances, gate, entry

Cause: the operator can ask that no calls reach the instances of a data centre, which no code handled. A data centre without open instances still has readers and reporters. Result: TestEvacuatedDataCentreGetsNoCalls failed on (go test ./platform -run EvacuatedDataCentre) and passes.

--- a/pkg/demand/monitor.go
+++ b/pkg/demand/monitor.go
@@ -64,6 +64,9 @@
 	View func() *routing.View
 	// Directory returns the known instances.
 	Directory func() *directory.Snapshot
+	// Excluded reports whether calls must not be sent to the instances of a data centre, so
+	// that they are no capacity; nil excludes none.
+	Excluded func(dataCentre fleet.DataCentre) bool
 	// RandomUnit returns random numbers between 0 and 1. If nil, math/rand/v2
 	// is used.
 	RandomUnit func() float64
@@ -252,6 +255,7 @@
 		for _, e := range entries {
 			load := m.reports[e.Node].status.GetLoad()
 			switch {
+			case m.Excluded != nil && m.Excluded(e.DataCentre):
 			case load == nil:
 				total.Slots += float64(e.Slots)
 			case !load.Closed:
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -87,6 +88,11 @@
 	attempts attemptTable
 	local    atomic.Pointer[LocalInstance]
 	draining atomic.Bool
+	// suspended is set by SetSuspended.
+	suspended atomic.Bool
+	// slotsMu is held while the slots are opened or closed, so that an older state of the
+	// gate is not applied last.
+	slotsMu sync.Mutex
 	// givenUp is set by GiveUp.
 	givenUp atomic.Bool
 }
@@ -160,8 +166,21 @@
 	g.attempts.cancelRunning()
 }
 
+// SetSuspended closes the gate until it is called again with false, whatever the state of
+// the instance. Calls that wait are returned as not run; running ones continue. It reports
+// whether that is a change.
+func (g *Gate) SetSuspended(suspended bool) bool {
+	if g.suspended.Swap(suspended) == suspended {
+		return false
+	}
+	g.updateSlots()
+	return true
+}
+
 func (g *Gate) updateSlots() {
-	if local := g.local.Load(); local != nil && local.Open && !g.draining.Load() {
+	g.slotsMu.Lock()
+	defer g.slotsMu.Unlock()
+	if g.IsOpen() {
 		g.Slots.Open()
 	} else {
 		g.Slots.Close()
@@ -171,7 +190,7 @@
 // IsOpen reports whether the gate accepts new calls.
 func (g *Gate) IsOpen() bool {
 	local := g.local.Load()
-	return local != nil && local.Open && !g.draining.Load()
+	return local != nil && local.Open && !g.draining.Load() && !g.suspended.Load()
 }
 
 // Load returns the current load as the message that peers receive.
--- a/pkg/mesh/fleetsize.go
+++ b/pkg/mesh/fleetsize.go
@@ -105,7 +105,7 @@
 	snapshot := n.directory.Snapshot()
 	var first directory.NodeAddress
 	for _, dataCentre := range append(otherDataCentres(snapshot, n.settings.DataCentre), n.settings.DataCentre) {
-		if nodes := readers(snapshot, dataCentre); len(nodes) > 0 && (first == "" || nodes[0] < first) {
+		if nodes := openNodes(snapshot, dataCentre); len(nodes) > 0 && (first == "" || nodes[0] < first) {
 			first = nodes[0]
 		}
 	}
--- a/pkg/mesh/healthcheck.go
+++ b/pkg/mesh/healthcheck.go
@@ -31,12 +31,13 @@
 	clock.Every(ctx, n.clock, clock.FixedPeriod(healthCheckInterval), n.guarded("the health check", func() { n.checkHealth(ctx) }))
 }
 
-// checkHealth confirms the instance if it says that it does not leave.
+// checkHealth confirms the instance if it says that it does not leave. An instance in an
+// evacuated data centre is not asked.
 func (n *Node) checkHealth(ctx context.Context) {
 	i, since, unconfirmed := n.heartbeats.Unconfirmed()
 	view := n.view.Load()
 	age := n.clock.Now().Sub(since)
-	if !unconfirmed || view == nil || age < healthCheckDelay {
+	if !unconfirmed || view == nil || age < healthCheckDelay || n.evacuations.Has(n.settings.DataCentre) {
 		return
 	}
 	path := view.HealthPath(n.settings.Service)
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -77,8 +77,9 @@
 	// ConfigSource and DirectorySource read the topics of the configuration and of the
 	// directory of instances.
 	ConfigSource, DirectorySource topic.Source
-	// ConfigKey is the key of the configuration in its topic.
-	ConfigKey string
+	// ConfigKey is the key of the configuration in its topic, and EvacuationPrefix precedes
+	// the name of an evacuated data centre in the key of its record there.
+	ConfigKey, EvacuationPrefix string
 	// PutEntry appends a record to the topic of the directory.
 	PutEntry func(ctx context.Context, r topic.Record) error
 	// FleetSource reads the topic with what the fleet records of itself as a whole. It is
@@ -121,8 +122,9 @@
 	incarnation uint64
 
 	// view is the active configuration, or nil before the first one was read.
-	view     atomic.Pointer[routing.View]
-	stopping atomic.Bool
+	view        atomic.Pointer[routing.View]
+	evacuations evacuationState
+	stopping    atomic.Bool
 	// stopStartedAt is the clock.Monotonic of the signal to stop; valid once stopping is
 	// set.
 	stopStartedAt atomic.Int64
@@ -137,11 +139,14 @@
 	configLogger      *logs.Logger
 	directory         *directory.Directory
 	directoryFollower *topic.Follower
-	heartbeats        *HeartbeatTracker
-	instance          *instance.Client
-	gate              *gate.Gate
-	peers             *peering.Peers
-	rateLimiter       *quota.Limiter
+	// entryMu is held while the local entry is published, so that an older one is not
+	// published last.
+	entryMu     sync.Mutex
+	heartbeats  *HeartbeatTracker
+	instance    *instance.Client
+	gate        *gate.Gate
+	peers       *peering.Peers
+	rateLimiter *quota.Limiter
 	// recordedSize is the fleet size that is used until the directory has been read.
 	recordedSize fleetSize
 	// limitsMu is held while the limits of a configuration are applied, so that those of an
@@ -192,6 +197,7 @@
 	n.instance = &instance.Client{Address: n.settings.InstanceAddress, Clock: n.clock, Headers: n.platform.InstanceHeaders, MaxBodyBytes: maxResponseBytes, OnStray: n.onStray, OnJoined: n.onJoined, OnRepeatedID: n.onRepeatedID}
 	n.gate = &gate.Gate{Clock: n.clock, Headers: n.platform.GateHeaders, Instance: n.instance, View: n.view.Load, OnStart: n.onExecutionStarted, OnDecision: n.onDecided, OnRateLimit: n.onRateLimit, OnLeaving: n.onLeaving}
 	n.gate.Init()
+	n.initEvacuations()
 	n.heartbeats = &HeartbeatTracker{Clock: n.clock, Service: n.settings.Service, Interval: n.settings.HeartbeatInterval, HasDeparted: n.hasDeparted, OnChange: n.onInstanceChange}
 }
 
@@ -199,6 +205,7 @@
 	self := directory.NodeAddress(n.settings.PeerAddress)
 	n.peers = &peering.Peers{
 		LocalNode: self, DataCentre: n.settings.DataCentre, Clock: n.clock, Logger: logs.WithComponent(n.logger, logs.ComponentPeer), Gate: n.gate, Hello: n.hello, OnUnencodable: n.logUnencodable,
+		Excluded: n.evacuations.Has,
 	}
 	n.directory = &directory.Directory{
 		Self: self, Clock: n.clock, Logger: logs.WithComponent(n.logger, logs.ComponentMember), Put: n.platform.PutEntry, Connected: n.peers.Connected, OnChange: n.onDirectoryChange,
@@ -210,7 +217,7 @@
 		OnRestore: n.directory.HandleRestore,
 		Relay:     n.relay(linkrpc.Topic_TOPIC_DIRECTORY, func() *topic.Follower { return n.directoryFollower }),
 	}
-	n.demand = &demand.Monitor{Clock: n.clock, LocalNode: self, Service: n.settings.Service, Load: n.gate.Load, View: n.view.Load, Directory: n.directory.Snapshot, OnPlan: n.onPlan}
+	n.demand = &demand.Monitor{Clock: n.clock, LocalNode: self, Service: n.settings.Service, Load: n.gate.Load, View: n.view.Load, Directory: n.directory.Snapshot, OnPlan: n.onPlan, Excluded: n.evacuations.Has}
 	n.links = &link.Server{Clock: n.clock, Hello: n.hello, Handle: n.handlePeerRequest, OnStatus: n.handleStatus, OnTokenGifts: n.handleTokenGifts, OnReports: n.handleReports, OnUnreadable: func(err error) { n.logUnreadable("message without a reply", err) }, OnUnencodable: n.logUnencodable, OnAcceptError: n.onAcceptFailed, OnPanic: n.onPanic, CloseLimit: n.linkCloseLimit, Budget: &n.peerBodies}
 }
 
@@ -228,8 +235,8 @@
 	n.configLogger = logs.WithComponent(n.logger, logs.ComponentConfig)
 	n.configFollower = &topic.Follower{
 		Source: n.platform.ConfigSource, Clock: n.clock, Uptime: n.uptime, Logger: n.configLogger,
-		PollWait: time.Duration(configPollFraction * float64(n.settings.MaxRevocationDelay-freshnessMargin)), PollMargin: pollMargin, StartDelay: followStartDelay, Apply: n.applyConfig,
-		OnFailure: n.directoryFollower.Interrupt, OnRecovery: n.directoryFollower.Interrupt, OnRestore: n.directoryFollower.Interrupt,
+		PollWait: n.configPollWait(), PollMargin: pollMargin, StartDelay: followStartDelay, Apply: n.applyConfig,
+		OnFailure: n.directoryFollower.Interrupt, OnRecovery: n.directoryFollower.Interrupt, OnRestore: n.onConfigRestored,
 		Relay: n.relay(linkrpc.Topic_TOPIC_CONFIG, func() *topic.Follower { return n.configFollower }),
 	}
 }
@@ -247,8 +254,10 @@
 func (n *Node) ready() bool { return n.view.Load() != nil && !n.stopping.Load() }
 
 // applyConfig activates each configuration among the records that is newer than the
-// active one. One that cannot be decoded is skipped and logged.
-func (n *Node) applyConfig(records []topic.Record, _ bool) {
+// active one. One that cannot be decoded is skipped and logged. Evacuations are applied
+// first, so that no request is sent by a configuration whose evacuations are not in force.
+func (n *Node) applyConfig(records []topic.Record, full bool) {
+	n.applyEvacuations(records, full)
 	for _, r := range records {
 		if r.Key != n.platform.ConfigKey || len(r.Value) == 0 {
 			continue
@@ -309,20 +318,6 @@
 	n.updateShares()
 }
 
-// InstanceCount returns the number of instances in the directory that accept calls. It
-// is safe for concurrent use.
-func (n *Node) InstanceCount() int {
-	count := 0
-	for _, entries := range n.directory.Snapshot().Services {
-		count += len(entries)
-	}
-	return count
-}
-
-// ReportCount returns the number of nodes, this one included, whose reports of load the
-// node has. It is safe for concurrent use.
-func (n *Node) ReportCount() int { return n.demand.ReportCount() }
-
 // onInstanceChange applies a new state of the local instance, first to the gate, then
 // to the directory.
 func (n *Node) onInstanceChange(s *gate.LocalInstance) {
@@ -335,6 +330,8 @@
 // first heartbeat it writes nothing, so the entry of an earlier start of the node
 // remains. The gate rejects calls until then.
 func (n *Node) publishEntry() {
+	n.entryMu.Lock()
+	defer n.entryMu.Unlock()
 	s := n.gate.LocalInstance()
 	if s == nil {
 		return
--- a/pkg/mesh/relay.go
+++ b/pkg/mesh/relay.go
@@ -68,11 +68,25 @@
 }
 
 // readers returns the nodes of a data centre in the order in which they are to read the
-// store.
+// store: those whose instance accepts calls, or all if none does, as in an evacuated one.
 func readers(s *directory.Snapshot, dataCentre fleet.DataCentre) []directory.NodeAddress {
+	nodes := openNodes(s, dataCentre)
+	if len(nodes) > 0 {
+		return nodes
+	}
+	return nodesInOrder(s, func(e directory.Entry) bool { return e.DataCentre == dataCentre })
+}
+
+// openNodes returns the nodes of a data centre whose instance accepts calls, in the order of
+// readers.
+func openNodes(s *directory.Snapshot, dataCentre fleet.DataCentre) []directory.NodeAddress {
+	return nodesInOrder(s, func(e directory.Entry) bool { return e.DataCentre == dataCentre && e.Open })
+}
+
+func nodesInOrder(s *directory.Snapshot, matches func(e directory.Entry) bool) []directory.NodeAddress {
 	var nodes []directory.NodeAddress
 	for address, e := range s.Nodes {
-		if e.DataCentre == dataCentre && e.Open {
+		if matches(e) {
 			nodes = append(nodes, address)
 		}
 	}
--- a/pkg/mesh/settings.go
+++ b/pkg/mesh/settings.go
@@ -18,6 +18,9 @@
 	// the process, in MB.
 	defaultMemoryMB = 256
 	minMemoryMB     = 64
+	// minEvacuationDelay is the lower bound of the time in which an evacuation takes effect.
+	// The store is asked at shorter intervals, the shorter that time is.
+	minEvacuationDelay = time.Second
 )
 
 // Settings holds the settings of a mesh node.
@@ -44,6 +47,10 @@
 	HeartbeatInterval time.Duration
 	// MaxRevocationDelay is how long a withdrawn key may still be accepted.
 	MaxRevocationDelay time.Duration
+	// MaxEvacuationDelay is how long calls may still be sent to the instances of a data centre
+	// after the operator has evacuated it; 0 means that no bound is set. With a bound, the gate
+	// stays closed until the node has read which data centres are evacuated.
+	MaxEvacuationDelay time.Duration
 	// MaxOverageFraction and MaxOverageBurst bound by how much an organisation may exceed
 	// its rate and burst in a window over all nodes: a fraction of the rate, and a number
 	// of requests.
@@ -95,6 +102,7 @@
 	b := f.Section("bounds")
 	s.HeartbeatInterval = b.Duration("heartbeat", 1500*time.Millisecond, 10*time.Millisecond)
 	s.MaxRevocationDelay = b.Duration("revoke", 5*time.Second, 100*time.Millisecond)
+	s.MaxEvacuationDelay = b.Duration("evacuation", 0, minEvacuationDelay)
 	s.MaxOverageFraction = b.Float("rateOverage", 0, 0, 1)
 	s.MaxOverageBurst = fleet.Tokens(b.Float("rateSlack", 0, 0, 1e6))
 	s.RetryLimits.Ratio = b.Float("repeatRatio", 0.1, 0, 1)
--- a/pkg/peering/peering.go
+++ b/pkg/peering/peering.go
@@ -7,6 +7,7 @@
 	"math"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -45,6 +46,9 @@
 	Hello      func() *linkrpc.Hello
 	// Dial connects to a peer; nil means link.DialTCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Excluded reports whether calls must not be sent to the instances of a data centre; nil
+	// excludes none.
+	Excluded func(dataCentre fleet.DataCentre) bool
 	// OnUnencodable receives the error of each message to a peer that cannot be encoded; nil
 	// is allowed.
 	OnUnencodable func(error)
@@ -221,7 +225,7 @@
 	untried := make([]*Target, 0, len(targets))
 	fastest := uint32(0)
 	for _, t := range targets {
-		if tried[t.Entry.Node] || p.departed.has(t.Entry.Incarnation()) {
+		if tried[t.Entry.Node] || !p.permits(t) {
 			continue
 		}
 		untried = append(untried, t)
@@ -242,6 +246,17 @@
 	return untried[best]
 }
 
+// permits reports whether calls may be sent to a target.
+func (p *Peers) permits(t *Target) bool {
+	excluded := p.Excluded != nil && p.Excluded(t.Entry.DataCentre)
+	return !excluded && !p.departed.has(t.Entry.Incarnation())
+}
+
+// HasTarget reports whether Choose can find a target for a service.
+func (p *Peers) HasTarget(service fleet.ServiceName) bool {
+	return slices.ContainsFunc(p.Targets(service), p.permits)
+}
+
 func (t *Target) candidate(now time.Time) balancer.Candidate {
 	candidate := balancer.Candidate{Limit: t.Entry.Slots, OtherDataCentre: t.OtherDataCentre, InFlight: int(t.Peer.pendingCalls.Load())}
 	if load := t.Peer.Load(); load != nil {
