--- a/pkg/demand/monitor_test.go
+++ b/pkg/demand/monitor_test.go
@@ -151,3 +151,14 @@
 	is.True(found["front"] > 99_000 && found["front"] < 101_000)
 	is.True(found["deep"] > 79_000 && found["deep"] < 81_000)
 }
+
+// An instance whose node has sent no report counts with its slots, unless its data centre is
+// excluded. Guards against requests that are admitted for capacity that no call may use.
+func TestExcludedDataCentreIsNoCapacity(t *testing.T) {
+	is := is.New(t)
+	m := newMonitor(&clock.Fake{})
+	m.Directory = snapshotOf(directory.Entry{Node: "d", Service: "deep", DataCentre: "x", Slots: 10}, directory.Entry{Node: "e", Service: "deep", DataCentre: "y", Slots: 4})
+	is.Equal(m.services()["deep"].Slots, 14.0)
+	m.Excluded = func(dataCentre fleet.DataCentre) bool { return dataCentre == "x" }
+	is.Equal(m.services()["deep"].Slots, 4.0)
+}
--- a/pkg/entrance/dispatch.go
+++ b/pkg/entrance/dispatch.go
@@ -94,7 +94,7 @@
 	if anyFull {
 		return nil, shedError("every instance of the service is full")
 	}
-	return nil, retryLaterError(problem.KindUnreachable, "no instance of the service takes the request", time.Second)
+	return nil, unreachableError()
 }
 
 // isAbandoned reports whether the context of a request has ended, or its caller has closed
--- a/pkg/entrance/entrance.go
+++ b/pkg/entrance/entrance.go
@@ -67,6 +67,9 @@
 	// Admit reports whether a root request is admitted, and the fraction of its
 	// class that is admitted. If it is nil, all requests are admitted.
 	Admit func(r *Request) (bool, float64)
+	// Unavailable reports whether no instance may run a root request, so that it is refused
+	// before Admit is asked; nil means that one may.
+	Unavailable func(r *Request) bool
 	// RetryFraction returns the fraction of the executions at the local instance
 	// that are retries. The calls that these make count as retries too.
 	RetryFraction func() float64
@@ -196,8 +199,12 @@
 	return retryLaterError(problem.KindRateExceeded, "the organisation is over its rate", retryAfter)
 }
 
-// admit refuses a root request if a service that it needs is overloaded.
+// admit refuses a root request if no instance may run it, or a service that it needs is
+// overloaded.
 func (e *Entrance) admit(r *Request) *problem.Error {
+	if !r.Inner && e.Unavailable != nil && e.Unavailable(r) {
+		return unreachableError()
+	}
 	if r.Inner || e.Admit == nil {
 		return nil
 	}
--- a/pkg/entrance/refusal.go
+++ b/pkg/entrance/refusal.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"time"
 
 	"github.com/plantainramp/plantainramp/pkg/problem"
 	"github.com/plantainramp/plantainramp/pkg/shedding"
@@ -48,6 +49,10 @@
 	return problem.NewUncertain(problem.KindUncertain, "the answer was lost; the request may have run")
 }
 
+func unreachableError() *problem.Error {
+	return retryLaterError(problem.KindUnreachable, "no instance of the service takes the request", time.Second)
+}
+
 func shedError(detail string) *problem.Error {
 	return retryLaterError(problem.KindShed, detail, shedding.MinRetryAfter+rand.N(retryAfterJitter))
 }
--- a/pkg/gate/admit.go
+++ b/pkg/gate/admit.go
@@ -65,7 +65,7 @@
 	switch {
 	case len(run.Headers)%2 != 0:
 		return linkrpc.Reason_REASON_BROKEN
-	case !g.IsOpen():
+	case !g.IsOpen(), g.OutOfDate != nil && g.OutOfDate():
 		return linkrpc.Reason_REASON_CLOSED
 	case string(local.Service) != run.Service, run.Instance != "" && string(local.ID) != run.Instance:
 		return linkrpc.Reason_REASON_NOT_HERE
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -69,6 +69,9 @@
 	Instance *instance.Client
 	// View returns the active configuration, or nil.
 	View func() *routing.View
+	// OutOfDate reports whether the node may not know yet that the instance must get no calls.
+	// They are returned as not run then; nil means that it knows.
+	OutOfDate func() bool
 	// OnStart is called for each call that got a slot, with the time at which the
 	// call expires. The function that it returns is called when the call ends.
 	// OnStart may be nil.
--- a/pkg/gate/gate_test.go
+++ b/pkg/gate/gate_test.go
@@ -119,6 +119,8 @@
 			g.SetLocalInstance(&LocalInstance{ID: "i-1", Service: "desk", Slots: 4})
 		}, linkrpc.Reason_REASON_CLOSED},
 		{"leaving", func(g *Gate, _ *linkrpc.Run) { g.Drain() }, linkrpc.Reason_REASON_CLOSED},
+		{"suspended", func(g *Gate, _ *linkrpc.Run) { g.SetSuspended(true) }, linkrpc.Reason_REASON_CLOSED},
+		{"out of date", func(g *Gate, _ *linkrpc.Run) { g.OutOfDate = func() bool { return true } }, linkrpc.Reason_REASON_CLOSED},
 		{"another service", func(_ *Gate, r *linkrpc.Run) { r.Service = "other" }, linkrpc.Reason_REASON_NOT_HERE},
 		{"another instance", func(_ *Gate, r *linkrpc.Run) { r.Instance = "i-0" }, linkrpc.Reason_REASON_NOT_HERE},
 		{"no time left", func(_ *Gate, r *linkrpc.Run) { r.RemainingUs = 10 }, linkrpc.Reason_REASON_EXPIRED},
--- a/pkg/mesh/evacuation.go
+++ b/pkg/mesh/evacuation.go
@@ -3,14 +3,22 @@
 import (
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/plantainramp/plantainramp/pkg/entrance"
 	"github.com/plantainramp/plantainramp/pkg/evacuation"
 	"github.com/plantainramp/plantainramp/pkg/fleet"
 	"github.com/plantainramp/plantainramp/pkg/meter"
+	"github.com/plantainramp/plantainramp/pkg/routing"
 	"github.com/plantainramp/plantainramp/pkg/topic"
 )
 
+// maxPause is how long the node may stand still without reading again which data centres are
+// evacuated: what it knows is up to 3.5 s old before (docs/design/scale.md), and the bound of an
+// evacuation is 5 s.
+const maxPause = time.Second
+
 // evacuationState holds the evacuated data centres, and those that were evacuated since the
 // node started.
 type evacuationState struct {
@@ -69,6 +77,45 @@
 	return unknown || n.evacuations.Has(n.settings.DataCentre)
 }
 
+// pauseWatch notes when the node stood still. Its zero value has seen no pause.
+type pauseWatch struct {
+	// checkedAt is the uptime of the last check, and endedAt that of the end of the last
+	// pause, in nanoseconds; 0 if there was none.
+	checkedAt, endedAt atomic.Int64
+}
+
+// check reports whether a pause has ended. It must be called every checkInterval.
+func (w *pauseWatch) check(now time.Duration) bool {
+	last := time.Duration(w.checkedAt.Load())
+	ended := last != 0 && now-last > checkInterval+maxPause
+	if ended {
+		w.endedAt.Store(int64(now))
+	}
+	w.checkedAt.Store(int64(now))
+	return ended
+}
+
+// isOver reports whether there was no pause since the node sent a request at an uptime.
+func (w *pauseWatch) isOver(now, sentAt time.Duration) bool {
+	last := time.Duration(w.checkedAt.Load())
+	standsStill := last != 0 && now-last > checkInterval+maxPause
+	return !standsStill && sentAt >= time.Duration(w.endedAt.Load())
+}
+
+// checkPause reads the evacuations again if the node stood still.
+func (n *Node) checkPause() {
+	if n.pauses.check(n.uptime()) && n.settings.MaxEvacuationDelay > 0 {
+		n.configLogger.Info("the node stood still; reading the evacuations again")
+		n.configFollower.Interrupt()
+	}
+}
+
+// evacuationsOutOfDate reports whether the node stood still and has not asked the store again
+// yet, so that its data centre may have been evacuated for longer than the bound.
+func (n *Node) evacuationsOutOfDate() bool {
+	return n.settings.MaxEvacuationDelay > 0 && !n.pauses.isOver(n.uptime(), n.configFollower.AskedAt())
+}
+
 // onConfigRestored keeps the evacuations that the restored topic may lack. The directory may
 // have been restored, too.
 func (n *Node) onConfigRestored() {
@@ -95,5 +142,13 @@
 	}
 }
 
+// unavailable reports whether evacuations leave no instance for a request. The plan may still
+// count what ran there, and would name another time after which to retry.
+func (n *Node) unavailable(r *entrance.Request) bool {
+	return n.evacuations.Any() && !slices.ContainsFunc(r.Route.Targets, func(t routing.Target) bool {
+		return t.Weight > 0 && n.peers.HasTarget(t.Service)
+	})
+}
+
 // onTakenBack is called before the gate opens again after an evacuation.
 func (n *Node) onTakenBack() {}
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -124,6 +124,7 @@
 	// view is the active configuration, or nil before the first one was read.
 	view        atomic.Pointer[routing.View]
 	evacuations evacuationState
+	pauses      pauseWatch
 	stopping    atomic.Bool
 	// stopStartedAt is the clock.Monotonic of the signal to stop; valid once stopping is
 	// set.
@@ -195,7 +196,7 @@
 
 func (n *Node) makeGate() {
 	n.instance = &instance.Client{Address: n.settings.InstanceAddress, Clock: n.clock, Headers: n.platform.InstanceHeaders, MaxBodyBytes: maxResponseBytes, OnStray: n.onStray, OnJoined: n.onJoined, OnRepeatedID: n.onRepeatedID}
-	n.gate = &gate.Gate{Clock: n.clock, Headers: n.platform.GateHeaders, Instance: n.instance, View: n.view.Load, OnStart: n.onExecutionStarted, OnDecision: n.onDecided, OnRateLimit: n.onRateLimit, OnLeaving: n.onLeaving}
+	n.gate = &gate.Gate{Clock: n.clock, Headers: n.platform.GateHeaders, Instance: n.instance, View: n.view.Load, OutOfDate: n.evacuationsOutOfDate, OnStart: n.onExecutionStarted, OnDecision: n.onDecided, OnRateLimit: n.onRateLimit, OnLeaving: n.onLeaving}
 	n.gate.Init()
 	n.initEvacuations()
 	n.heartbeats = &HeartbeatTracker{Clock: n.clock, Service: n.settings.Service, Interval: n.settings.HeartbeatInterval, HasDeparted: n.hasDeparted, OnChange: n.onInstanceChange}
@@ -226,7 +227,7 @@
 	n.entrance = &entrance.Entrance{
 		Clock: n.clock, Headers: n.platform.EntranceHeaders, Service: n.settings.Service, Peers: n.peers, RateLimiter: n.rateLimiter, Bodies: &n.callerBodies,
 		View: n.view.Load, ConfigFresh: n.keysFresh, Stopping: n.stopping.Load, Takes: n.takes, OnFinish: n.onFinished, Incarnation: n.incarnation,
-		OnArrival: n.onArrived, Admit: n.admit, RetryFraction: n.executions.repeatedFraction, TokenHome: n.tokenHome, OnBorrowError: n.onBorrowFailed, OnForeignAnswer: n.onForeignAnswer,
+		OnArrival: n.onArrived, Unavailable: n.unavailable, Admit: n.admit, RetryFraction: n.executions.repeatedFraction, TokenHome: n.tokenHome, OnBorrowError: n.onBorrowFailed, OnForeignAnswer: n.onForeignAnswer,
 	}
 	n.entrance.Init()
 }
--- a/pkg/mesh/relay.go
+++ b/pkg/mesh/relay.go
@@ -68,21 +68,23 @@
 }
 
 // readers returns the nodes of a data centre in the order in which they are to read the
-// store: those whose instance accepts calls, or all if none does, as in an evacuated one.
-func readers(s *directory.Snapshot, dataCentre fleet.DataCentre) []directory.NodeAddress {
+// store: those whose instance accepts calls, or all if none does. In an evacuated one all
+// are, from the moment at which this node knows that: while the gates close and open one by
+// one, two nodes could ask each other, and neither would read.
+func (n *Node) readers(s *directory.Snapshot, dataCentre fleet.DataCentre) []directory.NodeAddress {
 	nodes := openNodes(s, dataCentre)
-	if len(nodes) > 0 {
+	if len(nodes) > 0 && !n.evacuations.Has(dataCentre) {
 		return nodes
 	}
 	return nodesInOrder(s, func(e directory.Entry) bool { return e.DataCentre == dataCentre })
 }
 
-// openNodes returns the nodes of a data centre whose instance accepts calls, in the order of
-// readers.
+// openNodes returns the nodes of a data centre whose instance accepts calls, in order.
 func openNodes(s *directory.Snapshot, dataCentre fleet.DataCentre) []directory.NodeAddress {
 	return nodesInOrder(s, func(e directory.Entry) bool { return e.DataCentre == dataCentre && e.Open })
 }
 
+// nodesInOrder returns the nodes whose entry matches, in an order on which all nodes agree.
 func nodesInOrder(s *directory.Snapshot, matches func(e directory.Entry) bool) []directory.NodeAddress {
 	var nodes []directory.NodeAddress
 	for address, e := range s.Nodes {
@@ -116,21 +118,21 @@
 // each other one comes second then.
 func (n *Node) relayCandidates(storeFailed bool) []directory.NodeAddress {
 	snapshot := n.directory.Snapshot()
-	own := readers(snapshot, n.settings.DataCentre)
+	own := n.readers(snapshot, n.settings.DataCentre)
 	if !storeFailed {
 		return own
 	}
 	own = slices.DeleteFunc(own, func(a directory.NodeAddress) bool { return a == directory.NodeAddress(n.settings.PeerAddress) })
 	first := min(1, len(own))
-	return slices.Concat(own[:first], firstReaders(snapshot, n.settings.DataCentre), own[first:])
+	return slices.Concat(own[:first], n.firstReaders(snapshot, n.settings.DataCentre), own[first:])
 }
 
 // firstReaders returns the first readers of each data centre except one: the first of each,
 // then the second of each, which reads for its data centre if the store fails the first.
-func firstReaders(s *directory.Snapshot, except fleet.DataCentre) []directory.NodeAddress {
+func (n *Node) firstReaders(s *directory.Snapshot, except fleet.DataCentre) []directory.NodeAddress {
 	var byRank [lendersPerDataCentre][]directory.NodeAddress
 	for _, dataCentre := range otherDataCentres(s, except) {
-		for rank, node := range readers(s, dataCentre) {
+		for rank, node := range n.readers(s, dataCentre) {
 			if rank < lendersPerDataCentre {
 				byRank[rank] = append(byRank[rank], node)
 			}
--- a/pkg/mesh/reports.go
+++ b/pkg/mesh/reports.go
@@ -127,7 +127,7 @@
 		return
 	}
 	statuses := [][]byte{encoded}
-	peers := n.reporters(readers(n.directory.Snapshot(), n.settings.DataCentre))
+	peers := n.reporters(n.readers(n.directory.Snapshot(), n.settings.DataCentre))
 	for _, p := range peers {
 		if p != nil {
 			p.SendReports(&linkrpc.Reports{Statuses: statuses, Reach: linkrpc.Reach_REACH_ALL})
@@ -189,10 +189,10 @@
 // sendToOthers sends statuses to one node of each other data centre: the first node that
 // passes statuses on to the first one there, the second to the second.
 func (n *Node) sendToOthers(s *directory.Snapshot, statuses [][]byte) {
-	rank := max(slices.Index(n.reporters(readers(s, n.settings.DataCentre)), nil), 0)
+	rank := max(slices.Index(n.reporters(n.readers(s, n.settings.DataCentre)), nil), 0)
 	reports := &linkrpc.Reports{Statuses: statuses, Reach: linkrpc.Reach_REACH_DATA_CENTRE}
 	for _, dataCentre := range otherDataCentres(s, n.settings.DataCentre) {
-		if peers := n.reporters(readers(s, dataCentre)); len(peers) > 0 {
+		if peers := n.reporters(n.readers(s, dataCentre)); len(peers) > 0 {
 			peers[min(rank, len(peers)-1)].SendReports(reports)
 		}
 	}
--- a/pkg/mesh/reports_test.go
+++ b/pkg/mesh/reports_test.go
@@ -78,10 +78,11 @@
 		address := directory.NodeAddress(fmt.Sprintf("10.0.0.%d:7000", i))
 		s.Nodes[address] = directory.Entry{Node: address, DataCentre: fleet.DataCentre(fmt.Sprint("z", i%4)), Open: i%5 != 0}
 	}
-	first := readers(s, "z1")
+	n := &Node{}
+	first := n.readers(s, "z1")
 	is.Equal(len(first), 8)
 	for range 20 {
-		is.Equal(readers(s, "z1"), first)
+		is.Equal(n.readers(s, "z1"), first)
 	}
 	for _, address := range first {
 		is.True(s.Nodes[address].Open)
--- a/pkg/mesh/run.go
+++ b/pkg/mesh/run.go
@@ -117,6 +117,7 @@
 // until ctx ends.
 func (n *Node) runChecks(ctx context.Context) {
 	clock.Every(ctx, n.clock, clock.FixedPeriod(checkInterval), n.guarded("the checks", func() {
+		n.checkPause()
 		n.heartbeats.CheckLiveness()
 		n.instance.CloseExpired()
 		n.peers.CheckLiveness()
--- a/pkg/mesh/settings_test.go
+++ b/pkg/mesh/settings_test.go
@@ -44,6 +44,16 @@
 	is.Equal(s.MemoryBytes, int64(184<<20))
 	is.Equal(s.MetricsAddress, "")
 	is.Equal(s.RetryLimits.Slack, 48.0)
+	is.Equal(s.MaxEvacuationDelay, time.Duration(0))
+}
+
+func TestEvacuationSettings(t *testing.T) {
+	is := is.New(t)
+	s, err := ParseSettings("f", []byte(validSettings+"evacuation = 5s\n"))
+	is.NoErr(err)
+	is.Equal(s.MaxEvacuationDelay, 5*time.Second)
+	_, err = ParseSettings("f", []byte(validSettings+"evacuation = 1ms\n"))
+	is.True(err != nil)
 }
 
 // The error lists all problems of the file, not only the first.
--- a/pkg/peering/peering_test.go
+++ b/pkg/peering/peering_test.go
@@ -109,6 +109,37 @@
 	is.Equal(chosen(), map[fleet.InstanceName]bool{"a": true})
 }
 
+// Guards against calls to the instances of an excluded data centre, and against instances that
+// are not chosen again later.
+func TestExcludedDataCentreIsNotChosen(t *testing.T) {
+	is := is.New(t)
+	peers := newPeers(&clocktest.Stepped{})
+	entries := []directory.Entry{{Node: "a", Instance: "a", Service: "desk", DataCentre: "x", Slots: 10, Open: true}, {Node: "b", Instance: "b", Service: "desk", DataCentre: "y", Slots: 10, Open: true}}
+	peers.Update(&directory.Snapshot{
+		Nodes:    map[directory.NodeAddress]directory.Entry{"a": entries[0], "b": entries[1]},
+		Services: map[fleet.ServiceName][]directory.Entry{"desk": entries},
+	})
+	excluded := map[fleet.DataCentre]bool{}
+	peers.Excluded = func(dataCentre fleet.DataCentre) bool { return excluded[dataCentre] }
+	chosen := func() map[fleet.InstanceName]bool {
+		names := map[fleet.InstanceName]bool{}
+		for range 100 {
+			if target := peers.Choose("desk", nil); target != nil {
+				names[target.Entry.Instance] = true
+			}
+		}
+		is.Equal(peers.HasTarget("desk"), len(names) > 0)
+		return names
+	}
+	is.Equal(len(chosen()), 2)
+	excluded["x"] = true
+	is.Equal(chosen(), map[fleet.InstanceName]bool{"b": true})
+	excluded["y"] = true
+	is.Equal(len(chosen()), 0)
+	delete(excluded, "x")
+	is.Equal(chosen(), map[fleet.InstanceName]bool{"a": true})
+}
+
 // The memory of departed instances is bounded; the oldest are forgotten.
 func TestDepartedInstancesAreBounded(t *testing.T) {
 	is := is.New(t)
--- a/pkg/topic/relay.go
+++ b/pkg/topic/relay.go
@@ -182,6 +182,11 @@
 	return r
 }
 
+// AskedAt returns the uptime at which the newest read was sent that the store has confirmed, to
+// this node or to a peer, or that has failed; 0 before the first one. It is safe for concurrent
+// use.
+func (f *Follower) AskedAt() time.Duration { return time.Duration(f.askedAt.Load()) }
+
 // isLate reports whether the store has not confirmed the topic for longer than the reads
 // of a follower that it answers take.
 func (f *Follower) isLate() bool {
--- a/pkg/topic/topic.go
+++ b/pkg/topic/topic.go
@@ -115,6 +115,8 @@
 	// applied records: when the last successful read was sent, or earlier if a peer
 	// answered it. It is valid once synced is set.
 	confirmedAt atomic.Int64
+	// askedAt is the uptime, in nanoseconds, at which the newest read with a result was sent.
+	askedAt atomic.Int64
 	// failedAt is the uptime, in nanoseconds, of the last failed read of the store; it is
 	// valid while storeFailed is set: no read of the store has succeeded since.
 	failedAt    atomic.Int64
@@ -185,7 +187,7 @@
 			}
 			retryDelay = min(2*retryDelay, maxRetryDelay)
 		case err != nil:
-			f.recordFailure(err)
+			f.recordFailure(err, sentAt)
 			if clock.Sleep(ctx, f.Clock, retryDelay) != nil {
 				return
 			}
@@ -310,6 +312,7 @@
 	if !f.synced.Load() || confirmedAt > time.Duration(f.confirmedAt.Load()) {
 		f.confirmedAt.Store(int64(confirmedAt))
 	}
+	f.askedAt.Store(max(f.askedAt.Load(), int64(confirmedAt)))
 	f.synced.Store(true)
 	if f.failing && result.relayed == nil {
 		f.failing = false
@@ -330,7 +333,8 @@
 	f.apply(records, true)
 }
 
-func (f *Follower) recordFailure(err error) {
+func (f *Follower) recordFailure(err error, sentAt time.Duration) {
+	f.askedAt.Store(int64(sentAt))
 	f.failedAt.Store(int64(f.Uptime()))
 	f.storeFailed.Store(true)
 	if f.failing {
