Regions: routes and organisations can be restricted to regions

Cause: the configuration can restrict where requests run; no code read that. Change: allowed_regions of routes and tenants, the region of each data centre from [regions] of the settings; the entrance chooses and sends only to data centres that both lists permit, and the gate checks again by a newer configuration (stale).

--- a/pkg/entrance/dispatch.go
+++ b/pkg/entrance/dispatch.go
@@ -59,13 +59,13 @@
 	if r.Inner && e.RetryFraction != nil {
 		e.retryBudget.chargeCalls(service, e.RetryFraction())
 	}
-	tried := map[directory.NodeAddress]bool{}
+	tried, allowed := map[directory.NodeAddress]bool{}, e.allowedDataCentres(r)
 	anyFull := false
 	for r.Dispatches < maxDispatches {
 		if isAbandoned(ctx, r) {
 			return nil, unsentError(ctx)
 		}
-		target := e.Peers.Choose(service, tried)
+		target := e.Peers.Choose(service, tried, allowed)
 		if target == nil {
 			break
 		}
--- a/pkg/entrance/entrance.go
+++ b/pkg/entrance/entrance.go
@@ -70,6 +70,9 @@
 	// Unavailable reports whether no instance may run a root request, so that it is refused
 	// before Admit is asked; nil means that one may.
 	Unavailable func(r *Request) bool
+	// Region returns the region of a data centre, or an empty one; nil means that none is
+	// known.
+	Region func(dataCentre fleet.DataCentre) fleet.Region
 	// RetryFraction returns the fraction of the executions at the local instance
 	// that are retries. The calls that these make count as retries too.
 	RetryFraction func() float64
--- a/pkg/gate/admit.go
+++ b/pkg/gate/admit.go
@@ -87,6 +87,9 @@
 	if route == nil || !route.RoutesTo(fleet.ServiceName(run.Service)) {
 		return false
 	}
+	if !routing.Permits(route, view.Organisation(fleet.OrganisationID(run.Organisation)), g.Region) {
+		return false
+	}
 	if !view.NeedsKey(route) {
 		return true
 	}
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -69,6 +69,8 @@
 	Instance *instance.Client
 	// View returns the active configuration, or nil.
 	View func() *routing.View
+	// Region is the region of the instance's data centre; empty if it is not known.
+	Region fleet.Region
 	// OutOfDate reports whether the node may not know yet that the instance must get no calls.
 	// They are returned as not run then; nil means that it knows.
 	OutOfDate func() bool
--- a/pkg/inifile/inifile.go
+++ b/pkg/inifile/inifile.go
@@ -236,6 +236,19 @@
 	return s.file.parsed.Section(s.name).Key(key).ValueWithShadows()
 }
 
+// All returns the values of all keys, for a section whose keys are names that the file
+// chooses.
+func (s *Section) All() map[string]string {
+	values := map[string]string{}
+	if !s.present {
+		return values
+	}
+	for _, k := range s.file.parsed.Section(s.name).Keys() {
+		values[k.Name()], _ = s.lookup(k.Name())
+	}
+	return values
+}
+
 // String returns a value, or fallback if the key is missing.
 func (s *Section) String(key, fallback string) string {
 	value, found := s.lookup(key)
--- a/pkg/mesh/evacuation.go
+++ b/pkg/mesh/evacuation.go
@@ -150,5 +150,10 @@
 	})
 }
 
+// regionOf returns the region of a data centre, or an empty one.
+func (n *Node) regionOf(dataCentre fleet.DataCentre) fleet.Region {
+	return n.settings.Regions[dataCentre]
+}
+
 // onTakenBack is called before the gate opens again after an evacuation.
 func (n *Node) onTakenBack() {}
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -196,7 +196,7 @@
 
 func (n *Node) makeGate() {
 	n.instance = &instance.Client{Address: n.settings.InstanceAddress, Clock: n.clock, Headers: n.platform.InstanceHeaders, MaxBodyBytes: maxResponseBytes, OnStray: n.onStray, OnJoined: n.onJoined, OnRepeatedID: n.onRepeatedID}
-	n.gate = &gate.Gate{Clock: n.clock, Headers: n.platform.GateHeaders, Instance: n.instance, View: n.view.Load, OutOfDate: n.evacuationsOutOfDate, OnStart: n.onExecutionStarted, OnDecision: n.onDecided, OnRateLimit: n.onRateLimit, OnLeaving: n.onLeaving}
+	n.gate = &gate.Gate{Clock: n.clock, Headers: n.platform.GateHeaders, Instance: n.instance, View: n.view.Load, OutOfDate: n.evacuationsOutOfDate, Region: n.regionOf(n.settings.DataCentre), OnStart: n.onExecutionStarted, OnDecision: n.onDecided, OnRateLimit: n.onRateLimit, OnLeaving: n.onLeaving}
 	n.gate.Init()
 	n.initEvacuations()
 	n.heartbeats = &HeartbeatTracker{Clock: n.clock, Service: n.settings.Service, Interval: n.settings.HeartbeatInterval, HasDeparted: n.hasDeparted, OnChange: n.onInstanceChange}
@@ -227,7 +227,7 @@
 	n.entrance = &entrance.Entrance{
 		Clock: n.clock, Headers: n.platform.EntranceHeaders, Service: n.settings.Service, Peers: n.peers, RateLimiter: n.rateLimiter, Bodies: &n.callerBodies,
 		View: n.view.Load, ConfigFresh: n.keysFresh, Stopping: n.stopping.Load, Takes: n.takes, OnFinish: n.onFinished, Incarnation: n.incarnation,
-		OnArrival: n.onArrived, Unavailable: n.unavailable, Admit: n.admit, RetryFraction: n.executions.repeatedFraction, TokenHome: n.tokenHome, OnBorrowError: n.onBorrowFailed, OnForeignAnswer: n.onForeignAnswer,
+		OnArrival: n.onArrived, Unavailable: n.unavailable, Region: n.regionOf, Admit: n.admit, RetryFraction: n.executions.repeatedFraction, TokenHome: n.tokenHome, OnBorrowError: n.onBorrowFailed, OnForeignAnswer: n.onForeignAnswer,
 	}
 	n.entrance.Init()
 }
--- a/pkg/mesh/settings.go
+++ b/pkg/mesh/settings.go
@@ -28,6 +28,8 @@
 	NodeName   string
 	Service    fleet.ServiceName
 	DataCentre fleet.DataCentre
+	// Regions holds the region of each data centre that is in one.
+	Regions map[fleet.DataCentre]fleet.Region
 	// FirstStart reports that the whole fleet starts for the first time, so that no
 	// tokens of the rate limits have been spent.
 	FirstStart bool
@@ -92,6 +94,10 @@
 	s.Service = fleet.ServiceName(n.Required("service", "the service of the instance"))
 	s.DataCentre = fleet.DataCentre(n.Required("dataCentre", "the data centre of the instance"))
 	s.FirstStart = n.Bool("firstStart", false)
+	s.Regions = map[fleet.DataCentre]fleet.Region{}
+	for dataCentre, region := range f.Section("regions").All() {
+		s.Regions[fleet.DataCentre(dataCentre)] = fleet.Region(region)
+	}
 	l := f.Section("listen")
 	s.CallerAddress, s.HeartbeatAddress, s.ReadinessAddress, s.PeerAddress = l.Address("callers"), l.Address("heartbeats"), l.Address("readiness"), l.Address("peers")
 	if l.Has("metrics") {
--- a/pkg/mesh/settings_test.go
+++ b/pkg/mesh/settings_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/plantainramp/plantainramp/pkg/fleet"
 )
 
 const validSettings = `[node]
@@ -47,11 +49,18 @@
 	is.Equal(s.MaxEvacuationDelay, time.Duration(0))
 }
 
-func TestEvacuationSettings(t *testing.T) {
+func TestEvacuationAndRegionSettings(t *testing.T) {
 	is := is.New(t)
 	s, err := ParseSettings("f", []byte(validSettings+"evacuation = 5s\n"))
 	is.NoErr(err)
 	is.Equal(s.MaxEvacuationDelay, 5*time.Second)
+	is.Equal(len(s.Regions), 0)
+	s, err = ParseSettings("f", []byte(validSettings+"\n[regions]\n"))
+	is.NoErr(err)
+	is.Equal(len(s.Regions), 0)
+	s, err = ParseSettings("f", []byte(validSettings+"\n[regions]\nb-1 = east\nA = west\nc =\n"))
+	is.NoErr(err)
+	is.Equal(s.Regions, map[fleet.DataCentre]fleet.Region{"b-1": "east", "A": "west", "c": ""})
 	_, err = ParseSettings("f", []byte(validSettings+"evacuation = 1ms\n"))
 	is.True(err != nil)
 }
--- a/pkg/peering/peering.go
+++ b/pkg/peering/peering.go
@@ -217,15 +217,16 @@
 }
 
 // Choose returns the target for a call, or nil if there is none. It excludes the
-// nodes that were tried, also if they have left the directory and come back since.
-func (p *Peers) Choose(service fleet.ServiceName, tried map[directory.NodeAddress]bool) *Target {
+// nodes that were tried, also if they have left the directory and come back since, and
+// the data centres that allowed reports false for; nil allows all.
+func (p *Peers) Choose(service fleet.ServiceName, tried map[directory.NodeAddress]bool, allowed func(dataCentre fleet.DataCentre) bool) *Target {
 	targets := p.Targets(service)
 	now := p.Clock.Now()
 	candidates := make([]balancer.Candidate, 0, len(targets))
 	untried := make([]*Target, 0, len(targets))
 	fastest := uint32(0)
 	for _, t := range targets {
-		if tried[t.Entry.Node] || !p.permits(t) {
+		if tried[t.Entry.Node] || !p.permits(t) || allowed != nil && !allowed(t.Entry.DataCentre) {
 			continue
 		}
 		untried = append(untried, t)
--- a/pkg/peering/peering_test.go
+++ b/pkg/peering/peering_test.go
@@ -51,10 +51,10 @@
 func TestLeavingPeer(t *testing.T) {
 	is := is.New(t)
 	peers := newPeers(&clocktest.Stepped{})
-	peer := peers.Choose("desk", nil).Peer
+	peer := peers.Choose("desk", nil, nil).Peer
 	is.True(peer.Hold())
 	peers.Update(&directory.Snapshot{})
-	is.Equal(peers.Choose("desk", nil), nil)
+	is.Equal(peers.Choose("desk", nil, nil), nil)
 	is.Equal(len(peers.ReachablePeers(10)), 0)
 	peers.CheckLiveness()
 	is.True(peer.Hold())
@@ -66,7 +66,7 @@
 		Services: map[fleet.ServiceName][]directory.Entry{"desk": {entry}},
 	}
 	peers.Update(present)
-	is.Equal(peers.Choose("desk", nil).Peer, peer)
+	is.Equal(peers.Choose("desk", nil, nil).Peer, peer)
 	peer.Release()
 	peers.CheckLiveness()
 	is.Equal(peers.ReachablePeers(10), []*Peer{peer})
@@ -79,7 +79,7 @@
 	is.True(!peer.Hold())
 	is.True(!peer.link.Reachable())
 	peers.Update(present)
-	is.True(peers.Choose("desk", nil).Peer != peer)
+	is.True(peers.Choose("desk", nil, nil).Peer != peer)
 	is.Equal(len(peers.ReachablePeers(10)), 1)
 }
 
@@ -91,7 +91,7 @@
 	chosen := func() map[fleet.InstanceName]bool {
 		names := map[fleet.InstanceName]bool{}
 		for range 100 {
-			if target := peers.Choose("desk", nil); target != nil {
+			if target := peers.Choose("desk", nil, nil); target != nil {
 				names[target.Entry.Instance] = true
 			}
 		}
@@ -124,7 +124,7 @@
 	chosen := func() map[fleet.InstanceName]bool {
 		names := map[fleet.InstanceName]bool{}
 		for range 100 {
-			if target := peers.Choose("desk", nil); target != nil {
+			if target := peers.Choose("desk", nil, nil); target != nil {
 				names[target.Entry.Instance] = true
 			}
 		}
@@ -136,7 +136,9 @@
 	is.Equal(chosen(), map[fleet.InstanceName]bool{"b": true})
 	excluded["y"] = true
 	is.Equal(len(chosen()), 0)
+	is.Equal(peers.Choose("desk", nil, func(fleet.DataCentre) bool { return true }), nil)
 	delete(excluded, "x")
+	is.Equal(peers.Choose("desk", nil, func(dataCentre fleet.DataCentre) bool { return dataCentre == "y" }), nil)
 	is.Equal(chosen(), map[fleet.InstanceName]bool{"a": true})
 }
 
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -52,6 +52,8 @@
 	MaxAttempts int
 	// AllowAnonymous accepts requests without a key.
 	AllowAnonymous bool
+	// Regions restricts where the requests may run.
+	Regions Regions
 }
 
 // Organisation is a customer with its rate limit and priority.
@@ -63,6 +65,8 @@
 	// Priority takes precedence over that of the route if HasPriority is set.
 	Priority    int
 	HasPriority bool
+	// Regions restricts where the requests may run.
+	Regions Regions
 }
 
 // Limits are the limits on a caller's requests.
@@ -81,6 +85,8 @@
 
 	routes map[string]map[string]*Route
 	keys   map[KeyDigest]*Organisation
+	// organisations holds the organisations by their id.
+	organisations map[fleet.OrganisationID]*Organisation
 	// healthPaths holds the path of the health check of each service that has one.
 	healthPaths map[fleet.ServiceName]string
 }
@@ -97,7 +103,7 @@
 func NewBuilder(version Version, limits Limits) *Builder {
 	return &Builder{view: View{
 		Version: version, Limits: limits, routes: map[string]map[string]*Route{}, keys: map[KeyDigest]*Organisation{},
-		healthPaths: map[fleet.ServiceName]string{},
+		healthPaths: map[fleet.ServiceName]string{}, organisations: map[fleet.OrganisationID]*Organisation{},
 	}}
 }
 
@@ -119,6 +125,7 @@
 // AddOrganisation adds an organisation with its keys.
 func (b *Builder) AddOrganisation(o *Organisation, keys []string) {
 	b.view.Organisations = append(b.view.Organisations, o)
+	b.view.organisations[o.ID] = o
 	for _, k := range keys {
 		b.view.keys[DigestKey(k)] = o
 	}
@@ -160,6 +167,9 @@
 // digest, or nil.
 func (v *View) OrganisationByKey(d KeyDigest) *Organisation { return v.keys[d] }
 
+// Organisation returns the organisation with the given id, or nil.
+func (v *View) Organisation(id fleet.OrganisationID) *Organisation { return v.organisations[id] }
+
 // NeedsKey reports whether requests on the route need a key. No key is needed
 // if the view has no organisations.
 func (v *View) NeedsKey(r *Route) bool { return !r.AllowAnonymous && len(v.Organisations) > 0 }
