--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -235,7 +235,7 @@
 	local := func(offset int) string { return fmt.Sprintf("127.0.0.1:%d", port+offset) }
 	m := &machine{name: fmt.Sprintf("%s-%d", service, i), port: port}
 	m.server = &platformtest.Server{
-		ID: "i-" + m.name, Service: service, Zone: fmt.Sprintf("z%d", i%2), Slots: 24, ServiceTime: serviceTimes[service],
+		ID: "i-" + m.name, Service: service, Zone: zoneName(i % zoneCount), Slots: 24, ServiceTime: serviceTimes[service],
 		ControlAddress: local(1), OutboundAddress: local(0), NestedCalls: []platformtest.NestedCall{downstream}, HeartbeatInterval: heartbeatInterval, StartUnixMs: time.Now().UnixMilli(),
 	}
 	c.stutter.prepare(m.server, stutterSeed(faultSeed(c.t), i))
@@ -245,6 +245,9 @@
 	folder := nodeFolder(c.t, m.name)
 	m.settings = filepath.Join(folder, "node.ini")
 	text := fmt.Sprintf(settingsTemplate, m.name, service, m.server.Zone, port, port+1, port+2, port+3, m.server.Address, store)
+	if evacuates(faultSeed(c.t)) {
+		text += evacuationSettings
+	}
 	if err := os.WriteFile(m.settings, []byte(text), 0o600); err != nil {
 		c.t.Fatal(err)
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -217,6 +217,7 @@
 			c.store.SetFault(platformtest.FaultNone)
 		},
 		"forget":    func() { c.store.Truncate(platform.TopicDirectory) },
+		"evacuate":  func() { c.evacuate(r, randomDuration()) },
 		"lost":      func() { randomMachine().server.ResponsesToAbort.Store(int64(1 + r.IntN(5))) },
 		"configure": func() { c.version++; c.putConfig() },
 		"restore":   func() { restoreStore(c, r, randomMachine(), randomDuration) },
@@ -266,6 +267,9 @@
 func injectFaults(c *cluster, r *rand.Rand, d time.Duration) []string {
 	functions := faultFunctions(c, r)
 	names := []string{"kill", "stop", "pause", "store", "forget", "lost", "configure", "herd", "kill", "stop", "pause", "stops", "stops", "restore", "restore"}
+	if evacuates(faultSeed(c.t)) {
+		names = append(names, "evacuate", "evacuate", "evacuate")
+	}
 	var history []string
 	for start := time.Now(); time.Since(start) < d; {
 		name := names[r.IntN(len(names))]
