--- a/pkg/mesh/settings.go
+++ b/pkg/mesh/settings.go
@@ -20,6 +20,9 @@
 	minMemoryMB     = 64
 	// maxColdOverage is the upper bound of the setting coldOverage.
 	maxColdOverage = 1000
+	// minEvacuationDelay is the lower bound of the time in which an evacuation takes effect.
+	// The store is asked at shorter intervals, the shorter that time is.
+	minEvacuationDelay = time.Second
 )
 
 // Settings holds the settings of a mesh node.
@@ -27,6 +30,8 @@
 	NodeName   string
 	Service    fleet.ServiceName
 	DataCentre fleet.DataCentre
+	// Regions holds the region of each data centre that is in one.
+	Regions map[fleet.DataCentre]fleet.Region
 	// FirstStart reports that the whole fleet starts for the first time, so that no
 	// tokens of the rate limits have been spent.
 	FirstStart bool
@@ -46,6 +51,10 @@
 	HeartbeatInterval time.Duration
 	// MaxRevocationDelay is how long a withdrawn key may still be accepted.
 	MaxRevocationDelay time.Duration
+	// MaxEvacuationDelay is how long calls may still be sent to the instances of a data centre
+	// after the operator has evacuated it; 0 means that no bound is set. With a bound, the gate
+	// stays closed until the node has read which data centres are evacuated.
+	MaxEvacuationDelay time.Duration
 	// MaxOverageFraction and MaxOverageBurst bound by how much an organisation may exceed
 	// its rate and burst in a window over all nodes: a fraction of the rate, and a number
 	// of requests.
@@ -91,6 +100,10 @@
 	s.Service = fleet.ServiceName(n.Required("service", "the service of the instance"))
 	s.DataCentre = fleet.DataCentre(n.Required("dataCentre", "the data centre of the instance"))
 	s.FirstStart = n.Bool("firstStart", false)
+	s.Regions = map[fleet.DataCentre]fleet.Region{}
+	for dataCentre, region := range f.Section("regions").All() {
+		s.Regions[fleet.DataCentre(dataCentre)] = fleet.Region(region)
+	}
 	l := f.Section("listen")
 	s.CallerAddress, s.HeartbeatAddress, s.ReadinessAddress, s.PeerAddress = l.Address("callers"), l.Address("heartbeats"), l.Address("readiness"), l.Address("peers")
 	if l.Has("metrics") {
@@ -101,6 +114,7 @@
 	b := f.Section("bounds")
 	s.HeartbeatInterval = b.Duration("heartbeat", 1500*time.Millisecond, 10*time.Millisecond)
 	s.MaxRevocationDelay = b.Duration("revoke", 5*time.Second, 100*time.Millisecond)
+	s.MaxEvacuationDelay = b.Duration("evacuation", 0, minEvacuationDelay)
 	s.MaxOverageFraction = b.Float("rateOverage", 0, 0, 1)
 	s.MaxOverageBurst = fleet.Tokens(b.Float("rateSlack", 0, 0, 1e6))
 	s.ColdOverage = b.Float("coldOverage", 0, 0, maxColdOverage)
--- a/pkg/peering/peering_test.go
+++ b/pkg/peering/peering_test.go
@@ -51,10 +51,10 @@
 func TestLeavingPeer(t *testing.T) {
 	is := is.New(t)
 	peers := newPeers(&clocktest.Stepped{})
-	peer := peers.Choose("desk", nil).Peer
+	peer := peers.Choose("desk", nil, nil).Peer
 	is.True(peer.Hold())
 	peers.Update(&directory.Snapshot{})
-	is.Equal(peers.Choose("desk", nil), nil)
+	is.Equal(peers.Choose("desk", nil, nil), nil)
 	is.Equal(len(peers.ReachablePeers(10)), 0)
 	peers.CheckLiveness()
 	is.True(peer.Hold())
@@ -66,7 +66,7 @@
 		Services: map[fleet.ServiceName][]directory.Entry{"desk": {entry}},
 	}
 	peers.Update(present)
-	is.Equal(peers.Choose("desk", nil).Peer, peer)
+	is.Equal(peers.Choose("desk", nil, nil).Peer, peer)
 	peer.Release()
 	peers.CheckLiveness()
 	is.Equal(peers.ReachablePeers(10), []*Peer{peer})
@@ -79,7 +79,7 @@
 	is.True(!peer.Hold())
 	is.True(!peer.link.Reachable())
 	peers.Update(present)
-	is.True(peers.Choose("desk", nil).Peer != peer)
+	is.True(peers.Choose("desk", nil, nil).Peer != peer)
 	is.Equal(len(peers.ReachablePeers(10)), 1)
 }
 
@@ -91,7 +91,7 @@
 	chosen := func() map[fleet.InstanceName]bool {
 		names := map[fleet.InstanceName]bool{}
 		for range 100 {
-			if target := peers.Choose("desk", nil); target != nil {
+			if target := peers.Choose("desk", nil, nil); target != nil {
 				names[target.Entry.Instance] = true
 			}
 		}
@@ -109,6 +109,39 @@
 	is.Equal(chosen(), map[fleet.InstanceName]bool{"a": true})
 }
 
+// Guards against calls to the instances of an excluded data centre, and against instances that
+// are not chosen again later.
+func TestExcludedDataCentreIsNotChosen(t *testing.T) {
+	is := is.New(t)
+	peers := newPeers(&clocktest.Stepped{})
+	entries := []directory.Entry{{Node: "a", Instance: "a", Service: "desk", DataCentre: "x", Slots: 10, Open: true}, {Node: "b", Instance: "b", Service: "desk", DataCentre: "y", Slots: 10, Open: true}}
+	peers.Update(&directory.Snapshot{
+		Nodes:    map[directory.NodeAddress]directory.Entry{"a": entries[0], "b": entries[1]},
+		Services: map[fleet.ServiceName][]directory.Entry{"desk": entries},
+	})
+	excluded := map[fleet.DataCentre]bool{}
+	peers.Excluded = func(dataCentre fleet.DataCentre) bool { return excluded[dataCentre] }
+	chosen := func() map[fleet.InstanceName]bool {
+		names := map[fleet.InstanceName]bool{}
+		for range 100 {
+			if target := peers.Choose("desk", nil, nil); target != nil {
+				names[target.Entry.Instance] = true
+			}
+		}
+		is.Equal(peers.HasTarget("desk"), len(names) > 0)
+		return names
+	}
+	is.Equal(len(chosen()), 2)
+	excluded["x"] = true
+	is.Equal(chosen(), map[fleet.InstanceName]bool{"b": true})
+	excluded["y"] = true
+	is.Equal(len(chosen()), 0)
+	is.Equal(peers.Choose("desk", nil, func(fleet.DataCentre) bool { return true }), nil)
+	delete(excluded, "x")
+	is.Equal(peers.Choose("desk", nil, func(dataCentre fleet.DataCentre) bool { return dataCentre == "y" }), nil)
+	is.Equal(chosen(), map[fleet.InstanceName]bool{"a": true})
+}
+
 // The memory of departed instances is bounded; the oldest are forgotten.
 func TestDepartedInstancesAreBounded(t *testing.T) {
 	is := is.New(t)
