--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -1,7 +1,10 @@
 // Package balancer chooses the instance that runs a call. It answers the load
-// pattern of services whose instances differ in speed and fullness while
-// traffic between data centres is costly: instances in the local data centre
-// are preferred until they fill, then the emptiest instance anywhere.
+// pattern of services whose instances differ in speed, fullness and in the share of
+// calls that they reject or fail, while many entrances choose at once from reports that
+// are old, and traffic between data centres is costly. Instances in the local data centre
+// are preferred until they fill. Among the instances of a data centre, each call goes to
+// the emptier one of two that are drawn at random: if all entrances sent their calls to the
+// one that was emptiest in the last report, it would get all calls until the next.
 package balancer
 
 const (
@@ -9,6 +12,9 @@
 	// local instance may be than one in another data centre and still be
 	// chosen.
 	otherDataCentrePenalty = 0.3
+	// spillRange is the further difference over which the share of the calls that are sent
+	// to the other data centre rises to all of them.
+	spillRange = 0.2
 	// overloadFullness is the fullness above which the cost of an instance
 	// rises more steeply, by overloadSlope for each unit of fullness.
 	overloadFullness = 0.8
@@ -20,15 +26,24 @@
 	lastResortPenalty = 1e6
 	// defaultLimit is assumed for an instance that has not reported its slots.
 	defaultLimit = 8
-	// jitter keeps entrances from all choosing the same one of several equal
-	// instances.
+	// jitter is the range of a random part of the cost by which equal instances are told
+	// apart.
 	jitter = 0.02
+	// eligibleRange is how much more than the best instance of its data centre an instance
+	// may cost and still be drawn.
+	eligibleRange = 0.5
+	// minSpeed bounds the speed, relative to the fastest instance, by which instances are
+	// drawn: measured run times also depend on the mix of calls.
+	minSpeed = 0.25
+	// minUse bounds the useful fraction in the same way, so that instances that all fail are
+	// drawn alike.
+	minUse = 0.05
 )
 
 // Candidate is an instance that a call may be sent to.
 type Candidate struct {
-	// InFlight is the known number of calls that run or wait at the instance.
-	InFlight int
+	// InFlight is the expected number of calls that run or wait at the instance.
+	InFlight float64
 	// Limit is the number of calls that the instance can run at once; 0 where
 	// it is unknown.
 	Limit int
@@ -40,44 +55,148 @@
 	// Slowdown is the run time of calls as a multiple of that at the service's
 	// fastest instance; 0 where it is unknown.
 	Slowdown float64
+	// Rejected and Failed are the fractions of its recent calls that the instance rejected
+	// without being full, and that failed through its fault.
+	Rejected, Failed float64
 	// LastResort excludes the instance while any other is left.
 	LastResort bool
+
+	// cost is the cost of sending the call to the instance, in fractions of its slots,
+	// outlier reports whether the instance gets probe traffic only, and weight is its
+	// measured rate of useful work, by which it is drawn. Choose sets them.
+	cost, weight float64
+	outlier      bool
+}
+
+// group is the instances of the local or of all other data centres.
+type group struct {
+	candidates []Candidate
+	other      bool
+	// lowest is the lowest cost, and count the number of instances.
+	lowest float64
+	count  int
+}
+
+// limit returns the number of calls that the instance can run at once.
+func (c *Candidate) limit() float64 {
+	if c.Limit <= 0 {
+		return defaultLimit
+	}
+	return float64(c.Limit)
 }
 
-// cost returns the cost of sending the call to the candidate, in fractions of
-// its slots. The candidate with the lowest cost is chosen. randomUnit is a
-// random number between 0 and 1.
-func (c Candidate) cost(randomUnit float64) float64 {
-	limit := c.Limit
-	if limit <= 0 {
-		limit = defaultLimit
+// useful returns the fraction of the calls that the instance neither rejects nor fails. It
+// is 1 if a malformed report holds no number.
+func (c *Candidate) useful() float64 {
+	if bad := c.Rejected + c.Failed; bad > 0 {
+		return max(0, 1-bad)
 	}
-	fullness := float64(c.InFlight+1) / float64(limit)
+	return 1
+}
+
+// rate sets the cost and the weight of the instance.
+func (c *Candidate) rate() {
+	limit := c.limit()
+	fullness := (c.InFlight + 1) / limit
 	// The comparison fails for NaN, which a malformed report may hold.
 	if c.RateFullness > fullness {
 		fullness = c.RateFullness
 	}
-	cost := fullness + max(0, fullness-overloadFullness)*overloadSlope + randomUnit*jitter
+	c.cost = fullness + max(0, fullness-overloadFullness)*overloadSlope
+	c.weight = limit * max(minUse, c.useful())
 	if c.Slowdown > 1 {
-		cost += (c.Slowdown - 1) * slowdownPenalty
+		c.cost += (c.Slowdown - 1) * slowdownPenalty
+		c.weight *= max(minSpeed, 1/c.Slowdown)
 	}
-	if c.OtherDataCentre {
-		cost += otherDataCentrePenalty
+	if c.outlier {
+		c.cost += c.outlierPenalty()
 	}
 	if c.LastResort {
-		cost += lastResortPenalty
+		c.cost += lastResortPenalty
 	}
-	return cost
 }
 
-// Choose returns the index of the candidate with the lowest cost, or -1 if there
-// are no candidates. random returns numbers between 0 and 1.
+// Choose returns the index of the candidate that gets the call, or -1 if there are no
+// candidates. random returns numbers between 0 and 1. It overwrites the unexported
+// fields of the candidates.
 func Choose(candidates []Candidate, random func() float64) int {
-	best, lowest := -1, 0.0
-	for i, c := range candidates {
-		if cost := c.cost(random()); best < 0 || cost < lowest {
-			best, lowest = i, cost
+	outliers := markOutliers(candidates)
+	local, other := group{candidates: candidates}, group{candidates: candidates, other: true}
+	for i := range candidates {
+		c := &candidates[i]
+		c.rate()
+		if c.OtherDataCentre {
+			other.add(c.cost)
+		} else {
+			local.add(c.cost)
+		}
+	}
+	g := &local
+	if local.count == 0 || other.count > 0 && spills(local.lowest-other.lowest-otherDataCentrePenalty, random) {
+		g = &other
+	}
+	if g.count == 0 {
+		return -1
+	}
+	if outliers > 0 {
+		if i := g.probe(random); i >= 0 {
+			return i
+		}
+	}
+	return g.draw(random)
+}
+
+// spills reports whether a call goes to another data centre if the local instances cost
+// excess more. The share of these calls rises gradually, so that entrances that read the
+// same report do not all send their calls there.
+func spills(excess float64, random func() float64) bool {
+	return excess > 0 && (excess >= spillRange || random()*spillRange < excess)
+}
+
+func (g *group) add(cost float64) {
+	if g.count == 0 || cost < g.lowest {
+		g.lowest = cost
+	}
+	g.count++
+}
+
+func (g *group) has(c *Candidate) bool {
+	return c.OtherDataCentre == g.other && c.cost <= g.lowest+eligibleRange
+}
+
+// draw returns the cheaper one of two instances that are drawn at random by their weights.
+func (g *group) draw(random func() float64) int {
+	total := 0.0
+	for i := range g.candidates {
+		if c := &g.candidates[i]; g.has(c) {
+			total += c.weight
+		}
+	}
+	first := g.pick(random()*total, -1)
+	second := g.pick(random()*(total-g.candidates[first].weight), first)
+	if second < 0 {
+		return first
+	}
+	a, b := &g.candidates[first], &g.candidates[second]
+	if b.cost+random()*jitter < a.cost+random()*jitter {
+		return second
+	}
+	return first
+}
+
+// pick returns the instance at a position of the sum of the weights, leaving out one of
+// them, or the last instance if the position lies beyond. It returns -1 if there is none.
+func (g *group) pick(position float64, except int) int {
+	last := -1
+	for i := range g.candidates {
+		c := &g.candidates[i]
+		if i == except || !g.has(c) {
+			continue
+		}
+		last = i
+		if position -= c.weight; position < 0 {
+			break
 		}
 	}
-	return best
+	return last
 }
--- a/pkg/emulator/dispatch.go
+++ b/pkg/emulator/dispatch.go
@@ -79,7 +79,7 @@
 		}
 		untried = append(untried, n)
 		candidates = append(candidates, balancer.Candidate{
-			InFlight: max(c.origin.callsInFlight[n], load.InFlight+load.Queued), Limit: load.Limit, OtherDataCentre: n.DataCentre != c.origin.DataCentre, Slowdown: load.MeanSlotTime.Seconds(),
+			InFlight: float64(max(c.origin.callsInFlight[n], load.InFlight+load.Queued)), Limit: load.Limit, OtherDataCentre: n.DataCentre != c.origin.DataCentre, Slowdown: load.MeanSlotTime.Seconds(),
 		})
 	}
 	for i := range candidates {
--- a/pkg/peering/peering.go
+++ b/pkg/peering/peering.go
@@ -243,9 +243,9 @@
 }
 
 func (t *Target) candidate(now time.Time) balancer.Candidate {
-	candidate := balancer.Candidate{Limit: t.Entry.Slots, OtherDataCentre: t.OtherDataCentre, InFlight: int(t.Peer.pendingCalls.Load())}
+	candidate := balancer.Candidate{Limit: t.Entry.Slots, OtherDataCentre: t.OtherDataCentre, InFlight: float64(t.Peer.pendingCalls.Load())}
 	if load := t.Peer.Load(); load != nil {
-		candidate.InFlight = max(candidate.InFlight, int(load.InFlight+load.Queued))
+		candidate.InFlight = max(candidate.InFlight, float64(load.InFlight+load.Queued))
 		candidate.RateFullness = float64(load.RateFullness)
 		// The limit of a load with a rate limit is not that of its slots.
 		if load.Limit > 0 && load.RateLimit == 0 {
