--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -7,6 +7,8 @@
 // one that was emptiest in the last report, it would get all calls until the next.
 package balancer
 
+import "time"
+
 const (
 	// otherDataCentrePenalty is how much fuller, as a fraction of its slots, a
 	// local instance may be than one in another data centre and still be
@@ -14,24 +16,33 @@
 	otherDataCentrePenalty = 0.3
 	// spillRange is the further difference over which the share of the calls that are sent
 	// to the other data centre rises to all of them.
-	spillRange = 0.2
+	spillRange = 0.3
 	// overloadFullness is the fullness above which the cost of an instance
 	// rises more steeply, by overloadSlope for each unit of fullness.
 	overloadFullness = 0.8
 	overloadSlope    = 4.0
 	// slowdownPenalty is the cost of each multiple by which an instance is
 	// slower than the fastest one.
-	slowdownPenalty = 0.1
+	slowdownPenalty = 0.05
 	// lastResortPenalty outweighs all other costs.
 	lastResortPenalty = 1e6
 	// defaultLimit is assumed for an instance that has not reported its slots.
 	defaultLimit = 8
-	// jitter is the range of a random part of the cost by which equal instances are told
-	// apart.
-	jitter = 0.02
+	// freshJitter is the range of a random part of the cost by which equal instances are
+	// told apart, and staleJitter the further range if the fullness is not known but by the
+	// mean of the past: what differs in the reports that all entrances read must not decide
+	// on all calls until the next.
+	freshJitter = 0.02
+	staleJitter = 0.4
 	// eligibleRange is how much more than the best instance of its data centre an instance
-	// may cost and still be drawn.
-	eligibleRange = 0.5
+	// may cost and still be drawn, and staleEligibleRange what is added to that where the
+	// fullness is not known but by the mean of the past.
+	eligibleRange      = 0.5
+	staleEligibleRange = 2.0
+	// maxStaleFullness bounds the fullness from staleness staleFrom on. A queue that was
+	// long in the last report is short soon after, as all entrances have avoided it.
+	maxStaleFullness = 1.25
+	staleFrom        = 0.5
 	// minSpeed bounds the speed, relative to the fastest instance, by which instances are
 	// drawn: measured run times also depend on the mix of calls.
 	minSpeed = 0.25
@@ -55,9 +66,14 @@
 	// Slowdown is the run time of calls as a multiple of that at the service's
 	// fastest instance; 0 where it is unknown.
 	Slowdown float64
+	// RunTime is the mean run time of calls, from which CompareSpeeds sets Slowdown; 0 where it
+	// is unknown.
+	RunTime time.Duration
 	// Rejected and Failed are the fractions of its recent calls that the instance rejected
 	// without being full, and that failed through its fault.
 	Rejected, Failed float64
+	// Staleness is 0 if InFlight is exact, and 1 if it is only a mean of the past.
+	Staleness float64
 	// LastResort excludes the instance while any other is left.
 	LastResort bool
 
@@ -85,6 +101,15 @@
 	return float64(c.Limit)
 }
 
+// jitter returns the range of the random part of the cost.
+func (c *Candidate) jitter() float64 {
+	// The comparison fails for NaN.
+	if c.Staleness > 0 {
+		return freshJitter + staleJitter*min(c.Staleness, 1)
+	}
+	return freshJitter
+}
+
 // useful returns the fraction of the calls that the instance neither rejects nor fails. It
 // is 1 if a malformed report holds no number.
 func (c *Candidate) useful() float64 {
@@ -102,6 +127,9 @@
 	if c.RateFullness > fullness {
 		fullness = c.RateFullness
 	}
+	if c.Staleness > staleFrom {
+		fullness = min(fullness, maxStaleFullness)
+	}
 	c.cost = fullness + max(0, fullness-overloadFullness)*overloadSlope
 	c.weight = limit * max(minUse, c.useful())
 	if c.Slowdown > 1 {
@@ -116,6 +144,22 @@
 	}
 }
 
+// CompareSpeeds sets the slowdown of each candidate from the run times.
+func CompareSpeeds(candidates []Candidate) {
+	fastest := time.Duration(0)
+	for i := range candidates {
+		if run := candidates[i].RunTime; run > 0 && (fastest == 0 || run < fastest) {
+			fastest = run
+		}
+	}
+	if fastest == 0 {
+		return
+	}
+	for i := range candidates {
+		candidates[i].Slowdown = float64(candidates[i].RunTime) / float64(fastest)
+	}
+}
+
 // Choose returns the index of the candidate that gets the call, or -1 if there are no
 // candidates. random returns numbers between 0 and 1. It overwrites the unexported
 // fields of the candidates.
@@ -161,7 +205,7 @@
 }
 
 func (g *group) has(c *Candidate) bool {
-	return c.OtherDataCentre == g.other && c.cost <= g.lowest+eligibleRange
+	return c.OtherDataCentre == g.other && c.cost <= g.lowest+eligibleRange+staleEligibleRange*max(0, c.Staleness)
 }
 
 // draw returns the cheaper one of two instances that are drawn at random by their weights.
@@ -178,7 +222,7 @@
 		return first
 	}
 	a, b := &g.candidates[first], &g.candidates[second]
-	if b.cost+random()*jitter < a.cost+random()*jitter {
+	if b.cost+random()*b.jitter() < a.cost+random()*a.jitter() {
 		return second
 	}
 	return first
--- a/pkg/balancer/estimate.go
+++ b/pkg/balancer/estimate.go
@@ -6,12 +6,15 @@
 )
 
 const (
-	// meanWindow is the time over which reported loads are averaged. It is longer than the
-	// interval of the reports of a busy node, so that the mean rests on several.
-	meanWindow = 500 * time.Millisecond
+	// meanWindow is the time over which reported loads are averaged. With less than the
+	// interval of reports, their delay makes the load swing between the instances.
+	meanWindow = time.Second
 	// estimateLifetime is the age from which a report says nothing. It is longer than the
 	// interval of the reports of an idle node.
 	estimateLifetime = 2200 * time.Millisecond
+	// minReportWeight is the least weight of a report in the mean. Without it, reports that
+	// arrive together would hardly count.
+	minReportWeight = 0.05
 )
 
 // Estimate is what an entrance concludes from the reports of the load of an instance. Many
@@ -23,7 +26,7 @@
 	Reported float64
 	// Mean is the mean of the reports.
 	Mean float64
-	// RunTime is the mean run time of a call.
+	// RunTime is the mean of the reported run times of a call.
 	RunTime time.Duration
 	// At is when the last report was received.
 	At time.Time
@@ -33,13 +36,15 @@
 
 // Updated returns the estimate after another report.
 func (e Estimate) Updated(now time.Time, reported int, runTime time.Duration, pending int64) Estimate {
-	mean := float64(reported)
+	mean, meanRunTime := float64(reported), runTime
 	if age := now.Sub(e.At); !e.At.IsZero() && age < estimateLifetime {
-		// Without a lower bound, reports that arrive together would not count at all.
-		weight := max(0.05, 1-math.Exp(-age.Seconds()/meanWindow.Seconds()))
+		weight := max(minReportWeight, 1-math.Exp(-age.Seconds()/meanWindow.Seconds()))
 		mean = e.Mean + weight*(mean-e.Mean)
+		if e.RunTime > 0 && runTime > 0 {
+			meanRunTime = e.RunTime + time.Duration(weight*float64(runTime-e.RunTime))
+		}
 	}
-	return Estimate{Reported: float64(reported), Mean: mean, RunTime: runTime, At: now, Pending: pending}
+	return Estimate{Reported: float64(reported), Mean: mean, RunTime: meanRunTime, At: now, Pending: pending}
 }
 
 // InFlight returns the expected number of calls that run or wait at the instance, of which
@@ -57,3 +62,16 @@
 	}
 	return max(float64(pending), expected+max(0, float64(pending-e.Pending)))
 }
+
+// Staleness returns how far the calls that ran at the last report have ended since: 0 if
+// the report is new, and 1 if it says nothing of the calls that run now.
+func (e Estimate) Staleness(now time.Time) float64 {
+	switch age := now.Sub(e.At); {
+	case e.At.IsZero() || age > estimateLifetime:
+		return 1
+	case e.RunTime <= 0 || age <= 0:
+		return 0
+	default:
+		return 1 - math.Exp(-age.Seconds()/e.RunTime.Seconds())
+	}
+}
--- a/pkg/emulator/dispatch.go
+++ b/pkg/emulator/dispatch.go
@@ -68,25 +68,17 @@
 	}
 	var untried []*Node
 	var candidates []balancer.Candidate
-	fastest := time.Duration(0)
 	for _, n := range f.nodesByService[c.class.Service] {
 		if c.tried[n] {
 			continue
 		}
 		load := c.origin.knownLoad(n)
-		if load.MeanSlotTime > 0 && (fastest == 0 || load.MeanSlotTime < fastest) {
-			fastest = load.MeanSlotTime
-		}
 		untried = append(untried, n)
 		candidates = append(candidates, balancer.Candidate{
-			InFlight: float64(max(c.origin.callsInFlight[n], load.InFlight+load.Queued)), Limit: load.Limit, OtherDataCentre: n.DataCentre != c.origin.DataCentre, Slowdown: load.MeanSlotTime.Seconds(),
+			InFlight: float64(max(c.origin.callsInFlight[n], load.InFlight+load.Queued)), Limit: load.Limit, OtherDataCentre: n.DataCentre != c.origin.DataCentre, RunTime: load.MeanSlotTime,
 		})
 	}
-	for i := range candidates {
-		if fastest > 0 {
-			candidates[i].Slowdown /= fastest.Seconds()
-		}
-	}
+	balancer.CompareSpeeds(candidates)
 	if best := balancer.Choose(candidates, f.random.Float64); best >= 0 {
 		return untried[best]
 	}
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -82,7 +82,11 @@
 	// closes the gate before it returns. It may be nil.
 	OnLeaving func(a instance.Announcement)
 
+	// Outgoing is told of the calls that the instance makes.
+	Outgoing OutgoingCalls
+
 	Slots    Slots
+	results  resultMeter
 	limit    rateLimit
 	attempts attemptTable
 	local    atomic.Pointer[LocalInstance]
@@ -141,6 +145,7 @@
 	previous := g.local.Swap(local)
 	if previous == nil || previous.Incarnation() != local.Incarnation() {
 		g.limit.reset(g.Clock.Now())
+		g.results.reset()
 	}
 	g.Slots.SetLimit(max(1, int(float64(local.Slots)*usableSlotFraction)))
 	g.updateSlots()
@@ -185,6 +190,7 @@
 		load.LeavingInstance, load.LeavingStartUnixMs = string(local.ID), local.StartUnixMs
 	}
 	g.limit.applyTo(load, g.Clock.Now(), slots.MeanSlotTime)
+	g.results.applyTo(load, g.Clock.Now())
 	return load
 }
 
@@ -260,11 +266,7 @@
 			d.Outcome, d.Cause = LostOutcome(linkrpc.Reason_REASON_BROKEN), err
 		}
 		d.Ran = g.Clock.Now().Sub(started)
-		slotTime := d.Ran
-		if d.Outcome.Fate != linkrpc.Fate_FATE_ANSWERED {
-			slotTime = 0
-		}
-		g.Slots.Release(slotTime)
+		g.Slots.Release(g.measure(ctx, d))
 		if d.SentAt.IsZero() {
 			g.limit.giveBack()
 		}
--- a/pkg/peering/peer.go
+++ b/pkg/peering/peer.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/plantainramp/plantainramp/pkg/balancer"
 	"github.com/plantainramp/plantainramp/pkg/clock"
 	"github.com/plantainramp/plantainramp/pkg/directory"
 	"github.com/plantainramp/plantainramp/pkg/fleet"
@@ -32,6 +33,8 @@
 	// ended.
 	pendingCalls atomic.Int64
 	load         atomic.Pointer[linkrpc.Load]
+	// estimate is what follows from the reports of the load; nil before the first one.
+	estimate atomic.Pointer[balancer.Estimate]
 	// rateLimit is the limit that the last answer from the peer's instance named.
 	rateLimit atomic.Pointer[knownLimit]
 	// avoidUntil is a clock.Monotonic until which the instance is a last resort; 0
@@ -134,7 +137,7 @@
 		return nil, reply.Incarnation, &link.ConnectionLostError{Incarnation: reply.Incarnation, Cause: err}
 	}
 	if outcome.Load != nil {
-		p.load.Store(outcome.Load)
+		p.noteLoad(p.link.Clock.Now(), outcome.Load)
 		p.noteLeaving(outcome.Load)
 	}
 	return outcome, reply.Incarnation, nil
--- a/pkg/peering/peering.go
+++ b/pkg/peering/peering.go
@@ -215,37 +215,39 @@
 // Choose returns the target for a call, or nil if there is none. It excludes the
 // nodes that were tried, also if they have left the directory and come back since.
 func (p *Peers) Choose(service fleet.ServiceName, tried map[directory.NodeAddress]bool) *Target {
+	untried, candidates := p.candidates(service, tried)
+	best := balancer.Choose(candidates, rand.Float64)
+	if best < 0 {
+		return nil
+	}
+	return untried[best]
+}
+
+// candidates returns the targets of a service that were not tried, and what is known of
+// each.
+func (p *Peers) candidates(service fleet.ServiceName, tried map[directory.NodeAddress]bool) ([]*Target, []balancer.Candidate) {
 	targets := p.Targets(service)
 	now := p.Clock.Now()
 	candidates := make([]balancer.Candidate, 0, len(targets))
 	untried := make([]*Target, 0, len(targets))
-	fastest := uint32(0)
 	for _, t := range targets {
 		if tried[t.Entry.Node] || p.departed.has(t.Entry.Incarnation()) {
 			continue
 		}
 		untried = append(untried, t)
 		candidates = append(candidates, t.candidate(now))
-		if load := t.Peer.load.Load(); load != nil && load.RunUs > 0 && (fastest == 0 || load.RunUs < fastest) {
-			fastest = load.RunUs
-		}
 	}
-	for i, t := range untried {
-		if load := t.Peer.load.Load(); load != nil && fastest > 0 {
-			candidates[i].Slowdown = float64(load.RunUs) / float64(fastest)
-		}
-	}
-	best := balancer.Choose(candidates, rand.Float64)
-	if best < 0 {
-		return nil
-	}
-	return untried[best]
+	balancer.CompareSpeeds(candidates)
+	return untried, candidates
 }
 
+// candidate returns what is known of the target.
 func (t *Target) candidate(now time.Time) balancer.Candidate {
-	candidate := balancer.Candidate{Limit: t.Entry.Slots, OtherDataCentre: t.OtherDataCentre, InFlight: float64(t.Peer.pendingCalls.Load())}
-	if load := t.Peer.Load(); load != nil {
-		candidate.InFlight = max(candidate.InFlight, float64(load.InFlight+load.Queued))
+	candidate := balancer.Candidate{Limit: t.Entry.Slots, OtherDataCentre: t.OtherDataCentre}
+	load := t.Peer.Load()
+	t.Peer.applyEstimate(&candidate, load, now)
+	if load != nil {
+		candidate.Rejected, candidate.Failed = float64(load.RejectedFraction), float64(load.FailedFraction)
 		candidate.RateFullness = float64(load.RateFullness)
 		// The limit of a load with a rate limit is not that of its slots.
 		if load.Limit > 0 && load.RateLimit == 0 {
