pkg/instance, pkg/upstream: a response whose status is none of HTTP ends its call

Cause: only responses from 200 on counted as final in pkg/instance, so that one with status 000, 007 or 099 was skipped like an interim one: the call hung until its time had passed, or took the next response for its own. 600 and 999 were taken for responses there, and all five in pkg/upstream. Change: a status outside 100 to 599 is an InvalidStatusError. The call may have run, whatever the header of the response says, and the connection is closed.

--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -48,6 +48,8 @@
 	maxHeaderBytes = 256 << 10
 	// maxInterimResponses bounds the interim (1xx) responses before the final one.
 	maxInterimResponses = 8
+	// maxStatus is the highest status of HTTP.
+	maxStatus = 599
 )
 
 // Headers holds the names of the response headers that the client evaluates.
@@ -257,6 +259,10 @@
 		if err == nil && isSeam {
 			return nil, joined, &JoinedResponsesError{Status: response.Status}
 		}
+		// A status that is none must not be taken for that of an interim response.
+		if err == nil && !isStatus(response.StatusCode) {
+			return nil, joined, &InvalidStatusError{Status: response.Status}
+		}
 		if err != nil || response.StatusCode >= http.StatusOK {
 			return response, joined, err
 		}
@@ -264,6 +270,9 @@
 	return nil, joined, &TooManyInterimError{}
 }
 
+// isStatus reports whether a number is a status of HTTP.
+func isStatus(code int) bool { return code >= http.StatusContinue && code <= maxStatus }
+
 // rejection returns a *RejectedError if the response states that the call was not run.
 func (c *Client) rejection(response *http.Response, call *Call) error {
 	misdirected := response.StatusCode == http.StatusMisdirectedRequest && call.ExpectedInstance != ""
--- a/pkg/upstream/errors.go
+++ b/pkg/upstream/errors.go
@@ -28,3 +28,14 @@
 
 // Error implements error.
 func (e *TooManyInterimError) Error() string { return "too many interim (1xx) responses" }
+
+// InvalidStatusError reports a response whose status is none of HTTP.
+type InvalidStatusError struct {
+	// Status is the status line of the response, without the protocol.
+	Status string
+}
+
+// Error implements error.
+func (e *InvalidStatusError) Error() string {
+	return fmt.Sprintf("response has status %q, which is none of HTTP", e.Status)
+}
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -19,6 +19,8 @@
 	maxHeadBytes = 1 << 20
 	// maxInterimResponses bounds the interim (1xx) responses before the final one.
 	maxInterimResponses = 8
+	// maxStatus is the highest status of HTTP.
+	maxStatus = 599
 	// readBytes is the size of a read of a head.
 	readBytes = 4 << 10
 	// asyncWriteBytes is the size of a body above which a request is written while the
@@ -122,6 +124,9 @@
 		if err == nil && seam.IsJoined(head) && !seam.QuotesOwnStatus(head) {
 			return nil, &JoinedResponsesError{Status: response.Status}
 		}
+		if err == nil && (response.StatusCode < http.StatusContinue || response.StatusCode > maxStatus) {
+			return nil, &InvalidStatusError{Status: response.Status}
+		}
 		return response, err
 	}
 	return nil, &TooManyInterimError{}
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -126,6 +126,10 @@
 	if eris.As(err, &joined) {
 		return problem.NewUncertain(problem.KindUncertain, "the answer of the upstream is joined with another one")
 	}
+	var invalid *InvalidStatusError
+	if eris.As(err, &invalid) {
+		return problem.NewUncertain(problem.KindUncertain, "the answer of the upstream has no valid status")
+	}
 	return problem.NewUncertain(problem.KindUncertain, "the connection to the upstream broke before its whole answer came")
 }
 
