--- a/pkg/balancer/outlier.go
+++ b/pkg/balancer/outlier.go
@@ -76,3 +76,17 @@
 	}
 	return -1
 }
+
+// Outliers returns the indices of the candidates that get probe traffic only.
+func Outliers(candidates []Candidate) []int {
+	if markOutliers(candidates) == 0 {
+		return nil
+	}
+	var indices []int
+	for i := range candidates {
+		if candidates[i].outlier {
+			indices = append(indices, i)
+		}
+	}
+	return indices
+}
--- a/pkg/mesh/events.go
+++ b/pkg/mesh/events.go
@@ -51,6 +51,7 @@
 
 // onFinished logs and meters a request that has ended at this node's entrance.
 func (n *Node) onFinished(r *entrance.Request, status int, _ *linkrpc.Outcome, rejection *problem.Error) {
+	n.noteOutgoing(r, status, rejection)
 	kind := eventAnswered
 	switch {
 	case rejection != nil && rejection.Execution == problem.NotExecuted:
--- a/pkg/mesh/load.go
+++ b/pkg/mesh/load.go
@@ -59,6 +59,7 @@
 
 func (n *Node) onArrived(r *entrance.Request) {
 	if r.Inner {
+		n.gate.Outgoing.Begin(r, r.Arrived)
 		n.demand.ObserveCall(r.Route.Name, r.Expires)
 	} else {
 		n.demand.ObserveArrival(r.Route.Name)
@@ -72,6 +73,7 @@
 func (n *Node) runPlanner(ctx context.Context) {
 	clock.Every(ctx, n.clock, clock.FixedPeriod(demand.PlanInterval), n.guarded("the plan", func() {
 		n.processor.Update()
+		n.noteOutliers()
 		status := n.demand.Tick()
 		if status == nil {
 			return
@@ -88,6 +90,7 @@
 // may be newer than the one in the store or missing there.
 func (n *Node) handleStatus(status *linkrpc.Status) {
 	n.demand.HandleStatus(status)
+	n.peers.NoteStatus(directory.NodeAddress(status.Node), status.Load)
 	n.noteConfigVersion(status.ConfigVersion)
 	n.noteDeparture(status)
 	n.directory.UpdatePeer(directory.Entry{
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -156,6 +156,9 @@
 	processor  processor.Monitor
 	reports    reportBuffer
 	statuses   statusFilter
+	// outliers holds the instances that got probe traffic only at the last tick; only
+	// runPlanner uses it.
+	outliers map[fleet.Incarnation]bool
 	// panicCount counts the pieces of work that panicked.
 	panicCount atomic.Int64
 	// statusCount is the sequence number of the last status of this node; only runPlanner
--- a/pkg/peering/loads.go
+++ b/pkg/peering/loads.go
@@ -55,3 +55,19 @@
 		c.InFlight, c.Staleness, c.RunTime = e.InFlight(now, pending), e.Staleness(now), e.RunTime
 	}
 }
+
+// Outliers returns the instances of all services that get probe traffic only.
+func (p *Peers) Outliers() []*Target {
+	services := p.services.Load()
+	if services == nil {
+		return nil
+	}
+	var outliers []*Target
+	for service := range *services {
+		targets, candidates := p.candidates(service, nil)
+		for _, i := range balancer.Outliers(candidates) {
+			outliers = append(outliers, targets[i])
+		}
+	}
+	return outliers
+}
