--- a/pkg/balancer/estimate.go
+++ b/pkg/balancer/estimate.go
@@ -15,6 +15,9 @@
 	// minReportWeight is the least weight of a report in the mean. Without it, reports that
 	// arrive together would hardly count.
 	minReportWeight = 0.05
+	// staleRunTimes is the number of run times after which practically all calls that ran
+	// at a report have ended.
+	staleRunTimes = 5
 )
 
 // Estimate is what an entrance concludes from the reports of the load of an instance. Many
@@ -48,30 +51,21 @@
 }
 
 // InFlight returns the expected number of calls that run or wait at the instance, of which
-// the entrance has sent pending.
-func (e Estimate) InFlight(now time.Time, pending int64) float64 {
+// the entrance has sent pending. Staleness tells how far the calls that ran at the last
+// report have ended since: 0 if the report is new, and 1 if it says nothing of the calls
+// that run now.
+func (e *Estimate) InFlight(now time.Time, pending int64) (inFlight, staleness float64) {
 	age := now.Sub(e.At)
 	if e.At.IsZero() || age > estimateLifetime {
-		return float64(pending)
+		return float64(pending), 1
 	}
-	expected := e.Mean
-	if e.RunTime > 0 {
-		expected += (e.Reported - e.Mean) * math.Exp(-max(age, 0).Seconds()/e.RunTime.Seconds())
-	} else {
-		expected = e.Reported
-	}
-	return max(float64(pending), expected+max(0, float64(pending-e.Pending)))
-}
-
-// Staleness returns how far the calls that ran at the last report have ended since: 0 if
-// the report is new, and 1 if it says nothing of the calls that run now.
-func (e Estimate) Staleness(now time.Time) float64 {
-	switch age := now.Sub(e.At); {
-	case e.At.IsZero() || age > estimateLifetime:
-		return 1
+	switch {
 	case e.RunTime <= 0 || age <= 0:
-		return 0
+	case age > staleRunTimes*e.RunTime:
+		staleness = 1
 	default:
-		return 1 - math.Exp(-age.Seconds()/e.RunTime.Seconds())
+		staleness = 1 - math.Exp(-float64(age)/float64(e.RunTime))
 	}
+	expected := e.Reported + (e.Mean-e.Reported)*staleness
+	return max(float64(pending), expected+max(0, float64(pending-e.Pending))), staleness
 }
--- a/pkg/balancer/fleet_test.go
+++ b/pkg/balancer/fleet_test.go
@@ -12,15 +12,31 @@
 )
 
 const (
-	kneeFraction    = 0.9
-	kneeFactor      = 1.3
-	nodeLatency     = time.Millisecond
-	zoneLatency     = 5 * time.Millisecond
-	reportInterval  = 250 * time.Millisecond
-	reportDelay     = 150 * time.Millisecond
-	fleetMaxWait    = 300 * time.Millisecond
-	callDeadline    = 2 * time.Second
+	// nodeLatency and zoneLatency are the times that a message takes within a data centre
+	// and to another one.
+	nodeLatency = time.Millisecond
+	zoneLatency = 5 * time.Millisecond
+	// reportInterval is the interval of the reports of a busy instance. They arrive after
+	// reportDelay, as other nodes pass them on.
+	reportInterval = 250 * time.Millisecond
+	reportDelay    = 150 * time.Millisecond
+	// idleIntervals is the number of intervals between two reports of an instance whose
+	// slots are used by less than busyFraction.
+	idleIntervals = 4
+	busyFraction  = 0.5
+	// fleetMaxWait is how long a call waits for a slot, callDeadline how long its caller
+	// waits, and fastTime how long a rejection or a failure takes.
+	fleetMaxWait = 300 * time.Millisecond
+	callDeadline = 2 * time.Second
+	fastTime     = time.Millisecond
+	// fleetDispatches and fleetAttempts bound the gates and the instances that get a call.
 	fleetDispatches = 6
+	fleetAttempts   = 3
+	// Above kneeFraction of its slots an instance takes kneeFactor times as long.
+	kneeFraction = 0.9
+	kneeFactor   = 1.3
+	// usableFraction is the fraction of the slots that a gate uses.
+	usableFraction = 0.945
 )
 
 // fleetInstance is an instance of a simulated service with the gate beside it.
@@ -44,13 +60,6 @@
 type fleetEntrance struct {
 	zone  int
 	known []fleetKnowledge
-	// choose returns the index of an instance that was not tried.
-}
-
-type fleetKnowledge struct {
-	estimate         Estimate
-	rejected, failed float64
-	pending          int64
 }
 
 // chooser is a way of choosing; the previous one is a baseline.
@@ -109,59 +118,7 @@
 
 func (f *testFleet) clock() time.Time { return fleetStart.Add(f.now) }
 
-// chooseNow is the choice of the product.
-func chooseNow(f *testFleet, e *fleetEntrance, tried []bool) int {
-	return chooseWith(f, e, tried, true, func(c []Candidate) int { return Choose(c, f.random.Float64) })
-}
-
-func chooseWith(f *testFleet, e *fleetEntrance, tried []bool, estimated bool, choose func([]Candidate) int) int {
-	var candidates []Candidate
-	var indices []int
-	for i, n := range f.instances {
-		if tried[i] {
-			continue
-		}
-		k := &e.known[i]
-		c := Candidate{Limit: n.limit(), OtherDataCentre: n.zone != e.zone, Rejected: k.rejected, Failed: k.failed}
-		if estimated {
-			c.InFlight, c.Staleness = k.estimate.InFlight(f.clock(), k.pending), k.estimate.Staleness(f.clock())
-		} else {
-			c.InFlight = max(float64(k.pending), k.estimate.Reported)
-		}
-		c.RunTime = k.estimate.RunTime
-		candidates, indices = append(candidates, c), append(indices, i)
-	}
-	CompareSpeeds(candidates)
-	best := choose(candidates)
-	if best < 0 {
-		return -1
-	}
-	return indices[best]
-}
-
-// choosePreviously is the earlier choice, kept for comparison: the instance with the lowest
-// cost by the last report, without regard to rejections and failures.
-func choosePreviously(f *testFleet, e *fleetEntrance, tried []bool) int {
-	return chooseWith(f, e, tried, false, func(candidates []Candidate) int {
-		best, lowest := -1, 0.0
-		for i, c := range candidates {
-			fullness := (c.InFlight + 1) / float64(c.Limit)
-			cost := fullness + max(0, fullness-0.8)*4 + f.random.Float64()*0.02
-			if c.Slowdown > 1 {
-				cost += (c.Slowdown - 1) * 0.1
-			}
-			if c.OtherDataCentre {
-				cost += 0.3
-			}
-			if best < 0 || cost < lowest {
-				best, lowest = i, cost
-			}
-		}
-		return best
-	})
-}
-
-func (n *fleetInstance) limit() int { return max(1, int(0.945*float64(n.slots))) }
+func (n *fleetInstance) limit() int { return max(1, int(usableFraction*float64(n.slots))) }
 
 func (f *testFleet) run() *fleetResults {
 	for _, n := range f.instances {
@@ -206,7 +163,7 @@
 // dispatch sends a call to one instance after another that rejects it, as an entrance does.
 // reached is the number of instances that got it.
 func (f *testFleet) dispatch(e *fleetEntrance, tried []bool, dispatches, reached int, began time.Duration) {
-	if dispatches >= fleetDispatches || reached >= 3 {
+	if dispatches >= fleetDispatches || reached >= fleetAttempts {
 		f.results.refused++
 		return
 	}
@@ -223,8 +180,8 @@
 	}
 	f.after(f.latency(e, n), func() {
 		f.offer(n, began, func(result callResult) {
-			load, meterFractions := n.queue.Load(), func() (float64, float64) { return n.meter.Fractions(f.clock()) }
-			rejected, failed := meterFractions()
+			load := n.queue.Load()
+			rejected, failed := n.meter.Fractions(f.clock())
 			f.after(f.latency(e, n), func() {
 				e.known[i].pending--
 				e.known[i].learn(f.clock(), load, rejected, failed)
@@ -245,11 +202,6 @@
 	})
 }
 
-func (k *fleetKnowledge) learn(now time.Time, load waitqueue.Load, rejected, failed float64) {
-	k.estimate = k.estimate.Updated(now, load.InFlight+load.Queued, load.MeanSlotTime, k.pending)
-	k.rejected, k.failed = rejected, failed
-}
-
 type callResult int
 
 const (
@@ -298,9 +250,9 @@
 	case n.hangs != nil && n.hangs(f.now):
 		finish(began+callDeadline-f.now, 0, callLost, failurerate.ResultFailed)
 	case n.rejects != nil && draw < n.rejects(f.now):
-		finish(time.Millisecond, 0, callRejected, failurerate.ResultRejected)
+		finish(fastTime, 0, callRejected, failurerate.ResultRejected)
 	case n.fails != nil && draw < n.fails(f.now):
-		finish(time.Millisecond, 0, callFailed, failurerate.ResultFailed)
+		finish(fastTime, 0, callFailed, failurerate.ResultFailed)
 	default:
 		run := n.runTime(f.now, f.random)
 		if float64(n.queue.Load().InFlight) > kneeFraction*float64(n.slots) {
@@ -319,7 +271,7 @@
 	tick = func() {
 		ticks++
 		load := n.queue.Load()
-		if ticks%4 == 0 || float64(load.InFlight+load.Queued) >= 0.5*float64(load.Limit) {
+		if ticks%idleIntervals == 0 || float64(load.InFlight+load.Queued) >= busyFraction*float64(load.Limit) {
 			rejected, failed := n.meter.Fractions(f.clock())
 			f.after(reportDelay, func() {
 				for _, e := range f.entrances {
@@ -332,30 +284,6 @@
 	f.after(time.Duration(f.random.Float64()*float64(reportInterval)), tick)
 }
 
-// hear applies a report that may be older than the load that came with a response.
-func (k *fleetKnowledge) hear(now time.Time, load waitqueue.Load, rejected, failed float64) {
-	if now.Sub(k.estimate.At) < reportDelay {
-		return
-	}
-	k.learn(now, load, rejected, failed)
-}
-
-func meanOf(list []time.Duration) time.Duration {
-	sum := time.Duration(0)
-	for _, d := range list {
-		sum += d
-	}
-	return sum / time.Duration(max(1, len(list)))
-}
-
-func percentile(list []time.Duration, fraction float64) time.Duration {
-	if len(list) == 0 {
-		return 0
-	}
-	sorted := slices.Sorted(slices.Values(list))
-	return sorted[int(fraction*float64(len(sorted)-1))]
-}
-
 // busiest returns the calls of the busiest instance of a data centre as a multiple of the
 // mean there.
 func (f *testFleet) busiest(zone int) float64 {
--- a/pkg/balancer/scenario_test.go
+++ b/pkg/balancer/scenario_test.go
@@ -4,8 +4,11 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
+
+	"github.com/matryer/is"
 )
 
 // fleetScenario is a load on a simulated service.
@@ -14,6 +17,9 @@
 	prepare func(f *testFleet)
 	// fault is the index of a faulty instance, or -1.
 	fault int
+	// fades is how long the calls of the faulty instance still hold their slots after it has
+	// recovered.
+	fades time.Duration
 	// perSecond is the calls per second of each data centre.
 	perSecond float64
 	rate      func(now time.Duration, zone int) float64
@@ -21,7 +27,20 @@
 	entrances int
 }
 
-const meanRun = 40 * time.Millisecond
+const (
+	meanRun = 40 * time.Millisecond
+	// faultStart and faultEnd are when faults begin and end.
+	faultStart = 4 * time.Second
+	faultEnd   = 10 * time.Second
+	fleetTime  = 14 * time.Second
+	// fleetSeeds is the number of runs of a scenario.
+	fleetSeeds    = 3
+	burstPeriod   = 600 * time.Millisecond
+	burstFraction = 0.15
+	burstFactor   = 2.5
+	// manyEntrances is the number of entrances of a data centre where none is given.
+	manyEntrances = 40
+)
 
 // work returns run times with a log-normal distribution.
 func work(speed float64) func(time.Duration, *rand.Rand) time.Duration {
@@ -37,15 +56,15 @@
 func bursts(index int, run func(time.Duration, *rand.Rand) time.Duration) func(time.Duration, *rand.Rand) time.Duration {
 	return func(now time.Duration, random *rand.Rand) time.Duration {
 		d := run(now, random)
-		if (int(now/(600*time.Millisecond))+index)%2 == 0 && random.Float64() < 0.15 {
-			d = d * 5 / 2
+		if (int(now/burstPeriod)+index)%2 == 0 && random.Float64() < burstFraction {
+			d = time.Duration(burstFactor * float64(d))
 		}
 		return d
 	}
 }
 
 func newFleet(s fleetScenario, seed uint64, choose chooser) *testFleet {
-	f := &testFleet{random: rand.New(rand.NewPCG(seed, 1)), choose: choose, length: 14 * time.Second}
+	f := &testFleet{random: rand.New(rand.NewPCG(seed, 1)), choose: choose, length: fleetTime}
 	speeds := []float64{0.5, 1, 1, 1.5}
 	for zone := range 2 {
 		for i := range s.perZone {
@@ -67,21 +86,18 @@
 	return f
 }
 
-func always(fraction float64) func(time.Duration) float64 {
-	return func(time.Duration) float64 { return fraction }
-}
-
 // during is a fraction in the middle of a run.
 func during(fraction float64) func(time.Duration) float64 {
 	return func(now time.Duration) float64 {
-		if now >= 4*time.Second && now < 12*time.Second {
+		if now >= faultStart && now < faultEnd {
 			return fraction
 		}
 		return 0
 	}
 }
 
-// capacity of a data centre of four instances of 15 usable slots: 4*15/0.04/s = 1500 calls/s.
+// fleetScenarios returns the loads. Four instances with 15 usable slots each take 1,350
+// calls/s, bursts of slowness included, and 1,040 if all are nearly full.
 func fleetScenarios() []fleetScenario {
 	list := []fleetScenario{
 		{name: "equal, busy", perSecond: 700, perZone: 4, fault: -1, prepare: func(f *testFleet) {
@@ -98,7 +114,8 @@
 		{name: "one rejects 45 %", perSecond: 500, perZone: 4, fault: 1, prepare: func(f *testFleet) { f.instances[1].rejects = during(0.45) }},
 		{name: "one of 31 rejects 45 %", perSecond: 2000, perZone: 16, fault: 1, prepare: func(f *testFleet) { f.instances[1].rejects = during(0.45) }},
 		{name: "one fails all", perSecond: 500, perZone: 4, fault: 1, prepare: func(f *testFleet) { f.instances[1].fails = during(1) }},
-		{name: "one hangs", perSecond: 500, perZone: 4, fault: 1, prepare: func(f *testFleet) {
+		{name: "one rejects 45 %, busy", perSecond: 800, perZone: 4, fault: 1, prepare: func(f *testFleet) { f.instances[1].rejects = during(0.45) }},
+		{name: "one hangs", perSecond: 500, perZone: 4, fault: 1, fades: callDeadline, prepare: func(f *testFleet) {
 			f.instances[1].hangs = func(now time.Duration) bool { return during(1)(now) > 0 }
 		}},
 		{name: "all reject 45 %", perSecond: 400, perZone: 4, fault: -1, prepare: func(f *testFleet) {
@@ -126,47 +143,116 @@
 	}
 	for i := range list {
 		if list[i].entrances == 0 {
-			list[i].entrances = 40
+			list[i].entrances = manyEntrances
 		}
 	}
 	return list
 }
 
-func TestCompareFleet(t *testing.T) {
-	for _, s := range fleetScenarios() {
-		for _, way := range []struct {
-			name   string
-			choose chooser
-		}{{"before", choosePreviously}, {"after", chooseNow}} {
-			var line string
-			for seed := range uint64(1) {
-				f := newFleet(s, seed, way.choose)
-				r := f.run()
-				fault := 0.0
-				if s.fault >= 0 {
-					in, sum, count := 0, 0, 0
-					for _, n := range f.instances {
-						for sec := 5; sec < 12; sec++ {
-							if n.zone == 0 {
-								sum += n.callsIn[sec]
-							}
-						}
-						if n.zone == 0 {
-							count++
-						}
-					}
-					for sec := 5; sec < 12; sec++ {
-						in += f.instances[s.fault].callsIn[sec]
-					}
-					fault = float64(in*count) / float64(max(sum, 1))
-				}
-				line = fmt.Sprintf("busiest %.2f fault %.2f wait %5.1f/%5.1f run %5.1f/%5.1f ms; calls %d rejections %d full %d refused %d failures %d lost %d other %d",
-					max(f.busiest(0), f.busiest(1)), fault, ms(meanOf(r.waits)), ms(percentile(r.waits, 0.99)), ms(meanOf(r.runs)), ms(percentile(r.runs, 0.99)),
-					r.calls, r.rejections, r.full, r.refused, r.failures, r.lost, r.otherZone)
-				t.Logf("%-24s %-7s %s", s.name, way.name, line)
-			}
+// fleetSummary is what the runs of a scenario over several seeds showed.
+type fleetSummary struct {
+	// busiest is the calls of the busiest instance of a data centre as a multiple of the
+	// mean. faulty is that of the faulty instance from 1 s after the fault begins until it
+	// ends, and recovered that in the second that begins 1 s after the fault has faded.
+	busiest, faulty, recovered float64
+	meanWait, lastWait         time.Duration
+	meanRun, lastRun           time.Duration
+
+	calls, rejections, failures, lost, refused, full, otherZone int
+}
+
+func summarize(s fleetScenario, choose chooser) fleetSummary {
+	var sum fleetSummary
+	var waits, runs []time.Duration
+	for seed := range fleetSeeds {
+		f := newFleet(s, uint64(seed), choose)
+		r := f.run()
+		waits, runs = append(waits, r.waits...), append(runs, r.runs...)
+		sum.busiest += max(f.busiest(0), f.busiest(1)) / fleetSeeds
+		if s.fault >= 0 {
+			sum.faulty += f.share(s.fault, int(faultStart/time.Second)+1, int(faultEnd/time.Second)) / fleetSeeds
+			recovers := int((faultEnd+s.fades)/time.Second) + 1
+			sum.recovered += f.share(s.fault, recovers, recovers+1) / fleetSeeds
 		}
+		sum.calls += r.calls
+		sum.rejections += r.rejections
+		sum.failures += r.failures
+		sum.lost += r.lost
+		sum.refused += r.refused
+		sum.full += r.full
+		sum.otherZone += r.otherZone
 	}
+	sum.meanWait, sum.lastWait = meanOf(waits), percentile(waits, 0.99)
+	sum.meanRun, sum.lastRun = meanOf(runs), percentile(runs, 0.99)
+	return sum
+}
+
+func (s fleetSummary) String() string {
+	return fmt.Sprintf("busiest %.2f faulty %.2f recovered %.2f wait %.1f/%.1f ms run %.1f/%.1f ms calls %d rejections %d failures %d lost %d full %d refused %d other %d",
+		s.busiest, s.faulty, s.recovered, ms(s.meanWait), ms(s.lastWait), ms(s.meanRun), ms(s.lastRun), s.calls, s.rejections, s.failures, s.lost, s.full, s.refused, s.otherZone)
 }
 
 func ms(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
+// Many entrances choose at once from reports that are old, among instances that differ in
+// speed, reject, fail or hang. Guards against a choice that sends an instance far more calls
+// than it can take, or that attracts calls to one that rejects or fails them. The earlier choice
+// is run for comparison.
+func TestFleet(t *testing.T) {
+	for _, s := range fleetScenarios() {
+		t.Run(s.name, func(t *testing.T) {
+			is := is.New(t)
+			before, after := summarize(s, choosePreviously), summarize(s, chooseNow)
+			t.Logf("before: %v", before)
+			t.Logf("after:  %v", after)
+			// The fastest instance is 1.5 times as fast as the mean.
+			is.True(after.busiest <= 2)
+			is.True(after.meanWait <= before.meanWait+time.Millisecond)
+			is.True(float64(after.meanRun) <= 1.05*float64(before.meanRun))
+			is.True(after.otherZone <= before.otherZone)
+			is.True(float64(after.rejections) <= 1.05*float64(before.rejections))
+			is.True(after.failures+after.lost <= before.failures+before.lost+10*fleetSeeds)
+			is.True(float64(after.refused) <= 1.1*float64(before.refused)+5)
+			if s.fault >= 0 {
+				is.True(after.faulty < 0.35)
+				is.True(after.faulty > 0.01) // it is still probed
+				is.True(after.recovered > 0.5)
+			}
+		})
+	}
+}
+
+func meanOf(list []time.Duration) time.Duration {
+	sum := time.Duration(0)
+	for _, d := range list {
+		sum += d
+	}
+	return sum / time.Duration(max(1, len(list)))
+}
+
+func percentile(list []time.Duration, fraction float64) time.Duration {
+	if len(list) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(list))
+	return sorted[int(fraction*float64(len(sorted)-1))]
+}
+
+// share returns the calls of an instance in a period, in seconds, as a multiple of the mean in
+// its data centre.
+func (f *testFleet) share(index, from, until int) float64 {
+	own, sum, count := 0, 0, 0
+	for i, n := range f.instances {
+		if n.zone != f.instances[index].zone {
+			continue
+		}
+		count++
+		for second := from; second < until; second++ {
+			sum += n.callsIn[second]
+			if i == index {
+				own += n.callsIn[second]
+			}
+		}
+	}
+	return float64(own*count) / math.Max(1, float64(sum))
+}
--- a/pkg/emulator/dispatch.go
+++ b/pkg/emulator/dispatch.go
@@ -72,11 +72,8 @@
 		if c.tried[n] {
 			continue
 		}
-		load := c.origin.knownLoad(n)
 		untried = append(untried, n)
-		candidates = append(candidates, balancer.Candidate{
-			InFlight: float64(max(c.origin.callsInFlight[n], load.InFlight+load.Queued)), Limit: load.Limit, OtherDataCentre: n.DataCentre != c.origin.DataCentre, RunTime: load.MeanSlotTime,
-		})
+		candidates = append(candidates, c.origin.candidate(f.Now(), n))
 	}
 	balancer.CompareSpeeds(candidates)
 	if best := balancer.Choose(candidates, f.random.Float64); best >= 0 {
@@ -85,17 +82,33 @@
 	return nil
 }
 
-// knownLoad returns the load of node o as node n knows it: the current load
-// if it is n itself, otherwise the last reported load, or an empty one before the
-// first report.
-func (n *Node) knownLoad(o *Node) waitqueue.Load {
-	if n == o {
-		return o.queue.Load()
+// peerLoad is what a node knows of the load of another one.
+type peerLoad struct {
+	limit    int
+	estimate balancer.Estimate
+}
+
+// noteLoad takes over the load that came with the response of node o to a call.
+func (n *Node) noteLoad(now time.Time, c *call, o *Node, load waitqueue.Load) {
+	pending := int64(n.callsInFlight[o])
+	if !c.ended {
+		pending-- // the call still counts
 	}
-	if load, known := n.peerLoads[o]; known {
-		return load
+	n.peerLoads[o] = peerLoad{limit: load.Limit, estimate: n.peerLoads[o].estimate.Updated(now, load.InFlight+load.Queued, load.MeanSlotTime, pending)}
+}
+
+// candidate returns what node n knows of node o: the current load if it is n itself,
+// otherwise what follows from the last reports.
+func (n *Node) candidate(now time.Time, o *Node) balancer.Candidate {
+	c := balancer.Candidate{InFlight: float64(n.callsInFlight[o]), Limit: o.Service.Slots, OtherDataCentre: o.DataCentre != n.DataCentre, Staleness: 1}
+	if n == o {
+		load := o.queue.Load()
+		c.InFlight, c.Limit, c.RunTime, c.Staleness = max(c.InFlight, float64(load.InFlight+load.Queued)), load.Limit, load.MeanSlotTime, 0
+	} else if known, found := n.peerLoads[o]; found {
+		c.InFlight, c.Staleness = known.estimate.InFlight(now, int64(n.callsInFlight[o]))
+		c.Limit, c.RunTime = known.limit, known.estimate.RunTime
 	}
-	return waitqueue.Load{Limit: o.Service.Slots}
+	return c
 }
 
 // redispatch dispatches a call again that node n did not accept, once the response
@@ -103,7 +116,7 @@
 func (f *Fleet) redispatch(c *call, n *Node) {
 	load := n.queue.Load()
 	f.after(f.latency(c.origin, n), func() {
-		c.origin.peerLoads[n] = load
+		c.origin.noteLoad(f.Now(), c, n, load)
 		if c.ended {
 			return
 		}
--- a/pkg/emulator/execution.go
+++ b/pkg/emulator/execution.go
@@ -103,7 +103,7 @@
 	load := n.queue.Load()
 	origin := c.origin
 	f.after(f.latency(origin, n), func() {
-		origin.peerLoads[n] = load
+		origin.noteLoad(f.Now(), c, n, load)
 		f.endCall(c, outcomeSucceeded)
 	})
 }
--- a/pkg/failurerate/failurerate.go
+++ b/pkg/failurerate/failurerate.go
@@ -69,8 +69,13 @@
 	}
 	m.updated = now
 	if m.calls > minCalls {
-		m.scale(max(minCalls/m.calls, decay(elapsed, window)))
-		return
+		untilMin := time.Duration(float64(window) * math.Log(m.calls/minCalls))
+		if elapsed <= untilMin {
+			m.scale(decay(elapsed, window))
+			return
+		}
+		m.scale(minCalls / m.calls)
+		elapsed -= untilMin
 	}
 	m.scale(decay(elapsed, idleWindow))
 }
--- a/pkg/peering/loads.go
+++ b/pkg/peering/loads.go
@@ -26,19 +26,20 @@
 	}
 	now := p.Clock.Now()
 	if known := peer.estimate.Load(); known == nil || now.Sub(known.At) >= statusLag {
-		peer.noteLoad(now, load)
+		peer.noteLoad(now, load, peer.pendingCalls.Load())
 	}
 }
 
-// noteLoad keeps a report of the load of the peer's instance.
-func (p *Peer) noteLoad(now time.Time, load *linkrpc.Load) {
+// noteLoad keeps a report of the load of the peer's instance, which was received while
+// pending calls had no outcome yet.
+func (p *Peer) noteLoad(now time.Time, load *linkrpc.Load, pending int64) {
 	p.load.Store(load)
 	var known balancer.Estimate
 	if e := p.estimate.Load(); e != nil {
 		known = *e
 	}
 	// Two reports at once may leave out one of them, which the next makes up for.
-	updated := known.Updated(now, int(load.InFlight+load.Queued), time.Duration(load.RunUs)*time.Microsecond, p.pendingCalls.Load())
+	updated := known.Updated(now, int(load.InFlight+load.Queued), time.Duration(load.RunUs)*time.Microsecond, pending)
 	p.estimate.Store(&updated)
 }
 
@@ -52,7 +53,8 @@
 	}
 	c.InFlight, c.Staleness = float64(pending), 1
 	if e := p.estimate.Load(); e != nil {
-		c.InFlight, c.Staleness, c.RunTime = e.InFlight(now, pending), e.Staleness(now), e.RunTime
+		c.InFlight, c.Staleness = e.InFlight(now, pending)
+		c.RunTime = e.RunTime
 	}
 }
 
--- a/pkg/peering/peer.go
+++ b/pkg/peering/peer.go
@@ -137,7 +137,11 @@
 		return nil, reply.Incarnation, &link.ConnectionLostError{Incarnation: reply.Incarnation, Cause: err}
 	}
 	if outcome.Load != nil {
-		p.noteLoad(p.link.Clock.Now(), outcome.Load)
+		pending := p.pendingCalls.Load()
+		if kind == link.KindRun {
+			pending-- // this call still counts
+		}
+		p.noteLoad(p.link.Clock.Now(), outcome.Load, pending)
 		p.noteLeaving(outcome.Load)
 	}
 	return outcome, reply.Incarnation, nil
