--- a/pkg/failurerate/failurerate.go
+++ b/pkg/failurerate/failurerate.go
@@ -17,6 +17,13 @@
 	// recovered after some calls that it ran by chance; more would delay the recovery of an
 	// instance that gets probe traffic only.
 	minCalls = 8.0
+	// recoveryCalls is the number of calls in a row that an instance with few calls, up to
+	// probedCalls within window, must have run until its earlier failures count for
+	// recoveryFactor only, with each further one again. An instance that has failed all calls
+	// would otherwise need twice as many.
+	recoveryCalls  = 6
+	probedCalls    = 2 * minCalls
+	recoveryFactor = 0.5
 	// idleWindow is the time over which calls are forgotten where fewer than minCalls are
 	// counted.
 	idleWindow = 4 * time.Second
@@ -39,6 +46,8 @@
 type Meter struct {
 	calls, rejected, failed float64
 	updated                 time.Time
+	// doneInRow is the number of calls that the instance has run since the last other one.
+	doneInRow int
 }
 
 // Observe counts a call that has ended.
@@ -51,6 +60,15 @@
 	case ResultFailed:
 		m.failed++
 	}
+	if r != ResultDone {
+		m.doneInRow = 0
+		return
+	}
+	m.doneInRow++
+	if m.doneInRow >= recoveryCalls && m.calls <= probedCalls {
+		m.rejected *= recoveryFactor
+		m.failed *= recoveryFactor
+	}
 }
 
 // Fractions returns the fractions of the recent calls that were rejected and that failed.
--- a/pkg/failurerate/failurerate_test.go
+++ b/pkg/failurerate/failurerate_test.go
@@ -48,8 +48,12 @@
 	now = observe(m, now, 8, time.Second, all(ResultDone))
 	rejected, _ := m.Fractions(now)
 	is.True(rejected < 0.25)
+	now = observe(m, now, 10, 5*time.Second, all(ResultFailed))
+	now = observe(m, now, 10, 800*time.Millisecond, all(ResultDone))
+	_, failed := m.Fractions(now)
+	is.True(failed < 0.25)
 	now = observe(m, now, 200, 5*time.Second, all(ResultFailed))
-	_, failed := m.Fractions(now.Add(10 * time.Second))
+	_, failed = m.Fractions(now.Add(10 * time.Second))
 	is.True(failed < 0.25)
 }
 
--- a/pkg/gate/results.go
+++ b/pkg/gate/results.go
@@ -19,8 +19,8 @@
 	// hangFactor is the number of usual run times after which a call without a response
 	// counts as failed. A caller that waits for less says nothing about the instance.
 	hangFactor = 4
-	// fullFraction is the fraction of the slots in use from which rejections are expected:
-	// they show as fullness already.
+	// fullFraction is the fraction of the slots in use from which rejections are expected
+	// while other calls run: they show as fullness already.
 	fullFraction = 0.9
 )
 
@@ -56,7 +56,8 @@
 // holds its slot.
 func (g *Gate) measure(ctx context.Context, d *Decision) time.Duration {
 	slots := g.Slots.Load()
-	if result, counts := g.resultOf(ctx, d, slots.MeanSlotTime, float64(slots.InFlight) >= fullFraction*float64(slots.Limit)); counts {
+	full := slots.InFlight > 1 && float64(slots.InFlight) >= fullFraction*float64(slots.Limit)
+	if result, counts := g.resultOf(ctx, d, slots.MeanSlotTime, full); counts {
 		g.results.observe(g.Clock.Now(), result)
 	}
 	if d.Outcome.Fate != linkrpc.Fate_FATE_ANSWERED || isFastError(d, slots.MeanSlotTime) {
--- a/pkg/gate/results_test.go
+++ b/pkg/gate/results_test.go
@@ -15,6 +15,7 @@
 	"github.com/plantainramp/plantainramp/pkg/clock"
 	"github.com/plantainramp/plantainramp/pkg/instance"
 	"github.com/plantainramp/plantainramp/pkg/routing"
+	"github.com/plantainramp/plantainramp/pkg/waitqueue"
 	"github.com/plantainramp/plantainramp/rpc/linkrpc"
 )
 
@@ -131,11 +132,21 @@
 		w.Header().Set("Not-Run", "true")
 		w.WriteHeader(503)
 	})
-	g.SetLocalInstance(&LocalInstance{ID: "i-1", Service: "desk", Slots: 1, Open: true})
+	others := g.Slots.Load().Limit - 1
+	for range others {
+		g.Slots.Acquire(t.Context(), waitqueue.Rank{}, time.Second)
+	}
 	for range measuredCalls {
 		is.Equal(run().Reason, linkrpc.Reason_REASON_REJECTED)
 	}
 	is.Equal(g.Load().RejectedFraction, float32(0))
+	for range others {
+		g.Slots.Release(0)
+	}
+	for range measuredCalls {
+		run()
+	}
+	is.True(g.Load().RejectedFraction > 0.9)
 }
 
 // An instance that starts anew under the node has rejected and failed nothing.
--- a/pkg/mesh/outliers.go
+++ b/pkg/mesh/outliers.go
@@ -13,8 +13,8 @@
 
 // Kinds of logged events of instances that reject or fail more calls than the others.
 const (
-	eventOutlier          logs.EventKind = "instance rejects or fails more calls than the others; it gets probe traffic"
-	eventOutlierRecovered logs.EventKind = "instance gets its share of the calls again"
+	eventOutlier          logs.EventKind = "instance is an outlier"
+	eventOutlierRecovered logs.EventKind = "instance is no outlier any more"
 )
 
 // noteOutgoing tells the gate of the end of a request that the local instance may have
