pkg/balancer: calls spill to another data centre gradually only where local loads are estimated

Cause: TestStoppingNodeAcceptsCallsOfRunningExecutions (platform) sends 8 calls at once at one node and expects some of them in the other data centre; with the gradual spill all stayed in about one run of eight. Change: the range over which the share of spilled calls rises shrinks with the staleness of the local load; an exact load decides as before. Result: go test ./platform -run TestStoppingNodeAcceptsCallsOfRunningExecutions -count 10 passes.

--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -15,7 +15,8 @@
 	// chosen.
 	otherDataCentrePenalty = 0.3
 	// spillRange is the further difference over which the share of the calls that are sent
-	// to the other data centre rises to all of them.
+	// to the other data centre rises to all of them, where the fullness of the local instances
+	// is not known but by the mean of the past.
 	spillRange = 0.3
 	// overloadFullness is the fullness above which the cost of an instance
 	// rises more steeply, by overloadSlope for each unit of fullness.
@@ -88,9 +89,10 @@
 type group struct {
 	candidates []Candidate
 	other      bool
-	// lowest is the lowest cost, and count the number of instances.
-	lowest float64
-	count  int
+	// lowest is the lowest cost, staleness that of the instance with it, and count the number of
+	// instances.
+	lowest, staleness float64
+	count             int
 }
 
 // limit returns the number of calls that the instance can run at once.
@@ -101,14 +103,11 @@
 	return float64(c.Limit)
 }
 
+// staleness returns Staleness within its range.
+func (c *Candidate) staleness() float64 { return max(0, min(c.Staleness, 1)) }
+
 // jitter returns the range of the random part of the cost.
-func (c *Candidate) jitter() float64 {
-	// The comparison fails for NaN.
-	if c.Staleness > 0 {
-		return freshJitter + staleJitter*min(c.Staleness, 1)
-	}
-	return freshJitter
-}
+func (c *Candidate) jitter() float64 { return freshJitter + staleJitter*c.staleness() }
 
 // useful returns the fraction of the calls that the instance neither rejects nor fails. It
 // is 1 if a malformed report holds no number.
@@ -170,13 +169,13 @@
 		c := &candidates[i]
 		c.rate()
 		if c.OtherDataCentre {
-			other.add(c.cost)
+			other.add(c)
 		} else {
-			local.add(c.cost)
+			local.add(c)
 		}
 	}
 	g := &local
-	if local.count == 0 || other.count > 0 && spills(local.lowest-other.lowest-otherDataCentrePenalty, random) {
+	if local.count == 0 || other.count > 0 && local.spills(&other, random) {
 		g = &other
 	}
 	if g.count == 0 {
@@ -190,22 +189,22 @@
 	return g.draw(random)
 }
 
-// spills reports whether a call goes to another data centre if the local instances cost
-// excess more. The share of these calls rises gradually, so that entrances that read the
-// same report do not all send their calls there.
-func spills(excess float64, random func() float64) bool {
-	return excess > 0 && (excess >= spillRange || random()*spillRange < excess)
+// spills reports whether a call goes to another data centre, as the local instances are that
+// much fuller. Entrances that read the same report do not all send their calls there at once.
+func (g *group) spills(other *group, random func() float64) bool {
+	excess := g.lowest - other.lowest - otherDataCentrePenalty
+	return excess > 0 && excess > random()*spillRange*g.staleness
 }
 
-func (g *group) add(cost float64) {
-	if g.count == 0 || cost < g.lowest {
-		g.lowest = cost
+func (g *group) add(c *Candidate) {
+	if g.count == 0 || c.cost < g.lowest {
+		g.lowest, g.staleness = c.cost, c.staleness()
 	}
 	g.count++
 }
 
 func (g *group) has(c *Candidate) bool {
-	return c.OtherDataCentre == g.other && c.cost <= g.lowest+eligibleRange+staleEligibleRange*max(0, c.Staleness)
+	return c.OtherDataCentre == g.other && c.cost <= g.lowest+eligibleRange+staleEligibleRange*c.staleness()
 }
 
 // draw returns the cheaper one of two instances that are drawn at random by their weights.
