--- a/pkg/balancer/scenario_test.go
+++ b/pkg/balancer/scenario_test.go
@@ -112,7 +112,7 @@
 		{name: "two a zone, busy", perSecond: 250, perZone: 2, fault: -1},
 		{name: "16 a zone, busy", perSecond: 3000, perZone: 16, fault: -1},
 		{name: "one rejects 45 %", perSecond: 500, perZone: 4, fault: 1, prepare: func(f *testFleet) { f.instances[1].rejects = during(0.45) }},
-		{name: "one of 31 rejects 45 %", perSecond: 2000, perZone: 16, fault: 1, prepare: func(f *testFleet) { f.instances[1].rejects = during(0.45) }},
+		{name: "one of 32 rejects 45 %", perSecond: 2000, perZone: 16, fault: 1, prepare: func(f *testFleet) { f.instances[1].rejects = during(0.45) }},
 		{name: "one fails all", perSecond: 500, perZone: 4, fault: 1, prepare: func(f *testFleet) { f.instances[1].fails = during(1) }},
 		{name: "one rejects 45 %, busy", perSecond: 800, perZone: 4, fault: 1, prepare: func(f *testFleet) { f.instances[1].rejects = during(0.45) }},
 		{name: "one hangs", perSecond: 500, perZone: 4, fault: 1, fades: callDeadline, prepare: func(f *testFleet) {
