--- a/pkg/peering/choose_bench_test.go
+++ b/pkg/peering/choose_bench_test.go
@@ -36,7 +36,7 @@
 				}
 				b.ReportAllocs()
 				for b.Loop() {
-					peers.Choose("desk", nil)
+					peers.Choose("desk", nil, nil)
 				}
 			})
 		}
--- a/pkg/peering/loads_test.go
+++ b/pkg/peering/loads_test.go
@@ -23,7 +23,7 @@
 		const calls = 2000
 		count := 0
 		for range calls {
-			if peers.Choose("desk", nil).Entry.Instance == "a" {
+			if peers.Choose("desk", nil, nil).Entry.Instance == "a" {
 				count++
 			}
 		}
