--- a/pkg/emulator/dispatch.go
+++ b/pkg/emulator/dispatch.go
@@ -7,6 +7,9 @@
 	"github.com/plantainramp/plantainramp/pkg/waitqueue"
 )
 
+// statusLag is the time after a response in which the load of a status is ignored.
+const statusLag = 250 * time.Millisecond
+
 // startCall sends a call to an instance. c.onEnd is called once, at the latest
 // when the call expires.
 func (f *Fleet) startCall(c *call) {
@@ -94,7 +97,20 @@
 	if !c.ended {
 		pending-- // the call still counts
 	}
-	n.peerLoads[o] = peerLoad{limit: load.Limit, estimate: n.peerLoads[o].estimate.Updated(now, load.InFlight+load.Queued, load.MeanSlotTime, pending)}
+	n.updateEstimate(now, o, load, pending)
+}
+
+// noteStatus takes over the load of node o from a status of it, unless a response brought
+// one shortly before, as the product does.
+func (n *Node) noteStatus(now time.Time, o *Node) {
+	if now.Sub(n.peerLoads[o].estimate.At) >= statusLag {
+		n.updateEstimate(now, o, o.queue.Load(), int64(n.callsInFlight[o]))
+	}
+}
+
+func (n *Node) updateEstimate(now time.Time, o *Node, load waitqueue.Load, pending int64) {
+	known := n.peerLoads[o].estimate
+	n.peerLoads[o] = peerLoad{limit: load.Limit, estimate: known.Updated(now, load.InFlight+load.Queued, load.MeanSlotTime, pending)}
 }
 
 // candidate returns what node n knows of node o: the current load if it is n itself,
--- a/pkg/emulator/plan.go
+++ b/pkg/emulator/plan.go
@@ -69,6 +69,7 @@
 			for j, m := range p.monitors {
 				if j != i {
 					m.HandleStatus(status)
+					p.fleet.Nodes[j].noteStatus(p.fleet.Now(), p.fleet.Nodes[i])
 				}
 			}
 		}
