--- a/pkg/evacuation/evacuation.go
+++ b/pkg/evacuation/evacuation.go
@@ -20,11 +20,11 @@
 		Evacuated, TakenBack []fleet.DataCentre
 	}
 
-	// Set holds the evacuated data centres. Set KeyPrefix before use. Its methods are safe for
-	// concurrent use.
+	// Set holds the evacuated data centres. Its zero value ignores all records. Its methods are
+	// safe for concurrent use.
 	Set struct {
 		// KeyPrefix precedes the name of the data centre in the key of its record. Records
-		// with other keys are ignored.
+		// with other keys are ignored. It must be set before use.
 		KeyPrefix string
 
 		// evacuated is replaced as a whole, so that reading it needs no lock.
@@ -52,7 +52,7 @@
 	for _, r := range records {
 		name, isEvacuation := strings.CutPrefix(r.Key, s.KeyPrefix)
 		switch {
-		case !isEvacuation || name == "":
+		case !isEvacuation || s.KeyPrefix == "" || name == "":
 		case len(r.Value) > 0:
 			after[fleet.DataCentre(name)] = true
 		default:
--- a/pkg/evacuation/evacuation_test.go
+++ b/pkg/evacuation/evacuation_test.go
@@ -94,4 +94,6 @@
 	change := s.Apply([]topic.Record{{Key: "config", Value: []byte("{}")}, {Key: "out/", Value: []byte("{}")}, {Key: "outer", Value: []byte("{}")}, {Key: "in/out/a", Value: []byte("{}")}}, true)
 	is.Equal(change, Change{})
 	is.True(!s.Any())
+	zero := &Set{}
+	is.Equal(zero.Apply([]topic.Record{{Key: "config", Value: []byte("{}")}}, true), Change{})
 }
--- a/pkg/mesh/evacuation_test.go
+++ b/pkg/mesh/evacuation_test.go
@@ -1,6 +1,9 @@
 package mesh
 
 import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -56,6 +59,20 @@
 	}
 }
 
+// Guards against a gauge that stays up after an evacuation was taken back.
+func TestEvacuatedGauge(t *testing.T) {
+	is := is.New(t)
+	n := newEvacuationNode(0)
+	n.applyConfig([]topic.Record{{Key: "out/a", Value: []byte("{}")}, {Key: "out/b", Value: []byte("{}")}}, true)
+	n.applyConfig([]topic.Record{{Key: "out/b"}}, false)
+	n.evacuations.updateGauges(n.meter)
+	is.NoErr(n.meter.Close())
+	recorder := httptest.NewRecorder()
+	n.meter.Handler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	is.True(strings.Contains(recorder.Body.String(), `plantainramp_evacuated{data_centre="a"} 1`))
+	is.True(strings.Contains(recorder.Body.String(), `plantainramp_evacuated{data_centre="b"} 0`))
+}
+
 // The gates of an evacuated data centre close one by one. Guards against nodes that ask each
 // other for the topics of the store meanwhile, and against a data centre without readers.
 func TestReadersOfEvacuatedDataCentre(t *testing.T) {
