--- a/pkg/mesh/evacuation.go
+++ b/pkg/mesh/evacuation.go
@@ -14,10 +14,10 @@
 	"github.com/plantainramp/plantainramp/pkg/topic"
 )
 
-// maxPause is how long the node may stand still without reading again which data centres are
-// evacuated: what it knows is up to 3.5 s old before (docs/design/scale.md), and the bound of an
-// evacuation is 5 s.
-const maxPause = time.Second
+// maxPauseFraction is how long the node may stand still without reading again which data
+// centres are evacuated, as a fraction of MaxEvacuationDelay. Before, what it knows is up to two
+// and a half polls old (docs/design/scale.md), 0.7 of that delay.
+const maxPauseFraction = 0.2
 
 // evacuationState holds the evacuated data centres, and those that were evacuated since the
 // node started.
@@ -57,6 +57,7 @@
 // initEvacuations closes the gate until the evacuations are known, if they have a bound.
 func (n *Node) initEvacuations() {
 	n.evacuations.KeyPrefix = n.platform.EvacuationPrefix
+	n.pauses.limit = time.Duration(maxPauseFraction * float64(n.settings.MaxEvacuationDelay))
 	n.gate.SetSuspended(n.suspended())
 }
 
@@ -77,8 +78,10 @@
 	return unknown || n.evacuations.Has(n.settings.DataCentre)
 }
 
-// pauseWatch notes when the node stood still. Its zero value has seen no pause.
+// pauseWatch notes when the node stood still for longer than a limit. Its zero value has seen
+// no pause.
 type pauseWatch struct {
+	limit time.Duration
 	// checkedAt is the uptime of the last check, and endedAt that of the end of the last
 	// pause, in nanoseconds; 0 if there was none.
 	checkedAt, endedAt atomic.Int64
@@ -87,7 +90,7 @@
 // check reports whether a pause has ended. It must be called every checkInterval.
 func (w *pauseWatch) check(now time.Duration) bool {
 	last := time.Duration(w.checkedAt.Load())
-	ended := last != 0 && now-last > checkInterval+maxPause
+	ended := last != 0 && now-last > checkInterval+w.limit
 	if ended {
 		w.endedAt.Store(int64(now))
 	}
@@ -98,13 +101,13 @@
 // isOver reports whether there was no pause since the node sent a request at an uptime.
 func (w *pauseWatch) isOver(now, sentAt time.Duration) bool {
 	last := time.Duration(w.checkedAt.Load())
-	standsStill := last != 0 && now-last > checkInterval+maxPause
+	standsStill := last != 0 && now-last > checkInterval+w.limit
 	return !standsStill && sentAt >= time.Duration(w.endedAt.Load())
 }
 
 // checkPause reads the evacuations again if the node stood still.
 func (n *Node) checkPause() {
-	if n.pauses.check(n.uptime()) && n.settings.MaxEvacuationDelay > 0 {
+	if n.settings.MaxEvacuationDelay > 0 && n.pauses.check(n.uptime()) {
 		n.configLogger.Info("the node stood still; reading the evacuations again")
 		n.configFollower.Interrupt()
 	}
--- a/pkg/mesh/evacuation_test.go
+++ b/pkg/mesh/evacuation_test.go
@@ -97,7 +97,8 @@
 // asked the store again, and against one that counts a short pause.
 func TestPauseWatch(t *testing.T) {
 	is := is.New(t)
-	w := &pauseWatch{}
+	const maxPause = time.Second
+	w := &pauseWatch{limit: maxPause}
 	is.True(w.isOver(10*time.Second, 0))
 	for _, at := range []time.Duration{10 * time.Second, 10*time.Second + checkInterval, 11 * time.Second} {
 		is.True(!w.check(at))
