--- a/pkg/mesh/coldcheck.go
+++ b/pkg/mesh/coldcheck.go
@@ -106,10 +106,11 @@
 	return cold && (known || n.coldRate() > 0), known
 }
 
-// checkCold asks the instance how long it stays cold, if that is not known and matters.
+// checkCold asks the instance how long it stays cold, if that is not known and matters. An
+// instance of an evacuated data centre gets no health checks either.
 func (n *Node) checkCold(ctx context.Context) {
 	view, local := n.view.Load(), n.gate.LocalInstance()
-	if _, known := n.gate.Cold(); known || view == nil || local == nil || n.coldRate() == 0 {
+	if _, known := n.gate.Cold(); known || view == nil || local == nil || n.coldRate() == 0 || n.suspended() {
 		return
 	}
 	path := view.HealthPath(n.settings.Service)
