--- a/pkg/emulator/dispatch.go
+++ b/pkg/emulator/dispatch.go
@@ -7,6 +7,9 @@
 	"github.com/plantainramp/plantainramp/pkg/waitqueue"
 )
 
+// statusLag is the time after a response in which the load of a status is ignored.
+const statusLag = 250 * time.Millisecond
+
 // startCall sends a call to an instance. c.onEnd is called once, at the latest
 // when the call expires.
 func (f *Fleet) startCall(c *call) {
@@ -68,42 +71,60 @@
 	}
 	var untried []*Node
 	var candidates []balancer.Candidate
-	fastest := time.Duration(0)
 	for _, n := range f.nodesByService[c.class.Service] {
 		if c.tried[n] {
 			continue
 		}
-		load := c.origin.knownLoad(n)
-		if load.MeanSlotTime > 0 && (fastest == 0 || load.MeanSlotTime < fastest) {
-			fastest = load.MeanSlotTime
-		}
 		untried = append(untried, n)
-		candidates = append(candidates, balancer.Candidate{
-			InFlight: max(c.origin.callsInFlight[n], load.InFlight+load.Queued), Limit: load.Limit, OtherDataCentre: n.DataCentre != c.origin.DataCentre, Slowdown: load.MeanSlotTime.Seconds(),
-		})
-	}
-	for i := range candidates {
-		if fastest > 0 {
-			candidates[i].Slowdown /= fastest.Seconds()
-		}
+		candidates = append(candidates, c.origin.candidate(f.Now(), n))
 	}
+	balancer.CompareSpeeds(candidates)
 	if best := balancer.Choose(candidates, f.random.Float64); best >= 0 {
 		return untried[best]
 	}
 	return nil
 }
 
-// knownLoad returns the load of node o as node n knows it: the current load
-// if it is n itself, otherwise the last reported load, or an empty one before the
-// first report.
-func (n *Node) knownLoad(o *Node) waitqueue.Load {
-	if n == o {
-		return o.queue.Load()
+// peerLoad is what a node knows of the load of another one.
+type peerLoad struct {
+	limit    int
+	estimate balancer.Estimate
+}
+
+// noteLoad takes over the load that came with the response of node o to a call.
+func (n *Node) noteLoad(now time.Time, c *call, o *Node, load waitqueue.Load) {
+	pending := int64(n.callsInFlight[o])
+	if !c.ended {
+		pending-- // the call still counts
 	}
-	if load, known := n.peerLoads[o]; known {
-		return load
+	n.updateEstimate(now, o, load, pending)
+}
+
+// noteStatus takes over the load of node o from a status of it, unless a response brought
+// one shortly before, as the product does.
+func (n *Node) noteStatus(now time.Time, o *Node) {
+	if now.Sub(n.peerLoads[o].estimate.At) >= statusLag {
+		n.updateEstimate(now, o, o.queue.Load(), int64(n.callsInFlight[o]))
+	}
+}
+
+func (n *Node) updateEstimate(now time.Time, o *Node, load waitqueue.Load, pending int64) {
+	known := n.peerLoads[o].estimate
+	n.peerLoads[o] = peerLoad{limit: load.Limit, estimate: known.Updated(now, load.InFlight+load.Queued, load.MeanSlotTime, pending)}
+}
+
+// candidate returns what node n knows of node o: the current load if it is n itself,
+// otherwise what follows from the last reports.
+func (n *Node) candidate(now time.Time, o *Node) balancer.Candidate {
+	c := balancer.Candidate{InFlight: float64(n.callsInFlight[o]), Limit: o.Service.Slots, OtherDataCentre: o.DataCentre != n.DataCentre, Staleness: 1}
+	if n == o {
+		load := o.queue.Load()
+		c.InFlight, c.Limit, c.RunTime, c.Staleness = max(c.InFlight, float64(load.InFlight+load.Queued)), load.Limit, load.MeanSlotTime, 0
+	} else if known, found := n.peerLoads[o]; found {
+		c.InFlight, c.Staleness = known.estimate.InFlight(now, int64(n.callsInFlight[o]))
+		c.Limit, c.RunTime = known.limit, known.estimate.RunTime
 	}
-	return waitqueue.Load{Limit: o.Service.Slots}
+	return c
 }
 
 // redispatch dispatches a call again that node n did not accept, once the response
@@ -111,7 +132,7 @@
 func (f *Fleet) redispatch(c *call, n *Node) {
 	load := n.queue.Load()
 	f.after(f.latency(c.origin, n), func() {
-		c.origin.peerLoads[n] = load
+		c.origin.noteLoad(f.Now(), c, n, load)
 		if c.ended {
 			return
 		}
--- a/pkg/mesh/evacuation_test.go
+++ b/pkg/mesh/evacuation_test.go
@@ -1,6 +1,9 @@
 package mesh
 
 import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -56,6 +59,20 @@
 	}
 }
 
+// Guards against a gauge that stays up after an evacuation was taken back.
+func TestEvacuatedGauge(t *testing.T) {
+	is := is.New(t)
+	n := newEvacuationNode(0)
+	n.applyConfig([]topic.Record{{Key: "out/a", Value: []byte("{}")}, {Key: "out/b", Value: []byte("{}")}}, true)
+	n.applyConfig([]topic.Record{{Key: "out/b"}}, false)
+	n.evacuations.updateGauges(n.meter)
+	is.NoErr(n.meter.Close())
+	recorder := httptest.NewRecorder()
+	n.meter.Handler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	is.True(strings.Contains(recorder.Body.String(), `plantainramp_evacuated{data_centre="a"} 1`))
+	is.True(strings.Contains(recorder.Body.String(), `plantainramp_evacuated{data_centre="b"} 0`))
+}
+
 // The gates of an evacuated data centre close one by one. Guards against nodes that ask each
 // other for the topics of the store meanwhile, and against a data centre without readers.
 func TestReadersOfEvacuatedDataCentre(t *testing.T) {
@@ -80,7 +97,8 @@
 // asked the store again, and against one that counts a short pause.
 func TestPauseWatch(t *testing.T) {
 	is := is.New(t)
-	w := &pauseWatch{}
+	const maxPause = time.Second
+	w := &pauseWatch{limit: maxPause}
 	is.True(w.isOver(10*time.Second, 0))
 	for _, at := range []time.Duration{10 * time.Second, 10*time.Second + checkInterval, 11 * time.Second} {
 		is.True(!w.check(at))
