callgraph: the position of a call in the run that makes it

Cause: a retry cannot be given to the later calls of a run, as nobody knows which call is which. Change: ObserveCall returns the position of the call among those to its route, the calls that are expected after it, and the priority of the run. Where several executions expire at the same time, only what holds for all of them. Result: go test ./pkg/callgraph passes.

--- a/pkg/callgraph/callgraph.go
+++ b/pkg/callgraph/callgraph.go
@@ -38,11 +38,26 @@
 )
 
 type (
+	// Run describes an execution at the instance.
+	Run struct {
+		Route routing.RouteName
+		// Expires is when the instance abandons the execution.
+		Expires time.Time
+		// Priority is lower for more urgent executions.
+		Priority uint32
+		// Repeat reports whether the execution repeats an earlier attempt.
+		Repeat bool
+	}
+
 	// Execution is one execution at the instance, from ObserveStart to
 	// ObserveEnd.
 	Execution struct {
-		route   routing.RouteName
-		expires time.Time
+		route    routing.RouteName
+		expires  time.Time
+		priority uint32
+		repeat   bool
+		// calls counts the calls to each route that are certainly its own.
+		calls map[routing.RouteName]int
 	}
 
 	// pair is a calling route and the route that it calls or, in
@@ -61,24 +76,32 @@
 		// matchedByPair counts the matched calls by caller and callee.
 		calls, matched, chanceMatched map[routing.RouteName]float64
 		matchedByPair                 map[pair]float64
-		regression                    regression
+		// lengths holds the number of calls in the longest of the recent
+		// executions, by caller and callee.
+		lengths    map[pair]float64
+		regression regression
 	}
 )
 
 // ObserveStart records the start of an execution that the instance abandons at
 // the given expiry.
 func (e *Estimator) ObserveStart(route routing.RouteName, expires time.Time) *Execution {
+	return e.ObserveRun(Run{Route: route, Expires: expires})
+}
+
+// ObserveRun records the start of an execution.
+func (e *Estimator) ObserveRun(r Run) *Execution {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.running == nil {
 		e.running, e.executions = map[*Execution]struct{}{}, map[routing.RouteName]float64{}
 		e.calls, e.matched, e.matchedByPair = map[routing.RouteName]float64{}, map[routing.RouteName]float64{}, map[pair]float64{}
-		e.chanceMatched, e.regression = map[routing.RouteName]float64{}, newRegression()
+		e.chanceMatched, e.regression, e.lengths = map[routing.RouteName]float64{}, newRegression(), map[pair]float64{}
 	}
-	x := &Execution{route: route, expires: expires}
+	x := &Execution{route: r.Route, expires: r.Expires, priority: r.Priority, repeat: r.Repeat}
 	e.running[x] = struct{}{}
-	e.executions[route]++
-	e.regression.executions[route]++
+	e.executions[r.Route]++
+	e.regression.executions[r.Route]++
 	return x
 }
 
@@ -89,43 +112,53 @@
 	delete(e.running, x)
 }
 
-// ObserveCall records a call made by the instance, with its expiry.
-func (e *Estimator) ObserveCall(route routing.RouteName, expires time.Time) {
+// ObserveCall records a call made by the instance, with its expiry. It returns
+// what is known of the execution that makes it.
+func (e *Estimator) ObserveCall(route routing.RouteName, expires time.Time) Caller {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.running == nil {
-		return
+		return Caller{}
 	}
 	e.calls[route]++
 	e.regression.calls[route]++
-	if caller, found := e.findCaller(expires); found {
+	matches := e.matches(expires)
+	if name, found := onlyRoute(matches); found {
 		e.matched[route]++
-		e.matchedByPair[pair{caller, route}]++
+		e.matchedByPair[pair{name, route}]++
 	}
 	// The caller does not expire at the shifted times, so a match there is due
 	// to chance.
 	for _, d := range []time.Duration{chanceOffset, -chanceOffset} {
-		if _, found := e.findCaller(expires.Add(d)); found {
+		if _, found := onlyRoute(e.matches(expires.Add(d))); found {
 			e.chanceMatched[route] += 0.5
 		}
 	}
+	return e.identify(matches, route)
 }
 
-// findCaller returns the only route with executions that expire at the given
-// time. It returns false if there is none or more than one.
-func (e *Estimator) findCaller(expires time.Time) (routing.RouteName, bool) {
-	var name routing.RouteName
-	found := false
+// matches returns the executions that expire at the given time.
+func (e *Estimator) matches(expires time.Time) []*Execution {
+	var matches []*Execution
 	for x := range e.running {
-		if difference := x.expires.Sub(expires); difference > expiryTolerance || difference < -expiryTolerance {
-			continue
+		if difference := x.expires.Sub(expires); difference <= expiryTolerance && difference >= -expiryTolerance {
+			matches = append(matches, x)
 		}
-		if found && x.route != name {
+	}
+	return matches
+}
+
+// onlyRoute returns the route of the executions. It returns false if there is
+// none or more than one.
+func onlyRoute(executions []*Execution) (routing.RouteName, bool) {
+	var name routing.RouteName
+	for i, x := range executions {
+		if i > 0 && x.route != name {
 			return "", false
 		}
-		name, found = x.route, true
+		name = x.route
 	}
-	return name, found
+	return name, len(executions) > 0
 }
 
 // EndWindow ends the present window and applies the decay to all counts. Call
@@ -141,6 +174,7 @@
 		decay(sums, countDecay)
 	}
 	decay(e.matchedByPair, countDecay)
+	decay(e.lengths, countDecay)
 }
 
 func decay[K comparable](sums map[K]float64, factor float64) {
