entrance: retries go to later calls of runs, and calls inherit the priority of their run

Cause: the budget was spent on whichever call came first, and a call had the priority of its route, however urgent the run that made it. A call whose run is known has its priority, and counts as a repeat exactly if the run is one, so that calls further down count too. Requests that reached no instance earn nothing. A rejection counts once against max_attempts: with 3 it allowed 2 instances.

--- a/pkg/demand/monitor.go
+++ b/pkg/demand/monitor.go
@@ -129,9 +129,10 @@
 	m.routeStatsOf(route).arrivals++
 }
 
-// ObserveCall records a call made by the local instance, with its expiry.
-func (m *Monitor) ObserveCall(route routing.RouteName, expires time.Time) {
-	m.callGraph.ObserveCall(route, expires)
+// ObserveCall records a call made by the local instance, with its expiry. It returns
+// what is known of the execution that makes it.
+func (m *Monitor) ObserveCall(route routing.RouteName, expires time.Time) callgraph.Caller {
+	return m.callGraph.ObserveCall(route, expires)
 }
 
 // ObserveStart records the start of an execution that the local instance
@@ -140,6 +141,9 @@
 	return m.callGraph.ObserveStart(route, expires)
 }
 
+// ObserveRun records the start of an execution.
+func (m *Monitor) ObserveRun(r callgraph.Run) *callgraph.Execution { return m.callGraph.ObserveRun(r) }
+
 // ObserveEnd records the end of an execution.
 func (m *Monitor) ObserveEnd(x *callgraph.Execution) { m.callGraph.ObserveEnd(x) }
 
--- a/pkg/entrance/dispatch.go
+++ b/pkg/entrance/dispatch.go
@@ -55,10 +55,13 @@
 func (e *Entrance) tryTargets(ctx context.Context, r *Request) (*linkrpc.Outcome, *problem.Error) {
 	service := r.Route.PickService()
 	r.message.Service = string(service)
-	e.retryBudget.addRequest(service)
-	if r.Inner && e.RetryFraction != nil {
-		e.retryBudget.chargeCalls(service, e.RetryFraction())
-	}
+	e.earnRetries(r)
+	reached := false
+	defer func() {
+		if !reached {
+			e.retryBudget.removeRequest(service)
+		}
+	}()
 	tried := map[directory.NodeAddress]bool{}
 	anyFull := false
 	for r.Dispatches < maxDispatches {
@@ -76,6 +79,7 @@
 			return nil, refusal
 		}
 		outcome = e.withOwnAnswer(r, withDecodedHeaders(outcome))
+		reached = reached || outcome.Fate != linkrpc.Fate_FATE_NOT_RUN || outcome.Reason == linkrpc.Reason_REASON_REJECTED
 		switch outcome.Fate {
 		case linkrpc.Fate_FATE_ANSWERED:
 			return outcome, nil
@@ -206,7 +210,6 @@
 	case linkrpc.Reason_REASON_EXPIRED:
 		return problem.New(problem.KindDeadline, "the time for the request passed before it ran")
 	case linkrpc.Reason_REASON_REJECTED:
-		r.InstancesReached++
 		if !e.takeRetry(r) {
 			return shedError("the instance rejected the request")
 		}
@@ -214,24 +217,6 @@
 	return nil
 }
 
-// takeRetry uses one retry of the budget and reports whether the request may be
-// sent to a further instance.
-func (e *Entrance) takeRetry(r *Request) bool {
-	r.InstancesReached = max(r.InstancesReached, 1)
-	if !e.mayRetry(r) || !e.retryBudget.take(r.service()) {
-		return false
-	}
-	r.InstancesReached++
-	r.message.Repeat = true
-	return true
-}
-
-// mayRetry reports whether the route's maximum of attempts and the deadline permit
-// a retry.
-func (e *Entrance) mayRetry(r *Request) bool {
-	return max(r.InstancesReached, 1) < r.Route.MaxAttempts && e.Clock.Now().Before(r.Deadline)
-}
-
 func maxWaitOf(r *Request, remaining time.Duration) time.Duration {
 	if r.Inner {
 		return min(innerMaxWait, remaining)
--- a/pkg/entrance/entrance.go
+++ b/pkg/entrance/entrance.go
@@ -62,14 +62,18 @@
 	// are.
 	Takes func(r *Request) bool
 	// OnArrival is called for each request with a route and, where needed, a valid
-	// API key; nil is allowed.
+	// API key. It sets Request.Caller. Nil is allowed.
 	OnArrival func(r *Request)
 	// Admit reports whether a root request is admitted, and the fraction of its
 	// class that is admitted. If it is nil, all requests are admitted.
 	Admit func(r *Request) (bool, float64)
 	// RetryFraction returns the fraction of the executions at the local instance
-	// that are retries. The calls that these make count as retries too.
+	// that are retries. The calls that these make count as retries too. It is used for
+	// calls whose execution is not known.
 	RetryFraction func() float64
+	// OnRetry is called for each rejected or lost call that may be sent to a further
+	// instance as far as its route and its deadline are concerned; nil is allowed.
+	OnRetry func(r *Request, decision RetryDecision)
 	// TokenHome returns the peer that pools the tokens of an organisation, or nil if the
 	// local node does. If the function is nil, other peers are asked.
 	TokenHome func(id fleet.OrganisationID) *peering.Peer
--- a/pkg/entrance/forward.go
+++ b/pkg/entrance/forward.go
@@ -26,6 +26,9 @@
 		}
 	}
 	message.Priority = uint32(max(priority, 0))
+	if r.Caller.Known {
+		message.Priority = r.Caller.Priority
+	}
 }
 
 // forwardedHeaders returns the headers to forward, as alternating names and
--- a/pkg/entrance/request.go
+++ b/pkg/entrance/request.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/plantainramp/plantainramp/pkg/callgraph"
 	"github.com/plantainramp/plantainramp/pkg/connection"
 	"github.com/plantainramp/plantainramp/pkg/fleet"
 	"github.com/plantainramp/plantainramp/pkg/problem"
@@ -29,7 +30,9 @@
 	View         *routing.View
 	// Inner reports whether the request is a call that an instance makes to run
 	// another request.
-	Inner   bool
+	Inner bool
+	// Caller is what is known of the execution that makes a call; empty for other requests.
+	Caller  callgraph.Caller
 	Arrived time.Time
 	// Connection describes the connection on which the request was read.
 	Connection connection.Use
--- a/pkg/mesh/gauges.go
+++ b/pkg/mesh/gauges.go
@@ -33,6 +33,7 @@
 	n.meter.Gauge("gate_run_seconds").Update(load.MeanSlotTime.Seconds())
 	n.meter.Gauge("entrance_in_flight").Update(float64(n.entrance.InFlight()))
 	n.meter.Gauge("repeated_part").Update(n.executions.repeatedFraction())
+	n.updateRetryGauges()
 	n.meter.Gauge("peers").Update(float64(n.peers.NodeCount() - 1))
 	conns := n.callerConns.Counts()
 	for state, count := range map[string]int{"busy": conns.Busy, "idle": conns.Idle, "unused": conns.Unused} {
--- a/pkg/mesh/load.go
+++ b/pkg/mesh/load.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/plantainramp/plantainramp/pkg/callgraph"
 	"github.com/plantainramp/plantainramp/pkg/clock"
 	"github.com/plantainramp/plantainramp/pkg/demand"
 	"github.com/plantainramp/plantainramp/pkg/directory"
@@ -50,7 +51,7 @@
 
 func (n *Node) onExecutionStarted(call *linkrpc.Run, expires time.Time) func() {
 	n.executions.started(call)
-	execution := n.demand.ObserveStart(routing.RouteName(call.Route), expires)
+	execution := n.demand.ObserveRun(callgraph.Run{Route: routing.RouteName(call.Route), Expires: expires, Priority: call.Priority, Repeat: call.Repeat})
 	return func() {
 		n.demand.ObserveEnd(execution)
 		n.executions.ended(call)
@@ -59,7 +60,7 @@
 
 func (n *Node) onArrived(r *entrance.Request) {
 	if r.Inner {
-		n.demand.ObserveCall(r.Route.Name, r.Expires)
+		r.Caller = n.demand.ObserveCall(r.Route.Name, r.Expires)
 	} else {
 		n.demand.ObserveArrival(r.Route.Name)
 	}
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -219,7 +219,7 @@
 	n.entrance = &entrance.Entrance{
 		Clock: n.clock, Headers: n.platform.EntranceHeaders, Service: n.settings.Service, Peers: n.peers, RateLimiter: n.rateLimiter, Bodies: &n.callerBodies,
 		View: n.view.Load, ConfigFresh: n.keysFresh, Stopping: n.stopping.Load, Takes: n.takes, OnFinish: n.onFinished, Incarnation: n.incarnation,
-		OnArrival: n.onArrived, Admit: n.admit, RetryFraction: n.executions.repeatedFraction, TokenHome: n.tokenHome, OnBorrowError: n.onBorrowFailed, OnForeignAnswer: n.onForeignAnswer,
+		OnArrival: n.onArrived, Admit: n.admit, RetryFraction: n.executions.repeatedFraction, OnRetry: n.onRetry, TokenHome: n.tokenHome, OnBorrowError: n.onBorrowFailed, OnForeignAnswer: n.onForeignAnswer,
 	}
 	n.entrance.Init()
 }
