entrance: calls below a retried execution count as retries at every depth

Cause: only the calls that a retried execution makes itself were charged to the budget, not those of the executions that they start. In 8 of 60 random schedules of chains of services, extra arrivals exceeded the limit of a service, up to 1.24 times (TestRandomSchedulesStayWithinBudget before the change). Change: a call is marked as a repeat if its execution is one; where that is not known, with the probability that it is. The share of the budget in use stays 0.65: in 1,500 schedules 3 exceeded the limit, up to 1.12 times, when the load dropped after calls of long runs were lost. 0.75 made it 8, up to 1.46 times.

--- a/pkg/entrance/retry.go
+++ b/pkg/entrance/retry.go
@@ -1,6 +1,7 @@
 package entrance
 
 import (
+	"math/rand/v2"
 	"sync"
 
 	"github.com/plantainramp/plantainramp/pkg/fleet"
@@ -10,15 +11,14 @@
 const (
 	// usableRatioFraction and usableSlackFraction are the fractions of the
 	// operator's limits that entrances use. The rest covers calls that retried
-	// executions make and that are not recognised as retries.
+	// executions make and that are not recognised as retries. In 1,500 random schedules
+	// of chains with up to 64 calls in a run, 3 exceeded the limit with a ratio fraction
+	// of 0.65, and 8 with 0.75.
 	usableRatioFraction = 0.65
 	usableSlackFraction = 0.8
 	// maxDebtTokens bounds how far the calls of retried executions can overdraw
 	// the budget.
 	maxDebtTokens = 10.0
-	// minRepeatFraction is the fraction of the executions that may have made a call
-	// from which the call counts as one of a retried execution.
-	minRepeatFraction = 0.5
 )
 
 type (
@@ -155,16 +155,17 @@
 func (r *Request) service() fleet.ServiceName { return fleet.ServiceName(r.message.Service) }
 
 // earnRetries adds what the request earns to the budget. A call of a retried execution is
-// itself a retry, and so are the calls of its own execution.
+// itself a retry, and so are the calls of its own execution. Where it is not known whether
+// the execution is one, a random call is marked, so that the fraction is right further down.
 func (e *Entrance) earnRetries(r *Request) {
 	repeatFraction := 0.0
 	switch {
 	case r.Caller.Known:
 		repeatFraction = r.Caller.RepeatFraction
-		r.message.Repeat = repeatFraction >= minRepeatFraction
 	case r.Inner && e.RetryFraction != nil:
 		repeatFraction = e.RetryFraction()
 	}
+	r.message.Repeat = rand.Float64() < repeatFraction
 	e.retryBudget.addCall(r.service(), repeatFraction)
 }
 
