--- a/pkg/demand/costs.go
+++ b/pkg/demand/costs.go
@@ -14,7 +14,6 @@
 // localStatus returns the report on this node that is sent to peers.
 func (m *Monitor) localStatus() *linkrpc.Status {
 	local := &linkrpc.Status{Node: string(m.LocalNode), Service: string(m.Service), Load: m.Load()}
-	local.Load.RejectedFraction = max(local.Load.RejectedFraction, float32(m.rejections.fraction()))
 	calls := m.callGraph.CallsPerExecution()
 	costs := m.meanCosts()
 	for name, stats := range m.routes {
--- a/pkg/demand/monitor.go
+++ b/pkg/demand/monitor.go
@@ -71,8 +71,7 @@
 	// It may be nil.
 	OnPlan func(classes []shedding.Class, services map[fleet.ServiceName]shedding.Service, fractions map[routing.RouteName]float64)
 
-	callGraph  callgraph.Estimator
-	rejections rejectionMeter
+	callGraph callgraph.Estimator
 
 	// mu guards the fields down to intervals, which counts the calls of Tick.
 	mu        sync.Mutex
@@ -201,11 +200,10 @@
 	m.intervals++
 	m.callGraph.EndWindow()
 	m.updateRates()
-	m.rejections.endInterval()
 	local := m.localStatus()
 	m.updatePlan(local)
 	load := local.Load
-	if m.intervals%lowLoadReportIntervals != 0 && load.RejectedFraction == 0 && float64(load.InFlight+load.Queued) < busyFraction*float64(load.Limit) {
+	if m.intervals%lowLoadReportIntervals != 0 && float64(load.InFlight+load.Queued) < busyFraction*float64(load.Limit) {
 		return nil, m.lastPlan
 	}
 	return local, m.lastPlan
@@ -265,11 +263,9 @@
 				total.Running += float64(load.InFlight)
 				total.Waiting += float64(load.Queued)
 				total.MeanSlotSeconds += float64(load.InFlight) * float64(load.RunUs) / microsecondsPerSecond
-				total.RejectedFraction += float64(load.Limit) * rejectedFraction(load)
 			}
 		}
 		total.MeanSlotSeconds /= max(total.Running, 1)
-		total.RejectedFraction /= max(total.Slots, 1)
 		services[name] = total
 	}
 	return services
--- a/pkg/mesh/events.go
+++ b/pkg/mesh/events.go
@@ -148,9 +148,6 @@
 		n.heartbeats.MarkUnreachable()
 	}
 	n.meter.ObserveDecision(outcomeLabel(d.Outcome), d.Waited)
-	if rejected := d.Outcome.Reason == linkrpc.Reason_REASON_REJECTED; rejected || d.Outcome.Fate == linkrpc.Fate_FATE_ANSWERED {
-		n.demand.ObserveOutcome(rejected)
-	}
 	if !d.CancelledAt.IsZero() {
 		n.meter.CountAbandoned("gate", stageOf(!d.SentAt.IsZero(), d.SentCancelled()))
 	}
--- a/pkg/retrybudget/retrybudget.go
+++ b/pkg/retrybudget/retrybudget.go
@@ -73,7 +73,8 @@
 func (a *Allocator) Charge(tokens float64) { a.earned = max(0, a.earned-tokens) }
 
 // Allows reports whether a call may use a token of a budget that holds the given
-// number of tokens, at least 1, of its capacity. Every call may while the budget earns
+// number of tokens of its capacity. It must be called for each call that asks for a retry,
+// also while there is no token. Every call may while the budget earns
 // what was asked for lately, and while no calls were rejected that come before it.
 func (a *Allocator) Allows(c Call, tokens, capacity float64) bool {
 	level := levelOf(c)
--- a/pkg/shedding/planner.go
+++ b/pkg/shedding/planner.go
@@ -57,9 +57,6 @@
 		// MeanSlotSeconds is the mean time in seconds that a call holds its
 		// slot.
 		MeanSlotSeconds float64
-		// RejectedFraction is the fraction of the calls that the instances reject without
-		// executing them.
-		RejectedFraction float64
 	}
 )
 
@@ -87,7 +84,7 @@
 		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Cost[bottleneck], b.Cost[bottleneck]), cmp.Compare(a.Route, b.Route))
 	})
 	for _, c := range sorted {
-		added := max(0, completableFraction(c, services)-fractions[c.Route])
+		added := 1 - fractions[c.Route]
 		for s, cost := range c.Cost {
 			if use := c.Rate * cost; isSignificant(use, services[s]) {
 				added = min(added, max(0, remaining[s])/use)
@@ -120,8 +117,7 @@
 			p.calibrations[name] = &calibration{}
 		}
 		if predicted != nil {
-			// Rejected calls take no slots, though the costs are right.
-			p.calibrations[name].observe(s, predicted[name]*(1-s.RejectedFraction))
+			p.calibrations[name].observe(s, predicted[name])
 		}
 		capacities[name] = p.calibrations[name].capacity(s)
 	}
