Emulator: rejecting services, retry budgets and callers that return at any node

Cause: neither retries of rejected calls nor callers that return after a third of their time could be compared. Change: loads reject and capped, strategies even, reserve and spread, budgets as in the product, and calls with the priority of their request. Returning callers first, and returns spread over their time, are not built: docs/design/retries-shortage.md.

--- a/pkg/emulator/clients.go
+++ b/pkg/emulator/clients.go
@@ -33,7 +33,7 @@
 		// once, whatever the retry delay; retries counts those made so far.
 		immediateRetries int
 		retries          int
-		// nodeIndex is the index of the node that receives all tries.
+		// nodeIndex is the index of the node that receives the next try.
 		nodeIndex int
 	}
 
@@ -137,7 +137,7 @@
 func (f *Fleet) executeRequest(r *request, n *Node, remaining time.Duration) {
 	slotTime := &slotTimes{byService: map[fleet.ServiceName]time.Duration{}}
 	f.startCall(&call{
-		class: r.class, request: f.tries, expires: f.now + remaining, origin: n, tried: map[*Node]bool{}, slotTime: slotTime,
+		class: r.class, request: f.tries, expires: f.now + remaining, origin: n, tried: map[*Node]bool{}, slotTime: slotTime, priority: r.class.Priority,
 		onEnd: func(outcome callOutcome) {
 			f.after(clientLatency, func() { f.recordOutcome(r, outcome, slotTime) })
 		},
@@ -187,12 +187,15 @@
 	case r.immediateRetries > 0:
 		r.immediateRetries--
 		wait = immediateRetryDelay
-	case r.retries < r.class.MaxRetries && retryAfter <= remaining/maxRetryDelayDivisor:
-		wait = retryAfter
+	case r.retries < r.class.MaxRetries:
+		wait = min(retryAfter, remaining/maxRetryDelayDivisor)
 	}
 	if wait < 0 || remaining <= wait {
 		return
 	}
 	r.retries++
-	f.after(wait+clientLatency, func() { f.sendRequest(r) })
+	f.after(wait+clientLatency, func() {
+		r.nodeIndex = f.random.IntN(len(f.Nodes))
+		f.sendRequest(r)
+	})
 }
--- a/pkg/emulator/dispatch.go
+++ b/pkg/emulator/dispatch.go
@@ -11,6 +11,7 @@
 // when the call expires.
 func (f *Fleet) startCall(c *call) {
 	c.stopTimer = f.after(c.expires-f.now, func() { f.endCall(c, outcomeFailed) })
+	f.earnRetries(c)
 	f.dispatch(c)
 }
 
@@ -133,7 +134,7 @@
 		maxWait = c.class.TargetLatency / maxWaitDivisor
 	}
 	arrived := f.now
-	w, verdict := n.queue.Acquire(waitqueue.RankOf(f.Now(), maxWait, uint32(c.class.Priority)), maxWait)
+	w, verdict := n.queue.Acquire(waitqueue.RankOf(f.Now(), maxWait, uint32(c.priority)), maxWait)
 	switch verdict {
 	case waitqueue.VerdictAdmitted:
 		f.startExecution(c, n, 0)
--- a/pkg/emulator/execution.go
+++ b/pkg/emulator/execution.go
@@ -9,6 +9,11 @@
 // child calls, then the other half.
 func (f *Fleet) startExecution(c *call, n *Node, waited time.Duration) {
 	n.recordWait(waited)
+	if f.Load.rejects(f.now, n.Service, n.queue.Load().InFlight, f.random.Float64) {
+		n.queue.Release(0)
+		f.handleRejection(c, n)
+		return
+	}
 	x := &execution{node: n, startedAt: f.now}
 	c.execution = x
 	if f.hooks.OnStart != nil {
@@ -38,9 +43,10 @@
 // the other, and calls onSuccess when all of them have succeeded.
 func (f *Fleet) startChildren(c *call, onSuccess func()) {
 	var children []*Class
+	var remaining []int
 	for _, child := range c.class.Calls {
-		for range child.Count {
-			children = append(children, f.classByName[child.Class])
+		for i := range child.Count {
+			children, remaining = append(children, f.classByName[child.Class]), append(remaining, child.Count-1-i)
 		}
 	}
 	if len(children) == 0 {
@@ -51,7 +57,7 @@
 	x.pendingChildren = len(children)
 	var start func(i int)
 	start = func(i int) {
-		f.startChild(c, children[i], func() {
+		f.startChild(c, children[i], remaining[i], func() {
 			if x.pendingChildren--; x.pendingChildren == 0 {
 				onSuccess()
 			} else if !c.class.Parallel {
@@ -71,10 +77,12 @@
 	}
 }
 
-// startChild makes one child call. If it does not succeed, c fails.
-func (f *Fleet) startChild(c *call, class *Class, onSuccess func()) {
+// startChild makes one child call, which remaining ones to the same class follow. If it does
+// not succeed, c fails.
+func (f *Fleet) startChild(c *call, class *Class, remaining int, onSuccess func()) {
 	child := &call{
 		class: class, request: c.request, isChild: true, expires: min(c.expires, f.now+class.Timeout), origin: c.execution.node, tried: map[*Node]bool{}, slotTime: c.slotTime,
+		priority: c.priority, remaining: remaining,
 	}
 	child.onEnd = func(outcome callOutcome) {
 		switch {
--- a/pkg/emulator/fleet.go
+++ b/pkg/emulator/fleet.go
@@ -44,6 +44,7 @@
 		// response. callsInFlight counts the unanswered calls to each node.
 		peerLoads     map[*Node]waitqueue.Load
 		callsInFlight map[*Node]int
+		retries       map[fleet.ServiceName]*retryBudget
 		// waitSum and waitCount cover the calls since the last takeMeanWait.
 		waitSum   time.Duration
 		waitCount int
@@ -77,6 +78,10 @@
 		ended bool
 		// tried holds the instances that the call has been sent to.
 		tried map[*Node]bool
+		// priority is that of the client request, remaining the number of calls to the same
+		// class that the execution makes after this one. rejections counts the instances
+		// that have rejected the call.
+		priority, remaining, rejections int
 		// execution is nil unless the call holds a slot, and waiter unless it is
 		// queued for one.
 		execution *execution
@@ -122,7 +127,7 @@
 	}
 	for _, v := range g.Services {
 		for i := range v.Instances {
-			n := &Node{Number: len(f.Nodes), Service: v, DataCentre: i % g.DataCentres, serviceIndex: i, peerLoads: map[*Node]waitqueue.Load{}, callsInFlight: map[*Node]int{}}
+			n := &Node{Number: len(f.Nodes), Service: v, DataCentre: i % g.DataCentres, serviceIndex: i, peerLoads: map[*Node]waitqueue.Load{}, callsInFlight: map[*Node]int{}, retries: map[fleet.ServiceName]*retryBudget{}}
 			n.queue.SetLimit(max(1, int(float64(v.Slots)*slotLimitFraction)))
 			f.Nodes = append(f.Nodes, n)
 			f.nodesByService[v.Name] = append(f.nodesByService[v.Name], n)
--- a/pkg/emulator/load.go
+++ b/pkg/emulator/load.go
@@ -27,6 +27,14 @@
 		InstanceFraction, Factor float64
 	}
 
+	// Rejection makes the instances of a service reject calls without executing them: a
+	// fraction of all, and those beyond a fraction of the slots if SlotFraction is above 0.
+	Rejection struct {
+		Window
+		Service                fleet.ServiceName
+		Fraction, SlotFraction float64
+	}
+
 	// Abuse makes some clients retry refused requests at once.
 	Abuse struct {
 		Window
@@ -44,6 +52,7 @@
 		BaseFactor float64
 		Surges     []Surge
 		Slowdowns  []Slowdown
+		Rejections []Rejection
 		Abuse      []Abuse
 		// Restarts holds the times at which all nodes lose their learned state.
 		Restarts []time.Duration
@@ -53,8 +62,8 @@
 func (w Window) contains(t time.Duration) bool { return t >= w.From && t < w.Until }
 
 // Loads returns the load patterns on which strategies are compared. All but calm
-// have a trigger, a surge or a slowdown of instances of the given bottleneck, from
-// 10 s to 22 s after the start.
+// have a trigger, a surge, or a slowdown or rejections of instances of the given bottleneck, from
+// 10 s to 22 s after the start (rejections until 18 s).
 func Loads(bottleneck fleet.ServiceName) []Load {
 	trigger := Window{From: 10 * time.Second, Until: 22 * time.Second}
 	duration := 36 * time.Second
@@ -63,6 +72,8 @@
 		{Name: "surge", Duration: duration, BaseFactor: 1, Surges: []Surge{{trigger, 1.7}}},
 		{Name: "flood", Duration: duration, BaseFactor: 1, Surges: []Surge{{trigger, 4}}},
 		{Name: "slow", Duration: duration, BaseFactor: 1, Slowdowns: []Slowdown{{trigger, bottleneck, 0.34, 4}}},
+		{Name: "reject", Duration: duration, BaseFactor: 0.8, Rejections: []Rejection{{Window{From: 10 * time.Second, Until: 18 * time.Second}, bottleneck, 0.45, 0}}},
+		{Name: "capped", Duration: duration, BaseFactor: 0.8, Rejections: []Rejection{{trigger, bottleneck, 0, 0.35}}},
 		{Name: "abuse", Duration: duration, BaseFactor: 1, Surges: []Surge{{trigger, 1.7}}, Abuse: []Abuse{{Window{trigger.From, duration}, 0.4, 3}}},
 		{Name: "restart", Duration: duration, BaseFactor: 1, Surges: []Surge{{trigger, 1.7}}, Restarts: []time.Duration{16 * time.Second}},
 	}
@@ -91,14 +102,30 @@
 	return factor
 }
 
+// rejects reports whether an instance of v that runs the given number of calls rejects
+// one of them at time t. randomUnit returns random numbers between 0 and 1.
+func (l *Load) rejects(t time.Duration, v *Service, running int, randomUnit func() float64) bool {
+	for _, r := range l.Rejections {
+		if !r.contains(t) || r.Service != v.Name {
+			continue
+		}
+		if r.SlotFraction > 0 && float64(running) > r.SlotFraction*float64(v.Slots) || r.Fraction > 0 && randomUnit() < r.Fraction {
+			return true
+		}
+	}
+	return false
+}
+
 // triggerWindow returns the window of the first surge, or else of the first
-// slowdown. It returns false if the load has neither.
+// slowdown or rejection. It returns false if the load has none of them.
 func (l *Load) triggerWindow() (Window, bool) {
 	switch {
 	case len(l.Surges) > 0:
 		return l.Surges[0].Window, true
 	case len(l.Slowdowns) > 0:
 		return l.Slowdowns[0].Window, true
+	case len(l.Rejections) > 0:
+		return l.Rejections[0].Window, true
 	}
 	return Window{}, false
 }
--- a/pkg/emulator/strategy.go
+++ b/pkg/emulator/strategy.go
@@ -24,6 +24,9 @@
 		// OnFinish is called after an execution has succeeded, with the time that it
 		// held its slot.
 		OnFinish func(n *Node, c *Class, held time.Duration)
+		// EvenRetries spends the retry budget on the calls that come first, rather than on
+		// later calls of executions.
+		EvenRetries bool
 		// OnTick is called every tickInterval.
 		OnTick func()
 		// OnRestart discards the learned state of all nodes.
@@ -38,19 +41,31 @@
 )
 
 // Strategies returns the strategies to compare: none, where only the instances
-// reject calls; plan, the product's own strategy; credits, where services grant
-// slot time to nodes; rates, where wait times control the admitted fraction of
+// reject calls; plan, the product's own strategy; even, the same with retries spent
+// on the calls that come first; reserve, where clients that return are admitted
+// first; spread, where they return spread over their time; credits, where services
+// grant slot time to nodes; rates, where wait times control the admitted fraction of
 // each class; and levels, where instances admit requests by importance.
 func Strategies() []Strategy {
 	return []Strategy{
 		{"none", func(*Fleet) Hooks { return Hooks{} }},
 		{"plan", newPlanStrategy},
+		{"even", func(f *Fleet) Hooks { return withEvenRetries(newPlanStrategy(f)) }},
+		{"reserve", newReservingStrategy},
+		{"spread", newSpreadingStrategy},
 		{"credits", newCreditStrategy},
 		{"rates", newRateStrategy},
 		{"levels", newLevelStrategy},
 	}
 }
 
+// withEvenRetries returns the hooks of a strategy that does not regard the positions of
+// calls.
+func withEvenRetries(h Hooks) Hooks {
+	h.EvenRetries = true
+	return h
+}
+
 // takeMeanWait returns the mean wait of the calls at a node since the previous
 // call of takeMeanWait.
 func (n *Node) takeMeanWait() time.Duration {
