--- a/pkg/emulator/clients.go
+++ b/pkg/emulator/clients.go
@@ -11,8 +11,8 @@
 	// immediateRetryDelay is the delay of a client that retries at once. It is also
 	// the shortest delay after a refusal without a retry delay.
 	immediateRetryDelay = 50 * time.Millisecond
-	// maxRetryDelayDivisor gives the longest retry delay that a client accepts as
-	// a share of its remaining time, and bounds the random delay after a refusal
+	// maxRetryDelayDivisor gives the longest retry delay that a client accepts, or the
+	// longest that it waits, as a share of its remaining time, and bounds the random delay after a refusal
 	// without a retry delay to the same share of its timeout.
 	maxRetryDelayDivisor = 3
 	// clientLatency is the one-way latency between clients and nodes.
@@ -187,15 +187,20 @@
 	case r.immediateRetries > 0:
 		r.immediateRetries--
 		wait = immediateRetryDelay
-	case r.retries < r.class.MaxRetries:
-		wait = min(retryAfter, remaining/maxRetryDelayDivisor)
+	case r.retries >= r.class.MaxRetries:
+	case retryAfter <= remaining/maxRetryDelayDivisor:
+		wait = retryAfter
+	case f.Load.EarlyReturns:
+		wait = remaining / maxRetryDelayDivisor
 	}
 	if wait < 0 || remaining <= wait {
 		return
 	}
 	r.retries++
 	f.after(wait+clientLatency, func() {
-		r.nodeIndex = f.random.IntN(len(f.Nodes))
+		if f.Load.EarlyReturns {
+			r.nodeIndex = f.random.IntN(len(f.Nodes))
+		}
 		f.sendRequest(r)
 	})
 }
--- a/pkg/emulator/load.go
+++ b/pkg/emulator/load.go
@@ -54,6 +54,9 @@
 		Slowdowns  []Slowdown
 		Rejections []Rejection
 		Abuse      []Abuse
+		// EarlyReturns makes clients that get a longer retry delay than they accept return
+		// nevertheless, after the longest that they wait, at any node.
+		EarlyReturns bool
 		// Restarts holds the times at which all nodes lose their learned state.
 		Restarts []time.Duration
 	}
@@ -61,22 +64,30 @@
 
 func (w Window) contains(t time.Duration) bool { return t >= w.From && t < w.Until }
 
-// Loads returns the load patterns on which strategies are compared. All but calm
+// Loads returns the load patterns on which strategies are compared. In those whose name
+// ends in -return, clients return early. All but calm
 // have a trigger, a surge, or a slowdown or rejections of instances of the given bottleneck, from
 // 10 s to 22 s after the start (rejections until 18 s).
 func Loads(bottleneck fleet.ServiceName) []Load {
 	trigger := Window{From: 10 * time.Second, Until: 22 * time.Second}
 	duration := 36 * time.Second
-	return []Load{
+	loads := []Load{
 		{Name: "calm", Duration: duration, BaseFactor: 0.8},
 		{Name: "surge", Duration: duration, BaseFactor: 1, Surges: []Surge{{trigger, 1.7}}},
 		{Name: "flood", Duration: duration, BaseFactor: 1, Surges: []Surge{{trigger, 4}}},
 		{Name: "slow", Duration: duration, BaseFactor: 1, Slowdowns: []Slowdown{{trigger, bottleneck, 0.34, 4}}},
-		{Name: "reject", Duration: duration, BaseFactor: 0.8, Rejections: []Rejection{{Window{From: 10 * time.Second, Until: 18 * time.Second}, bottleneck, 0.45, 0}}},
-		{Name: "capped", Duration: duration, BaseFactor: 0.8, Rejections: []Rejection{{trigger, bottleneck, 0, 0.35}}},
+		{Name: "reject", Duration: duration, BaseFactor: 0.8, EarlyReturns: true, Rejections: []Rejection{{Window{From: 10 * time.Second, Until: 18 * time.Second}, bottleneck, 0.45, 0}}},
+		{Name: "capped", Duration: duration, BaseFactor: 0.8, EarlyReturns: true, Rejections: []Rejection{{trigger, bottleneck, 0, 0.35}}},
 		{Name: "abuse", Duration: duration, BaseFactor: 1, Surges: []Surge{{trigger, 1.7}}, Abuse: []Abuse{{Window{trigger.From, duration}, 0.4, 3}}},
 		{Name: "restart", Duration: duration, BaseFactor: 1, Surges: []Surge{{trigger, 1.7}}, Restarts: []time.Duration{16 * time.Second}},
 	}
+	for _, l := range loads[1:] {
+		if !l.EarlyReturns {
+			l.Name, l.EarlyReturns = l.Name+"-return", true
+			loads = append(loads, l)
+		}
+	}
+	return loads
 }
 
 // arrivalFactor returns the multiple of the usual arrival rate at time t.
