--- a/pkg/callgraph/caller.go
+++ b/pkg/callgraph/caller.go
@@ -6,6 +6,11 @@
 	"github.com/plantainramp/plantainramp/pkg/routing"
 )
 
+// minKnownFraction is the fraction of the calls to a route that must have been matched,
+// beyond chance, for a match to identify the caller. Where calls expire earlier than their
+// execution, matches are due to chance.
+const minKnownFraction = 0.3
+
 // Caller is what is known of the execution that makes a call. Where several
 // executions may have made it, only what holds for all of them is known. The zero
 // value means that nothing is known.
@@ -28,7 +33,7 @@
 // identify returns what is known of the caller of a call to a route, and counts the
 // call if only one execution can have made it.
 func (e *Estimator) identify(matches []*Execution, route routing.RouteName) Caller {
-	if len(matches) == 0 {
+	if len(matches) == 0 || e.matched[route]-e.chanceMatched[route] < minKnownFraction*e.calls[route] {
 		return Caller{}
 	}
 	c := Caller{Known: true, Position: math.MaxInt}
--- a/pkg/callgraph/caller_test.go
+++ b/pkg/callgraph/caller_test.go
@@ -1,6 +1,7 @@
 package callgraph
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -50,3 +51,26 @@
 		is.Equal(c.RepeatFraction, 0.5)
 	}
 }
+
+// Calls expire at times of their own, while many executions run. Guards against calls that
+// get the position and the priority of an execution that they match by chance.
+func TestChanceMatchIdentifiesNoCaller(t *testing.T) {
+	is := is.New(t)
+	e := &Estimator{}
+	random := rand.New(rand.NewPCG(5, 6))
+	now, known := time.Unix(1000, 0), 0
+	var running []*Execution
+	for range 2000 {
+		now = now.Add(10 * time.Millisecond)
+		running = append(running, e.ObserveRun(Run{Route: "caller", Expires: now.Add(time.Duration(random.IntN(3000)) * time.Millisecond)}))
+		if e.ObserveCall("deep", now.Add(time.Duration(random.IntN(3000))*time.Millisecond)).Known {
+			known++
+		}
+		if len(running) > 100 {
+			e.ObserveEnd(running[0])
+			running = running[1:]
+		}
+	}
+	t.Logf("known: %d of 2000", known)
+	is.True(known < 100)
+}
