--- a/pkg/emulator/clients.go
+++ b/pkg/emulator/clients.go
@@ -11,8 +11,8 @@
 	// immediateRetryDelay is the delay of a client that retries at once. It is also
 	// the shortest delay after a refusal without a retry delay.
 	immediateRetryDelay = 50 * time.Millisecond
-	// maxRetryDelayDivisor gives the longest retry delay that a client accepts as
-	// a share of its remaining time, and bounds the random delay after a refusal
+	// maxRetryDelayDivisor gives the longest retry delay that a client accepts, or the
+	// longest that it waits, as a share of its remaining time, and bounds the random delay after a refusal
 	// without a retry delay to the same share of its timeout.
 	maxRetryDelayDivisor = 3
 	// clientLatency is the one-way latency between clients and nodes.
@@ -33,7 +33,7 @@
 		// once, whatever the retry delay; retries counts those made so far.
 		immediateRetries int
 		retries          int
-		// nodeIndex is the index of the node that receives all tries.
+		// nodeIndex is the index of the node that receives the next try.
 		nodeIndex int
 	}
 
@@ -137,7 +137,7 @@
 func (f *Fleet) executeRequest(r *request, n *Node, remaining time.Duration) {
 	slotTime := &slotTimes{byService: map[fleet.ServiceName]time.Duration{}}
 	f.startCall(&call{
-		class: r.class, request: f.tries, expires: f.now + remaining, origin: n, tried: map[*Node]bool{}, slotTime: slotTime,
+		class: r.class, request: f.tries, expires: f.now + remaining, origin: n, tried: map[*Node]bool{}, slotTime: slotTime, priority: r.class.Priority,
 		onEnd: func(outcome callOutcome) {
 			f.after(clientLatency, func() { f.recordOutcome(r, outcome, slotTime) })
 		},
@@ -187,12 +187,20 @@
 	case r.immediateRetries > 0:
 		r.immediateRetries--
 		wait = immediateRetryDelay
-	case r.retries < r.class.MaxRetries && retryAfter <= remaining/maxRetryDelayDivisor:
+	case r.retries >= r.class.MaxRetries:
+	case retryAfter <= remaining/maxRetryDelayDivisor:
 		wait = retryAfter
+	case f.Load.EarlyReturns:
+		wait = remaining / maxRetryDelayDivisor
 	}
 	if wait < 0 || remaining <= wait {
 		return
 	}
 	r.retries++
-	f.after(wait+clientLatency, func() { f.sendRequest(r) })
+	f.after(wait+clientLatency, func() {
+		if f.Load.EarlyReturns {
+			r.nodeIndex = f.random.IntN(len(f.Nodes))
+		}
+		f.sendRequest(r)
+	})
 }
