Slow start: the rate of a recovering instance is learned

Cause: where no cold rate is configured, or once the cold period is over, an instance that has just started or recovered got its full share at once.

Change: pkg/slowstart decides the rate from run times and outcomes of calls. The gate begins a slow start when the instance says that it is cold, when it opens again after the instance was silent or unreachable, and when a limit that the instance named ends. [pacing] slowStart = off turns it off. Health checks of a warm instance may follow each other after 25 ms, as an instance that often ends connections would be held at the rate of a cold one otherwise.

--- a/pkg/gate/cold.go
+++ b/pkg/gate/cold.go
@@ -77,6 +77,9 @@
 // isCold reports whether the instance is cold or may be.
 func (c *coldState) isCold(now time.Time) bool { return !c.known || now.Before(c.until) }
 
+// isReportedCold reports whether the instance has said that it is cold.
+func (c *coldState) isReportedCold(now time.Time) bool { return c.known && now.Before(c.until) }
+
 // assume makes the state unknown. ended reports whether the process of the instance has
 // ended, so that what it has sent says nothing of the one that follows.
 func (c *coldState) assume(now time.Time, ended bool) {
@@ -169,10 +172,19 @@
 	defer l.mu.Unlock()
 	if l.cold.reported != r.Incarnation {
 		l.cold.heartbeat(r)
-		l.refresh(r.At)
+		l.applyCold(r.At, false)
 	}
 }
 
+// applyCold applies a report on the cold period. A cold period that begins calls for a slow
+// start. The caller holds mu.
+func (l *rateLimit) applyCold(now time.Time, wasCold bool) {
+	if !wasCold && l.cold.isReportedCold(now) {
+		l.beginSlowStart()
+	}
+	l.refresh(now)
+}
+
 // assumeCold makes the state of the instance unknown.
 func (l *rateLimit) assumeCold(now time.Time, ended bool) {
 	l.mu.Lock()
@@ -205,8 +217,10 @@
 func (g *Gate) HandleColdHeartbeat(r ColdReport) {
 	g.limit.mu.Lock()
 	defer g.limit.mu.Unlock()
+	now := g.Clock.Now()
+	wasCold := g.limit.cold.isReportedCold(now)
 	g.limit.cold.heartbeat(r)
-	g.limit.refresh(g.Clock.Now())
+	g.limit.applyCold(now, wasCold)
 }
 
 // HandleColdHealthCheck applies the response of the instance to a health check. It returns
@@ -214,8 +228,10 @@
 func (g *Gate) HandleColdHealthCheck(r ColdReport) bool {
 	g.limit.mu.Lock()
 	defer g.limit.mu.Unlock()
+	now := g.Clock.Now()
+	wasCold := g.limit.cold.isReportedCold(now)
 	applied := g.limit.cold.healthCheck(r)
-	g.limit.refresh(g.Clock.Now())
+	g.limit.applyCold(now, wasCold)
 	return applied
 }
 
@@ -236,8 +252,13 @@
 func (g *Gate) handleBroken(err error) { g.assumeCold(errors.Is(err, syscall.ECONNREFUSED)) }
 
 // noteRejection treats the instance as cold if another one has responded in its place.
-func (g *Gate) noteRejection(err *instance.RejectedError, expected fleet.InstanceName) {
-	if err.Status == http.StatusMisdirectedRequest && err.RespondedBy != string(expected) {
+func (g *Gate) noteRejection(err *instance.RejectedError) {
+	if g.isReplaced(err) {
 		g.assumeCold(true)
 	}
 }
+
+// isReplaced reports whether a call was rejected by another instance than the local one.
+func (g *Gate) isReplaced(err *instance.RejectedError) bool {
+	return err.Status == http.StatusMisdirectedRequest && err.RespondedBy != string(g.local.Load().ID)
+}
--- a/pkg/gate/execute.go
+++ b/pkg/gate/execute.go
@@ -55,7 +55,7 @@
 	case errors.As(err, &notSent):
 		return g.unsentOutcome(ctx), err
 	case errors.As(err, &rejected):
-		g.noteRejection(rejected, local.ID)
+		g.noteRejection(rejected)
 		return NotRunOutcome(linkrpc.Reason_REASON_REJECTED), err
 	case g.givenUp.Load() && errors.Is(ctx.Err(), context.Canceled):
 		return LostOutcome(linkrpc.Reason_REASON_BROKEN), &GivenUpError{Cause: err}
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -89,6 +89,9 @@
 	ColdRate func() float64
 	// ColdBound bounds the calls to a cold instance.
 	ColdBound ColdBound
+	// SlowStart limits the rate of an instance that has just started or recovered to what it
+	// takes by how it responds.
+	SlowStart bool
 	// OnColdUnknown is called when it is no longer known whether the instance is cold. It may
 	// be nil and must not block.
 	OnColdUnknown func()
@@ -126,6 +129,9 @@
 func (g *Gate) Init() {
 	g.Slots.Clock = g.Clock
 	g.attempts.Clock = g.Clock
+	if g.SlowStart {
+		g.limit.slots = g.expectedRun
+	}
 	g.limit.coldRate, g.limit.bound = g.ColdRate, g.ColdBound
 	g.Instance.OnAnnouncement, g.Instance.BeforeSend, g.Instance.OnBroken = g.handleAnnouncement, g.checkSend, g.handleBroken
 }
@@ -155,6 +161,9 @@
 		g.limit.reset(g.Clock.Now())
 		g.limit.begin(ColdReport{Incarnation: local.Incarnation(), Known: true, Until: local.ColdUntil, At: g.Clock.Now()})
 	}
+	if previous != nil && local.Open && !previous.Open && !previous.Leaving {
+		g.limit.reopen()
+	}
 	g.Slots.SetLimit(max(1, int(float64(local.Slots)*usableSlotFraction)))
 	g.updateSlots()
 }
@@ -285,6 +294,7 @@
 			g.limit.giveBack()
 		}
 	}
+	g.learnFrom(d, errors.Is(ctx.Err(), context.Canceled))
 	if g.OnDecision != nil {
 		var cancelled *link.CancelledError
 		if errors.As(context.Cause(ctx), &cancelled) {
--- a/pkg/gate/ratelimit.go
+++ b/pkg/gate/ratelimit.go
@@ -7,6 +7,7 @@
 
 	"github.com/plantainramp/plantainramp/pkg/instance"
 	"github.com/plantainramp/plantainramp/pkg/pacing"
+	"github.com/plantainramp/plantainramp/pkg/slowstart"
 	"github.com/plantainramp/plantainramp/rpc/linkrpc"
 )
 
@@ -15,19 +16,26 @@
 const assumedRunTime = 50 * time.Millisecond
 
 // rateLimit is the rate at which calls are sent to the local instance. It is the lowest of
-// the limit that the instance names in its responses and of the rate that it takes while it
-// is cold. Responses are read in another order than they were written, so one counts only if
+// the limit that the instance names in its responses, of the rate that it takes while it is
+// cold, and of the rate learned from how it responds. Responses are read in another order than they were written, so one counts only if
 // its call was sent after the response that named the present limit was read. The zero value
 // has no limit. It is safe for concurrent use.
 type rateLimit struct {
 	// coldRate returns the calls per second that a cold instance takes, or 0; nil means none.
 	coldRate func() float64
 	bound    ColdBound
+	// slots returns the slots of the instance and the expected time of a call; nil turns the
+	// learned rate off.
+	slots func() (int, time.Duration)
 
 	mu    sync.Mutex
 	pacer pacing.Pacer
 	cold  coldState
 	sent  sendWindow
+	// learned is the rate of a slow start, and slowStartDue reports whether one begins once
+	// the cold rate does not apply any more.
+	learned      slowstart.Controller
+	slowStartDue bool
 	// named is the limit that the last response that counts named; limited reports whether
 	// it named one.
 	named   float64
@@ -55,8 +63,14 @@
 	if l.limited {
 		rate = l.named
 	}
-	if cold := l.coldRateOf(); cold > 0 && l.cold.isCold(now) {
-		rate = min(rate, cold)
+	cold := l.coldRateOf()
+	if !l.cold.isCold(now) {
+		cold = 0
+	}
+	for _, limit := range []float64{cold, l.learnedRate(now, cold)} {
+		if limit > 0 {
+			rate = min(rate, limit)
+		}
 	}
 	if math.IsInf(rate, 1) {
 		l.pacer.Unlimit()
@@ -77,6 +91,9 @@
 	if l.limited == a.Limited && l.named == a.RateLimit && !adopted {
 		return false
 	}
+	if l.limited && !a.Limited && !adopted {
+		l.beginSlowStart()
+	}
 	l.named, l.limited, l.changedAt = a.RateLimit, a.Limited, a.Read
 	l.refresh(a.Read)
 	return true
--- a/pkg/mesh/coldcheck.go
+++ b/pkg/mesh/coldcheck.go
@@ -20,6 +20,10 @@
 	// coldCheckInterval is the time between the starts of two health checks while it is not
 	// known whether the instance is cold.
 	coldCheckInterval = 250 * time.Millisecond
+	// warmCheckInterval is that time if the last health check found the instance warm. It is
+	// shorter, as an instance that often ends connections would be held at the rate of a cold
+	// one until the next check otherwise.
+	warmCheckInterval = 25 * time.Millisecond
 	// unconfiguredColdRate is the rate in calls per second of a cold instance while no
 	// configuration has been read that names it.
 	unconfiguredColdRate = 1
@@ -32,8 +36,10 @@
 type coldChecks struct {
 	// wake holds a value if a check was requested since the last one began.
 	wake chan struct{}
-	// logged is the state that was last logged; only runChecks uses it.
+	// logged is the state that was last logged, and loggedPace the rate; only runChecks uses
+	// them.
 	logged, loggedOnce bool
+	loggedPace         float64
 }
 
 // ColdRemainingError reports a health check that does not say how long the instance stays
@@ -60,6 +66,7 @@
 func (n *Node) limitColdCalls() {
 	n.coldChecks.wake = make(chan struct{}, 1)
 	n.gate.ColdRate, n.gate.OnColdUnknown = n.coldRate, n.coldChecks.request
+	n.gate.SlowStart = n.settings.SlowStart
 	n.gate.ColdBound = gate.ColdBound{Overage: n.settings.ColdOverage, Slack: n.settings.ColdSlack}
 }
 
@@ -91,8 +98,11 @@
 			}
 			continue
 		}
-		next := n.clock.After(coldCheckInterval)
+		next, nextIfWarm := n.clock.After(coldCheckInterval), n.clock.After(warmCheckInterval)
 		check(ctx)
+		if cold, _ := n.gate.Cold(); !cold {
+			next = nextIfWarm
+		}
 		select {
 		case <-next:
 		case <-ctx.Done():
@@ -165,6 +175,20 @@
 	return fmt.Sprintf("health check got status %d of instance %q", e.Status, e.Instance)
 }
 
+// logPace logs a change of the rate at which calls are sent to the instance.
+func (n *Node) logPace() {
+	pace, c := n.gate.RateLimit(), &n.coldChecks
+	if pace == c.loggedPace {
+		return
+	}
+	previous := c.loggedPace
+	c.loggedPace = pace
+	n.events.Log(eventPace, func() logrus.Fields {
+		load := n.gate.Slots.Load()
+		return logrus.Fields{"ratePerS": pace, "previousPerS": previous, "namedPerS": n.gate.NamedRateLimit(), "inFlight": load.InFlight, "queued": load.Queued, "runMs": milliseconds(load.MeanSlotTime)}
+	})
+}
+
 // logCold logs the beginning and the end of a cold period.
 func (n *Node) logCold() {
 	local := n.gate.LocalInstance()
--- a/pkg/mesh/events.go
+++ b/pkg/mesh/events.go
@@ -34,6 +34,7 @@
 	eventExecutionLost    logs.EventKind = "call lost at the instance"
 	eventRateLimit        logs.EventKind = "instance names another rate limit"
 	eventColdCheckFailed  logs.EventKind = "health check does not tell whether the instance is cold"
+	eventPace             logs.EventKind = "pace of the instance changed"
 	eventPanic            logs.EventKind = "panic"
 	eventBodyDiscarded    logs.EventKind = "large body of a peer discarded"
 	eventNotAccepted      logs.EventKind = "connection not accepted"
--- a/pkg/mesh/run.go
+++ b/pkg/mesh/run.go
@@ -121,5 +121,6 @@
 		n.instance.CloseExpired()
 		n.peers.CheckLiveness()
 		n.logCold()
+		n.logPace()
 	}))
 }
--- a/pkg/mesh/settings.go
+++ b/pkg/mesh/settings.go
@@ -20,6 +20,8 @@
 	minMemoryMB     = 64
 	// maxColdOverage is the upper bound of the setting coldOverage.
 	maxColdOverage = 1000
+	// switchOn and switchOff are the values of settings that turn a part on or off.
+	switchOn, switchOff = "on", "off"
 )
 
 // Settings holds the settings of a mesh node.
@@ -55,6 +57,8 @@
 	// at most ColdOverage times the rate of a cold instance of its service, plus ColdSlack
 	// calls. Both are 0 if the settings define no bound.
 	ColdOverage, ColdSlack float64
+	// SlowStart limits the rate of an instance that has just started or recovered.
+	SlowStart bool
 	// RetryLimits bounds the requests that are sent again to another instance.
 	RetryLimits entrance.RetryLimits
 	// GracePeriod is the time between the stop signal and the kill by the platform.
@@ -110,6 +114,7 @@
 	s.GracePeriod = b.Duration("grace", 6*time.Second, 100*time.Millisecond)
 	s.MaxDescriptors = b.Int("descriptors", 0, 0, 1<<30)
 	s.MemoryBytes = int64(b.Int("memoryMB", defaultMemoryMB, minMemoryMB, 1<<20)) << 20
+	s.SlowStart = f.Section("pacing").OneOf("slowStart", switchOn, switchOn, switchOff) == switchOn
 	logging := f.Section("logs")
 	s.LogLevel = logging.OneOf("level", "info", "debug", "info", "warning", "error")
 	s.LogFormat = logging.OneOf("format", logs.FormatJSON, logs.FormatJSON, logs.FormatText)
--- a/pkg/mesh/settings_test.go
+++ b/pkg/mesh/settings_test.go
@@ -45,6 +45,16 @@
 	is.Equal(s.MetricsAddress, "")
 	is.Equal(s.RetryLimits.Slack, 48.0)
 	is.Equal(s.ColdOverage, 0.0)
+	is.True(s.SlowStart)
+}
+
+func TestSlowStartCanBeTurnedOff(t *testing.T) {
+	is := is.New(t)
+	s, err := ParseSettings("f", []byte(validSettings+"[pacing]\nslowStart = off\n"))
+	is.NoErr(err)
+	is.True(!s.SlowStart)
+	_, err = ParseSettings("f", []byte(validSettings+"[pacing]\nslowStart = slow\n"))
+	is.True(strings.Contains(err.Error(), "slowStart"))
 }
 
 // The bound of cold instances is optional.
