Node: health checks and slow start are connected to the gate

Change: the node calls limitColdCalls. The first heartbeat that says "warm" is verified by a health check, as it may be a late one of a process that has ended; an instance that another one answers for is unknown. Errors (500 and above) are no measure of the run time, as the error may be that of a call of the instance, and an expired call counts as slow. After a drop the rate rises quickly up to 0.7 of the rate at which the instance was overloaded.

--- a/pkg/gate/cold.go
+++ b/pkg/gate/cold.go
@@ -51,6 +51,10 @@
 		until time.Time
 		// unknownSince is when the state last became unknown.
 		unknownSince time.Time
+		// unverified reports that the state became known by a heartbeat that said "warm". It
+		// may have been sent long before, by a process that has ended since, so that a health
+		// check is to confirm it.
+		unverified bool
 		// reported sent the last report that was applied.
 		reported fleet.Incarnation
 		// ended is an incarnation whose process has ended, and endedAt when that was seen
@@ -83,7 +87,7 @@
 // assume makes the state unknown. ended reports whether the process of the instance has
 // ended, so that what it has sent says nothing of the one that follows.
 func (c *coldState) assume(now time.Time, ended bool) {
-	c.known, c.unknownSince = false, now
+	c.known, c.unverified, c.unknownSince = false, false, now
 	if ended {
 		c.noteEnd(now)
 	}
@@ -107,16 +111,20 @@
 	case stale && !r.Until.After(c.until):
 		return
 	}
+	c.unverified = r.Until.IsZero() && (!c.known || c.unverified)
 	c.known, c.until, c.reported = true, r.Until, r.Incarnation
 }
 
+// isCheckDue reports whether a health check is to tell the state.
+func (c *coldState) isCheckDue() bool { return !c.known || c.unverified }
+
 // healthCheck applies the response to a health check that was sent after the state became
-// unknown. One to an earlier check, or while the state is known, is inconclusive.
+// unknown. One to an earlier check, or one that is not due any more, is inconclusive.
 func (c *coldState) healthCheck(r ColdReport) bool {
-	if c.known || !r.At.After(c.unknownSince) {
+	if !c.isCheckDue() || !r.At.After(c.unknownSince) {
 		return false
 	}
-	c.known, c.until = true, r.Until
+	c.known, c.unverified, c.until = true, false, r.Until
 	if !r.Until.IsZero() {
 		// It was warm or unknown before, so it may have started anew under the same id.
 		c.noteEnd(r.At)
@@ -153,13 +161,13 @@
 func (l *rateLimit) checkSend(now time.Time, healthCheck bool) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	rate := l.coldRateOf()
+	rate, applies := l.coldRateOf(now)
 	if rate == 0 {
 		l.sent = sendWindow{}
 		return nil
 	}
 	sent := l.sent.count(now)
-	if !healthCheck && l.cold.isCold(now) && sent >= l.bound.callsPerWindow(rate) {
+	if !healthCheck && applies && sent >= l.bound.callsPerWindow(rate) {
 		return &ColdLimitError{}
 	}
 	l.sent.add(now)
@@ -193,12 +201,14 @@
 	l.refresh(now)
 }
 
-// coldRateOf returns the calls per second that a cold instance takes, or 0.
-func (l *rateLimit) coldRateOf() float64 {
+// coldRateOf returns the calls per second that a cold instance takes, or 0, and whether that
+// limit applies now. The caller holds mu.
+func (l *rateLimit) coldRateOf(now time.Time) (rate float64, applies bool) {
 	if l.coldRate == nil {
-		return 0
+		return 0, false
 	}
-	return l.coldRate()
+	rate, evenIfWarm := l.coldRate()
+	return rate, rate > 0 && (evenIfWarm || l.cold.isCold(now))
 }
 
 // AssumeCold treats the instance as cold until a heartbeat that arrives later, or a health
@@ -221,6 +231,9 @@
 	wasCold := g.limit.cold.isReportedCold(now)
 	g.limit.cold.heartbeat(r)
 	g.limit.applyCold(now, wasCold)
+	if g.limit.cold.unverified && g.OnColdUnknown != nil {
+		g.OnColdUnknown()
+	}
 }
 
 // HandleColdHealthCheck applies the response of the instance to a health check. It returns
@@ -235,6 +248,25 @@
 	return applied
 }
 
+// HandleColdCheckFailed applies a health check that was inconclusive. replaced reports whether
+// another instance answered it.
+func (g *Gate) HandleColdCheckFailed(replaced bool) {
+	g.limit.mu.Lock()
+	defer g.limit.mu.Unlock()
+	if replaced && g.limit.cold.unverified {
+		g.limit.cold.assume(g.Clock.Now(), true)
+	}
+	g.limit.cold.unverified = false
+	g.limit.refresh(g.Clock.Now())
+}
+
+// ColdCheckDue reports whether a health check is to tell whether the instance is cold.
+func (g *Gate) ColdCheckDue() bool {
+	g.limit.mu.Lock()
+	defer g.limit.mu.Unlock()
+	return g.limit.cold.isCheckDue()
+}
+
 // Cold reports whether the instance is treated as cold, and whether it is known to be so.
 func (g *Gate) Cold() (cold, known bool) {
 	g.limit.mu.Lock()
--- a/pkg/gate/cold_test.go
+++ b/pkg/gate/cold_test.go
@@ -112,7 +112,7 @@
 func newColdGate(t *testing.T, u *limitedUpstream, rate float64) *Gate {
 	t.Helper()
 	g := newLimitedGate(t, u)
-	g.ColdRate, g.ColdBound = func() float64 { return rate }, ColdBound{Overage: 1.5, Slack: 8}
+	g.ColdRate, g.ColdBound = func() (float64, bool) { return rate, false }, ColdBound{Overage: 1.5, Slack: 8}
 	g.Init()
 	return g
 }
@@ -145,7 +145,7 @@
 	is := is.New(t)
 	upstream := &countingUpstream{callTime: 100 * time.Millisecond}
 	g := newGate(t, upstream)
-	g.ColdRate, g.ColdBound = func() float64 { return 2 }, ColdBound{Overage: 1.5, Slack: 8}
+	g.ColdRate, g.ColdBound = func() (float64, bool) { return 2, false }, ColdBound{Overage: 1.5, Slack: 8}
 	g.Init()
 	outcomes := make(chan *linkrpc.Outcome, 30)
 	for i := range 30 {
@@ -235,7 +235,7 @@
 func TestHealthChecksCountAsCalls(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(100, 0)
-	l := &rateLimit{coldRate: func() float64 { return 2 }, bound: ColdBound{Overage: 1.5, Slack: 8}}
+	l := &rateLimit{coldRate: func() (float64, bool) { return 2, false }, bound: ColdBound{Overage: 1.5, Slack: 8}}
 	for range l.bound.callsPerWindow(2) {
 		is.NoErr(l.checkSend(now, true))
 	}
@@ -244,3 +244,45 @@
 	is.True(l.checkSend(now.Add(coldWindow-1), false) != nil)
 	is.NoErr(l.checkSend(now.Add(coldWindow), false))
 }
+
+// A node starts, and the first heartbeat that it gets is a late one of a process that has ended.
+// Guards against the process that follows under the same id, which is flooded as nobody asks it.
+func TestFirstHeartbeatThatSaysWarmIsVerified(t *testing.T) {
+	now := time.Unix(100, 0)
+	at := func(ms int) time.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
+	t.Run("the instance says that it is cold", func(t *testing.T) {
+		is := is.New(t)
+		c := &coldState{}
+		c.heartbeat(coldAt(1, at(0), 0))
+		is.True(!c.isCold(at(0)) && c.isCheckDue())
+		is.True(c.healthCheck(coldAt(1, at(1), 3*time.Second)))
+		c.heartbeat(coldAt(1, at(2), 0))
+		is.True(c.isCold(at(2)) && !c.isCheckDue())
+	})
+	t.Run("the instance says that it is warm", func(t *testing.T) {
+		is := is.New(t)
+		c := &coldState{}
+		c.heartbeat(coldAt(1, at(0), 0))
+		is.True(c.healthCheck(coldAt(1, at(1), 0)))
+		c.heartbeat(coldAt(1, at(2), 0))
+		is.True(!c.isCold(at(2)) && !c.isCheckDue())
+	})
+	t.Run("a heartbeat that says cold needs no check", func(t *testing.T) {
+		is := is.New(t)
+		c := &coldState{}
+		c.heartbeat(coldAt(1, at(0), time.Second))
+		is.True(c.isCold(at(0)) && !c.isCheckDue())
+	})
+	t.Run("another instance answers", func(t *testing.T) {
+		is := is.New(t)
+		g := newColdGate(t, &limitedUpstream{}, 10)
+		g.HandleColdHeartbeat(coldAt(1, time.Now(), 0))
+		g.HandleColdCheckFailed(true)
+		cold, known := g.Cold()
+		is.True(cold && !known)
+		g.HandleColdHeartbeat(coldAt(2, time.Now(), 0))
+		g.HandleColdCheckFailed(false)
+		cold, _ = g.Cold()
+		is.True(!cold && !g.ColdCheckDue())
+	})
+}
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -84,16 +84,16 @@
 	// OnLeaving is called for each response in which the instance says that it leaves. It
 	// closes the gate before it returns. It may be nil.
 	OnLeaving func(a instance.Announcement)
-	// ColdRate returns the calls per second that a cold instance takes, or 0; nil means that
-	// there is no such limit.
-	ColdRate func() float64
+	// ColdRate returns the calls per second that a cold instance takes, or 0, and whether that
+	// limit applies to a warm one too; nil means that there is no such limit.
+	ColdRate func() (rate float64, evenIfWarm bool)
 	// ColdBound bounds the calls to a cold instance.
 	ColdBound ColdBound
 	// SlowStart limits the rate of an instance that has just started or recovered to what it
 	// takes by how it responds.
 	SlowStart bool
-	// OnColdUnknown is called when it is no longer known whether the instance is cold. It may
-	// be nil and must not block.
+	// OnColdUnknown is called when a health check is to tell whether the instance is cold. It
+	// may be nil, must not block and must not call methods of the gate.
 	OnColdUnknown func()
 
 	Slots    Slots
--- a/pkg/gate/learned.go
+++ b/pkg/gate/learned.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net/http"
 	"time"
 
 	"github.com/plantainramp/plantainramp/pkg/instance"
@@ -62,7 +63,11 @@
 	s := slowstart.Sample{RunTime: now.Sub(d.SentAt)}
 	var rejected *instance.RejectedError
 	switch {
+	case d.Outcome.Fate == linkrpc.Fate_FATE_ANSWERED && d.Outcome.Status >= http.StatusInternalServerError:
+		s.Outcome = slowstart.OutcomeError
 	case d.Outcome.Fate == linkrpc.Fate_FATE_ANSWERED:
+	case d.Outcome.Reason == linkrpc.Reason_REASON_EXPIRED:
+		// A call of the instance may have taken the time. It counts as slow.
 	case d.Outcome.Reason != linkrpc.Reason_REASON_REJECTED:
 		s.Outcome = slowstart.OutcomeFailed
 	case errors.As(d.Cause, &rejected) && g.isReplaced(rejected):
--- a/pkg/gate/learned_test.go
+++ b/pkg/gate/learned_test.go
@@ -50,7 +50,7 @@
 			time.Sleep(10 * time.Millisecond)
 			runMany(g, u, 600, 1)
 		}, true},
-		{"a limit that only a peer knew ends", false, func(g *Gate, u *limitedUpstream) {
+		{"a limit that only a peer knew ends", false, func(g *Gate, _ *limitedUpstream) {
 			run := newRun(500)
 			run.KnownRateLimit = 10
 			g.Run(t.Context(), t.Context(), run)
@@ -94,7 +94,7 @@
 func TestSlowStartFollowsTheColdRate(t *testing.T) {
 	is := is.New(t)
 	g := newLearningGate(t, &limitedUpstream{})
-	g.ColdRate = func() float64 { return 5 }
+	g.ColdRate = func() (float64, bool) { return 5, false }
 	g.Init()
 	setOpen(g, true)
 	g.HandleColdHeartbeat(coldAt(0, time.Now(), 200*time.Millisecond))
--- a/pkg/gate/ratelimit.go
+++ b/pkg/gate/ratelimit.go
@@ -21,8 +21,8 @@
 // its call was sent after the response that named the present limit was read. The zero value
 // has no limit. It is safe for concurrent use.
 type rateLimit struct {
-	// coldRate returns the calls per second that a cold instance takes, or 0; nil means none.
-	coldRate func() float64
+	// coldRate is Gate.ColdRate.
+	coldRate func() (rate float64, evenIfWarm bool)
 	bound    ColdBound
 	// slots returns the slots of the instance and the expected time of a call; nil turns the
 	// learned rate off.
@@ -63,8 +63,8 @@
 	if l.limited {
 		rate = l.named
 	}
-	cold := l.coldRateOf()
-	if !l.cold.isCold(now) {
+	cold, applies := l.coldRateOf(now)
+	if !applies {
 		cold = 0
 	}
 	for _, limit := range []float64{cold, l.learnedRate(now, cold)} {
@@ -143,7 +143,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.refresh(now)
-	if runTime == 0 && l.coldRateOf() > 0 {
+	if _, cold := l.coldRateOf(now); cold && runTime == 0 {
 		runTime = assumedRunTime
 	}
 	load.Limit = uint32(l.pacer.Concurrency(int(load.Limit), runTime))
--- a/pkg/mesh/coldcheck.go
+++ b/pkg/mesh/coldcheck.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math"
 	"net/http"
@@ -72,16 +73,17 @@
 
 // coldRate returns the calls per second that a cold instance of this node's service takes, or
 // 0 if there is no limit. The lowest rate applies until a configuration is read, on
-// deployments with a bound: calls of peers that have read it may arrive before.
-func (n *Node) coldRate() float64 {
+// deployments with a bound: calls of peers that have read it may arrive before. It applies to a
+// warm instance too, as no health check can confirm then that it is warm.
+func (n *Node) coldRate() (rate float64, evenIfWarm bool) {
 	view := n.view.Load()
 	switch {
 	case view != nil:
-		return view.ColdRate(n.settings.Service)
+		return view.ColdRate(n.settings.Service), false
 	case n.settings.ColdOverage > 0:
-		return unconfiguredColdRate
+		return unconfiguredColdRate, true
 	}
-	return 0
+	return 0, false
 }
 
 // runColdChecks sends health checks while it is not known whether the instance is cold: one
@@ -89,9 +91,10 @@
 // instances that restart or break connections under load, where a heartbeat would tell seconds
 // later.
 func (n *Node) runColdChecks(ctx context.Context) {
-	check := n.guarded("the check of a cold instance", func() { n.checkCold(ctx) })
+	var sent bool
+	check := n.guarded("the check of a cold instance", func() { sent = n.checkCold(ctx) })
 	for ctx.Err() == nil {
-		if _, known := n.gate.Cold(); known {
+		if !n.gate.ColdCheckDue() {
 			select {
 			case <-n.coldChecks.wake:
 			case <-ctx.Done():
@@ -99,11 +102,17 @@
 			continue
 		}
 		next, nextIfWarm := n.clock.After(coldCheckInterval), n.clock.After(warmCheckInterval)
+		sent = false
 		check(ctx)
 		if cold, _ := n.gate.Cold(); !cold {
 			next = nextIfWarm
 		}
+		var wake <-chan struct{}
+		if !sent {
+			wake = n.coldChecks.wake
+		}
 		select {
+		case <-wake:
 		case <-next:
 		case <-ctx.Done():
 		}
@@ -113,25 +122,30 @@
 // treatedAsCold reports whether the instance is cold, or may be while that limits its calls.
 func (n *Node) treatedAsCold() (cold, known bool) {
 	cold, known = n.gate.Cold()
-	return cold && (known || n.coldRate() > 0), known
+	rate, evenIfWarm := n.coldRate()
+	return cold && (known || rate > 0) || evenIfWarm, known
 }
 
-// checkCold asks the instance how long it stays cold, if that is not known and matters.
-func (n *Node) checkCold(ctx context.Context) {
+// checkCold asks the instance how long it stays cold, if that is not known and matters. It
+// reports whether it sent a health check.
+func (n *Node) checkCold(ctx context.Context) (sent bool) {
 	view, local := n.view.Load(), n.gate.LocalInstance()
-	if _, known := n.gate.Cold(); known || view == nil || local == nil || n.coldRate() == 0 {
-		return
+	if view == nil || local == nil {
+		return false
 	}
 	path := view.HealthPath(n.settings.Service)
-	if path == "" {
-		return
+	if rate, _ := n.coldRate(); path == "" || rate == 0 {
+		n.gate.HandleColdCheckFailed(false)
+		return false
 	}
 	asked := n.clock.Now()
 	remaining, err := n.askColdRemaining(ctx, path, local.ID)
 	logger := logs.WithComponent(n.logger, logs.ComponentMember).WithField("id", local.ID)
 	if err != nil {
+		var failed *HealthCheckError
+		n.gate.HandleColdCheckFailed(errors.As(err, &failed) && failed.Instance != "" && failed.Instance != string(local.ID))
 		n.events.Log(eventColdCheckFailed, func() logrus.Fields { return logrus.Fields{"id": local.ID, "error": err.Error()} })
-		return
+		return true
 	}
 	report := gate.ColdReport{Incarnation: local.Incarnation(), Known: true, At: asked}
 	if remaining > 0 {
@@ -140,6 +154,7 @@
 	if n.gate.HandleColdHealthCheck(report) {
 		logger.WithField("coldMs", milliseconds(remaining)).Info("health check tells how long the instance stays cold")
 	}
+	return true
 }
 
 // askColdRemaining sends a health check and returns how much longer the instance says that it
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -191,10 +191,8 @@
 
 func (n *Node) makeGate() {
 	n.instance = &instance.Client{Address: n.settings.InstanceAddress, Clock: n.clock, Headers: n.platform.InstanceHeaders, MaxBodyBytes: maxResponseBytes, OnStray: n.onStray, OnJoined: n.onJoined, OnRepeatedID: n.onRepeatedID}
-	n.gate = &gate.Gate{
-		Clock: n.clock, Headers: n.platform.GateHeaders, Instance: n.instance, View: n.view.Load, OnStart: n.onExecutionStarted, OnDecision: n.onDecided, OnRateLimit: n.onRateLimit, OnLeaving: n.onLeaving,
-		ColdRate: n.coldRate, ColdBound: gate.ColdBound{Overage: n.settings.ColdOverage, Slack: n.settings.ColdSlack}, OnColdUnknown: n.coldChecks.request,
-	}
+	n.gate = &gate.Gate{Clock: n.clock, Headers: n.platform.GateHeaders, Instance: n.instance, View: n.view.Load, OnStart: n.onExecutionStarted, OnDecision: n.onDecided, OnRateLimit: n.onRateLimit, OnLeaving: n.onLeaving}
+	n.limitColdCalls()
 	n.gate.Init()
 	n.heartbeats = &HeartbeatTracker{Clock: n.clock, Service: n.settings.Service, Interval: n.settings.HeartbeatInterval, HasDeparted: n.hasDeparted, OnChange: n.onInstanceChange, OnCold: n.gate.HandleColdHeartbeat}
 }
@@ -331,6 +329,7 @@
 // to the directory.
 func (n *Node) onInstanceChange(s *gate.LocalInstance) {
 	n.gate.SetLocalInstance(s)
+	n.coldChecks.request()
 	logs.WithComponent(n.logger, logs.ComponentMember).WithField("id", s.ID).WithField("open", s.Open).WithField("slots", s.Slots).Info("instance announced")
 	n.publishEntry()
 }
--- a/pkg/slowstart/slowstart.go
+++ b/pkg/slowstart/slowstart.go
@@ -15,8 +15,10 @@
 const (
 	// startFraction is the first rate, as a fraction of the rate that the slots allow.
 	startFraction = 0.1
-	// growth and slowGrowth are the factors of a step up, before and after the first drop.
+	// growth is the factor of a step up, and slowGrowth that of one from carefulFraction of the
+	// rate at which the instance was last overloaded.
 	growth, slowGrowth = 1.5, 1.15
+	carefulFraction    = 0.7
 	// drop is the factor of a step down.
 	drop = 0.6
 	// probeFraction is the lowest rate, as a fraction of the first one, and probeRate the least
@@ -60,8 +62,11 @@
 	OutcomeServed Outcome = iota
 	// OutcomeRejected means that the instance did not execute the call.
 	OutcomeRejected
-	// OutcomeFailed means that the instance did not respond in time, or not validly.
+	// OutcomeFailed means that the instance did not respond, or not validly.
 	OutcomeFailed
+	// OutcomeError means that the instance responded with an error, which may be that of a
+	// call that it made. Its run time says little.
+	OutcomeError
 )
 
 // Sample is a call that has ended.
@@ -81,7 +86,8 @@
 	// startedAt is when the limit began, and badAt when calls were last rejected or failed
 	// so that the rate dropped.
 	startedAt, badAt time.Time
-	dropped          bool
+	// overloadRate is the rate at which the instance was last overloaded; 0 if there is none.
+	overloadRate float64
 	// base is the lowest median run time of a step, and 0 before the first one. baseBad is
 	// the fraction of bad calls at the lowest rate.
 	base    time.Duration
@@ -117,13 +123,16 @@
 	if c.rate == 0 || now.Add(-s.RunTime).Before(c.stepStart) {
 		return
 	}
-	if s.Outcome != OutcomeServed {
-		c.bad++
-	} else {
+	switch s.Outcome {
+	case OutcomeServed:
 		c.good++
 		if len(c.runTimes) < maxStepSamples {
 			c.runTimes = append(c.runTimes, s.RunTime)
 		}
+	case OutcomeError:
+		c.good++
+	default:
+		c.bad++
 	}
 	switch {
 	case c.tooManyBad():
@@ -154,15 +163,23 @@
 		return
 	}
 	c.learnBad()
-	factor := growth
-	if c.dropped {
-		factor = slowGrowth
-	}
 	if c.takesAll() || now.Sub(c.startedAt) >= maxSlowTime && now.Sub(c.badAt) >= maxSlowTime {
 		*c = Controller{}
 		return
 	}
-	c.setRate(now, c.rate*factor)
+	c.setRate(now, c.rate*c.stepUp())
+}
+
+// stepUp returns the factor of the next step up. Once the instance was not overloaded at a
+// rate at which it was before, that rate does not matter any more.
+func (c *Controller) stepUp() float64 {
+	if c.rate > c.overloadRate {
+		c.overloadRate = 0
+	}
+	if c.rate >= carefulFraction*c.overloadRate && c.overloadRate > 0 {
+		return slowGrowth
+	}
+	return growth
 }
 
 // learnBad smooths the fraction of bad calls at the lowest rates. At higher ones it only falls.
@@ -198,7 +215,7 @@
 	if bad {
 		c.badAt = now
 	}
-	c.dropped = true
+	c.overloadRate = c.rate
 	c.setRate(now, c.rate*drop)
 }
 
--- a/pkg/slowstart/slowstart_test.go
+++ b/pkg/slowstart/slowstart_test.go
@@ -204,3 +204,18 @@
 		is.True(s.sentIn(5*time.Second) >= 200)
 	})
 }
+
+// Calls of the instance fail at once at first, and succeed later. Guards against a run time of
+// errors to which that of successful calls is compared.
+func TestErrorsAreNoMeasureOfTheRunTime(t *testing.T) {
+	forSeeds(t, func(is *is.I, s *simulation) {
+		s.c.Begin(s.time(), simSlots, simRunTime)
+		s.run(6*time.Second, 100, func(at time.Duration, _, _ int) Sample {
+			if at < time.Second {
+				return Sample{RunTime: time.Millisecond, Outcome: OutcomeError}
+			}
+			return Sample{RunTime: simRunTime}
+		})
+		is.Equal(s.c.Rate(s.time()), 0.0)
+	})
+}
