Slow start: quicker recovery, and a comparison on the emulator

Cause: a trial on the emulator, in which instances fail calls beyond a small load for 4 s, showed that the rate overshot its drops while the calls of the higher rate still ran, and rose too slowly afterwards.

Change: the step after a drop begins once those calls have ended; steps need 4 calls and rise by 80 %, near the rate of the last overload by 20 %; the lowest rate is 0.4 of the first one. An instance that fails more than half of its calls at the lowest rate stays there. The emulator has instances that are cold (ColdStart), and runs pkg/slowstart and pkg/pacing for them (Load.SlowStart).

--- a/pkg/emulator/dispatch.go
+++ b/pkg/emulator/dispatch.go
@@ -73,13 +73,13 @@
 		if c.tried[n] {
 			continue
 		}
-		load := c.origin.knownLoad(n)
+		load := f.knownLoad(c.origin, n)
 		if load.MeanSlotTime > 0 && (fastest == 0 || load.MeanSlotTime < fastest) {
 			fastest = load.MeanSlotTime
 		}
 		untried = append(untried, n)
 		candidates = append(candidates, balancer.Candidate{
-			InFlight: max(c.origin.callsInFlight[n], load.InFlight+load.Queued), Limit: load.Limit, OtherDataCentre: n.DataCentre != c.origin.DataCentre, Slowdown: load.MeanSlotTime.Seconds(),
+			InFlight: max(c.origin.callsInFlight[n], load.InFlight+load.Queued), Limit: load.Limit, OtherDataCentre: n.DataCentre != c.origin.DataCentre, Slowdown: load.MeanSlotTime.Seconds(), RateFullness: load.rateFullness,
 		})
 	}
 	for i := range candidates {
@@ -96,20 +96,20 @@
 // knownLoad returns the load of node o as node n knows it: the current load
 // if it is n itself, otherwise the last reported load, or an empty one before the
 // first report.
-func (n *Node) knownLoad(o *Node) waitqueue.Load {
+func (f *Fleet) knownLoad(n, o *Node) pacedLoad {
 	if n == o {
-		return o.queue.Load()
+		return f.loadOf(o)
 	}
 	if load, known := n.peerLoads[o]; known {
 		return load
 	}
-	return waitqueue.Load{Limit: o.Service.Slots}
+	return pacedLoad{Load: waitqueue.Load{Limit: o.Service.Slots}}
 }
 
 // redispatch dispatches a call again that node n did not accept, once the response
 // of n, which includes its load, has reached the caller.
 func (f *Fleet) redispatch(c *call, n *Node) {
-	load := n.queue.Load()
+	load := f.loadOf(n)
 	f.after(f.latency(c.origin, n), func() {
 		c.origin.peerLoads[n] = load
 		if c.ended {
@@ -133,10 +133,20 @@
 		maxWait = c.class.TargetLatency / maxWaitDivisor
 	}
 	arrived := f.now
+	enqueue := func(maxWait time.Duration) { f.enqueue(c, n, arrived, maxWait) }
+	if !f.awaitTime(c, n, maxWait, enqueue) {
+		n.recordWait(maxWait)
+		f.redispatch(c, n)
+	}
+}
+
+// enqueue requests a slot at node n for a call that arrived there earlier and can still wait
+// for maxWait.
+func (f *Fleet) enqueue(c *call, n *Node, arrived, maxWait time.Duration) {
 	w, verdict := n.queue.Acquire(waitqueue.RankOf(f.Now(), maxWait, uint32(c.class.Priority)), maxWait)
 	switch verdict {
 	case waitqueue.VerdictAdmitted:
-		f.startExecution(c, n, 0)
+		f.startExecution(c, n, f.now-arrived)
 	case waitqueue.VerdictQueued:
 		c.waiter = w
 		w.Notify = func(bool) {
--- a/pkg/emulator/execution.go
+++ b/pkg/emulator/execution.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/plantainramp/plantainramp/pkg/slowstart"
 )
 
 // startExecution executes a call that has a slot: half of its work, then its
@@ -14,7 +16,12 @@
 	if f.hooks.OnStart != nil {
 		x.onEnd = f.hooks.OnStart(n, c.class, c.expires)
 	}
-	half := f.drawWorkTime(c.class, n) / 2
+	work := f.drawWorkTime(c.class, n)
+	if work == 0 {
+		f.failExecution(c)
+		return
+	}
+	half := work / 2
 	x.stopTimer = f.after(half, func() {
 		f.startChildren(c, func() {
 			x.stopTimer = f.after(half, func() { f.finishExecution(c) })
@@ -22,6 +29,15 @@
 	})
 }
 
+// failExecution ends an execution that fails at once, and sends the response.
+func (f *Fleet) failExecution(c *call) {
+	n, origin := c.execution.node, c.origin
+	c.execution.stopTimer = func() {}
+	n.pace.controller.Observe(f.Now(), slowstart.Sample{Outcome: slowstart.OutcomeFailed})
+	f.releaseSlot(c, 0)
+	f.after(f.latency(origin, n), func() { f.endCall(c, outcomeFailed) })
+}
+
 // drawWorkTime returns a random work time for one execution of a class at node n
 // now. It has a log-normal distribution.
 func (f *Fleet) drawWorkTime(c *Class, n *Node) time.Duration {
@@ -31,6 +47,7 @@
 	if v.KneeFraction > 0 && float64(n.queue.Load().InFlight) > v.KneeFraction*float64(v.Slots) {
 		factor *= v.KneeFactor
 	}
+	factor *= f.Load.coldFactor(f.now, v, n.serviceIndex, n.queue.Load().InFlight)
 	return time.Duration(factor * float64(c.Work))
 }
 
@@ -100,7 +117,7 @@
 	if f.hooks.OnFinish != nil {
 		f.hooks.OnFinish(n, c.class, held)
 	}
-	load := n.queue.Load()
+	load := f.loadOf(n)
 	origin := c.origin
 	f.after(f.latency(origin, n), func() {
 		origin.peerLoads[n] = load
@@ -115,6 +132,9 @@
 	x := c.execution
 	c.execution = nil
 	c.slotTime.add(x.node.Service.Name, f.now-x.startedAt)
+	if held > 0 || f.now >= c.expires {
+		x.node.pace.controller.Observe(f.Now(), slowstart.Sample{RunTime: f.now - x.startedAt})
+	}
 	x.stopTimer()
 	if x.onEnd != nil {
 		x.onEnd()
--- a/pkg/emulator/fleet.go
+++ b/pkg/emulator/fleet.go
@@ -40,9 +40,10 @@
 
 		serviceIndex int
 		queue        waitqueue.Queue
+		pace         pace
 		// peerLoads holds the load that each other node sent with its last
 		// response. callsInFlight counts the unanswered calls to each node.
-		peerLoads     map[*Node]waitqueue.Load
+		peerLoads     map[*Node]pacedLoad
 		callsInFlight map[*Node]int
 		// waitSum and waitCount cover the calls since the last takeMeanWait.
 		waitSum   time.Duration
@@ -122,7 +123,7 @@
 	}
 	for _, v := range g.Services {
 		for i := range v.Instances {
-			n := &Node{Number: len(f.Nodes), Service: v, DataCentre: i % g.DataCentres, serviceIndex: i, peerLoads: map[*Node]waitqueue.Load{}, callsInFlight: map[*Node]int{}}
+			n := &Node{Number: len(f.Nodes), Service: v, DataCentre: i % g.DataCentres, serviceIndex: i, peerLoads: map[*Node]pacedLoad{}, callsInFlight: map[*Node]int{}}
 			n.queue.SetLimit(max(1, int(float64(v.Slots)*slotLimitFraction)))
 			f.Nodes = append(f.Nodes, n)
 			f.nodesByService[v.Name] = append(f.nodesByService[v.Name], n)
--- a/pkg/emulator/load.go
+++ b/pkg/emulator/load.go
@@ -45,6 +45,9 @@
 		Surges     []Surge
 		Slowdowns  []Slowdown
 		Abuse      []Abuse
+		ColdStarts []ColdStart
+		// SlowStart paces the calls to instances that become cold, as the product does.
+		SlowStart bool
 		// Restarts holds the times at which all nodes lose their learned state.
 		Restarts []time.Duration
 	}
--- a/pkg/emulator/plan.go
+++ b/pkg/emulator/plan.go
@@ -79,7 +79,8 @@
 // loadReport returns the load in the form that is sent to peers.
 func (n *Node) loadReport() *linkrpc.Load {
 	l := n.queue.Load()
-	return &linkrpc.Load{InFlight: uint32(l.InFlight), Limit: uint32(l.Limit), Queued: uint32(l.Queued), RunUs: uint32(l.MeanSlotTime.Microseconds())}
+	limit := n.pace.pacer.Concurrency(l.Limit, l.MeanSlotTime)
+	return &linkrpc.Load{InFlight: uint32(l.InFlight), Limit: uint32(limit), Queued: uint32(l.Queued + n.pace.waiting), RunUs: uint32(l.MeanSlotTime.Microseconds())}
 }
 
 func (p *planStrategy) admit(n *Node, c *Class, _ uint64, remaining time.Duration) (bool, time.Duration) {
--- a/pkg/emulator/run.go
+++ b/pkg/emulator/run.go
@@ -62,6 +62,7 @@
 			f.after(at, f.hooks.OnRestart)
 		}
 	}
+	f.scheduleSlowStarts()
 	for _, c := range g.Classes {
 		f.scheduleArrival(c)
 	}
--- a/pkg/slowstart/slowstart.go
+++ b/pkg/slowstart/slowstart.go
@@ -17,19 +17,21 @@
 	startFraction = 0.1
 	// growth is the factor of a step up, and slowGrowth that of one from carefulFraction of the
 	// rate at which the instance was last overloaded.
-	growth, slowGrowth = 1.5, 1.15
+	growth, slowGrowth = 1.8, 1.2
 	carefulFraction    = 0.7
 	// drop is the factor of a step down.
 	drop = 0.6
 	// probeFraction is the lowest rate, as a fraction of the first one, and probeRate the least
 	// that it is, in calls per second: without calls nothing would be learned.
-	probeFraction = 0.1
+	probeFraction = 0.4
 	probeRate     = 1.0
 	// stepTime is the shortest time of a step with at least stepSamples calls, and
 	// idleStepTime the time after which one with fewer ends, if none of them was bad.
 	stepTime     = 500 * time.Millisecond
 	idleStepTime = 3 * time.Second
-	stepSamples  = 8
+	stepSamples  = 4
+	// slowSamples is the least number of run times from which a median is compared.
+	slowSamples = 8
 	// maxStepSamples bounds the run times that are kept for a step.
 	maxStepSamples = 256
 	// slowFactor is the multiple of the lowest median run time from which an instance counts
@@ -39,6 +41,9 @@
 	// the lowest rate, and minBad the least number of them that counts.
 	badTolerance = 0.1
 	minBad       = 2
+	// maxBaseBad is the highest fraction of bad calls that counts as independent of the rate. An
+	// instance that rejects or fails more stays at the lowest rate.
+	maxBaseBad = 0.5
 	// maxDeviations is the number of standard deviations of the expected number of bad calls
 	// that counts as chance.
 	maxDeviations = 3
@@ -155,13 +160,17 @@
 // lowers it if not.
 func (c *Controller) endStep(now time.Time) {
 	median := c.median()
-	if median > 0 && (c.base == 0 || median < c.base) {
+	if len(c.runTimes) >= stepSamples && (c.base == 0 || median < c.base) {
 		c.base = median
 	}
-	if len(c.runTimes) >= stepSamples && float64(median) > slowFactor*float64(c.base) {
+	if len(c.runTimes) >= slowSamples && float64(median) > slowFactor*float64(c.base) {
 		c.fall(now, false)
 		return
 	}
+	if c.badFraction() > c.baseBad+badTolerance {
+		c.setRate(now, c.rate)
+		return
+	}
 	c.learnBad()
 	if c.takesAll() || now.Sub(c.startedAt) >= maxSlowTime && now.Sub(c.badAt) >= maxSlowTime {
 		*c = Controller{}
@@ -188,7 +197,7 @@
 	switch {
 	case c.good+c.bad < stepSamples:
 	case c.baseBad > 0 && c.rate <= lowRateFactor*c.lowest:
-		c.baseBad += (bad - c.baseBad) * lowRateWeight
+		c.baseBad = min(c.baseBad+(bad-c.baseBad)*lowRateWeight, maxBaseBad)
 	case bad < c.baseBad:
 		c.baseBad += (bad - c.baseBad) * highRateWeight
 	}
@@ -210,13 +219,15 @@
 		if c.good+c.bad < stepSamples {
 			return
 		}
-		c.baseBad = c.badFraction()
+		c.baseBad = min(c.badFraction(), maxBaseBad)
 	}
 	if bad {
 		c.badAt = now
 	}
 	c.overloadRate = c.rate
-	c.setRate(now, c.rate*drop)
+	// The calls that still run hold the instance up. The next step begins after them.
+	settled := now.Add(max(c.base, c.median()))
+	c.setRate(settled, c.rate*drop)
 }
 
 func (c *Controller) setRate(now time.Time, rate float64) {
--- a/pkg/slowstart/slowstart_test.go
+++ b/pkg/slowstart/slowstart_test.go
@@ -193,7 +193,7 @@
 		s.run(10*time.Second, 300, func(time.Duration, int, int) Sample {
 			return Sample{RunTime: simRunTime, Outcome: OutcomeFailed}
 		})
-		is.True(s.c.Rate(s.time()) >= probeRate)
+		is.True(s.c.Rate(s.time()) >= probeRate && s.c.Rate(s.time()) <= 20)
 		is.True(s.sentIn(5*time.Second) >= 3)
 		s.run(70*time.Second, 300, func(time.Duration, int, int) Sample {
 			if s.random.Float64() < 0.33 {
