--- a/pkg/gate/cold.go
+++ b/pkg/gate/cold.go
@@ -51,6 +51,10 @@
 		until time.Time
 		// unknownSince is when the state last became unknown.
 		unknownSince time.Time
+		// unverified reports that the state became known by a heartbeat that said "warm". It
+		// may have been sent long before, by a process that has ended since, so that a health
+		// check is to confirm it.
+		unverified bool
 		// reported sent the last report that was applied.
 		reported fleet.Incarnation
 		// ended is an incarnation whose process has ended, and endedAt when that was seen
@@ -77,10 +81,13 @@
 // isCold reports whether the instance is cold or may be.
 func (c *coldState) isCold(now time.Time) bool { return !c.known || now.Before(c.until) }
 
+// isReportedCold reports whether the instance has said that it is cold.
+func (c *coldState) isReportedCold(now time.Time) bool { return c.known && now.Before(c.until) }
+
 // assume makes the state unknown. ended reports whether the process of the instance has
 // ended, so that what it has sent says nothing of the one that follows.
 func (c *coldState) assume(now time.Time, ended bool) {
-	c.known, c.unknownSince = false, now
+	c.known, c.unverified, c.unknownSince = false, false, now
 	if ended {
 		c.noteEnd(now)
 	}
@@ -104,16 +111,20 @@
 	case stale && !r.Until.After(c.until):
 		return
 	}
+	c.unverified = r.Until.IsZero() && (!c.known || c.unverified)
 	c.known, c.until, c.reported = true, r.Until, r.Incarnation
 }
 
+// isCheckDue reports whether a health check is to tell the state.
+func (c *coldState) isCheckDue() bool { return !c.known || c.unverified }
+
 // healthCheck applies the response to a health check that was sent after the state became
-// unknown. One to an earlier check, or while the state is known, is inconclusive.
+// unknown. One to an earlier check, or one that is not due any more, is inconclusive.
 func (c *coldState) healthCheck(r ColdReport) bool {
-	if c.known || !r.At.After(c.unknownSince) {
+	if !c.isCheckDue() || !r.At.After(c.unknownSince) {
 		return false
 	}
-	c.known, c.until = true, r.Until
+	c.known, c.unverified, c.until = true, false, r.Until
 	if !r.Until.IsZero() {
 		// It was warm or unknown before, so it may have started anew under the same id.
 		c.noteEnd(r.At)
@@ -150,13 +161,13 @@
 func (l *rateLimit) checkSend(now time.Time, healthCheck bool) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	rate := l.coldRateOf()
+	rate, applies := l.coldRateOf(now)
 	if rate == 0 {
 		l.sent = sendWindow{}
 		return nil
 	}
 	sent := l.sent.count(now)
-	if !healthCheck && l.cold.isCold(now) && sent >= l.bound.callsPerWindow(rate) {
+	if !healthCheck && applies && sent >= l.bound.callsPerWindow(rate) {
 		return &ColdLimitError{}
 	}
 	l.sent.add(now)
@@ -169,8 +180,17 @@
 	defer l.mu.Unlock()
 	if l.cold.reported != r.Incarnation {
 		l.cold.heartbeat(r)
-		l.refresh(r.At)
+		l.applyCold(r.At, false)
+	}
+}
+
+// applyCold applies a report on the cold period. A cold period that begins calls for a slow
+// start. The caller holds mu.
+func (l *rateLimit) applyCold(now time.Time, wasCold bool) {
+	if !wasCold && l.cold.isReportedCold(now) {
+		l.beginSlowStart()
 	}
+	l.refresh(now)
 }
 
 // assumeCold makes the state of the instance unknown.
@@ -181,12 +201,14 @@
 	l.refresh(now)
 }
 
-// coldRateOf returns the calls per second that a cold instance takes, or 0.
-func (l *rateLimit) coldRateOf() float64 {
+// coldRateOf returns the calls per second that a cold instance takes, or 0, and whether that
+// limit applies now. The caller holds mu.
+func (l *rateLimit) coldRateOf(now time.Time) (rate float64, applies bool) {
 	if l.coldRate == nil {
-		return 0
+		return 0, false
 	}
-	return l.coldRate()
+	rate, evenIfWarm := l.coldRate()
+	return rate, rate > 0 && (evenIfWarm || l.cold.isCold(now))
 }
 
 // AssumeCold treats the instance as cold until a heartbeat that arrives later, or a health
@@ -205,8 +227,13 @@
 func (g *Gate) HandleColdHeartbeat(r ColdReport) {
 	g.limit.mu.Lock()
 	defer g.limit.mu.Unlock()
+	now := g.Clock.Now()
+	wasCold := g.limit.cold.isReportedCold(now)
 	g.limit.cold.heartbeat(r)
-	g.limit.refresh(g.Clock.Now())
+	g.limit.applyCold(now, wasCold)
+	if g.limit.cold.unverified && g.OnColdUnknown != nil {
+		g.OnColdUnknown()
+	}
 }
 
 // HandleColdHealthCheck applies the response of the instance to a health check. It returns
@@ -214,11 +241,32 @@
 func (g *Gate) HandleColdHealthCheck(r ColdReport) bool {
 	g.limit.mu.Lock()
 	defer g.limit.mu.Unlock()
+	now := g.Clock.Now()
+	wasCold := g.limit.cold.isReportedCold(now)
 	applied := g.limit.cold.healthCheck(r)
-	g.limit.refresh(g.Clock.Now())
+	g.limit.applyCold(now, wasCold)
 	return applied
 }
 
+// HandleColdCheckFailed applies a health check that was inconclusive. replaced reports whether
+// another instance answered it.
+func (g *Gate) HandleColdCheckFailed(replaced bool) {
+	g.limit.mu.Lock()
+	defer g.limit.mu.Unlock()
+	if replaced && g.limit.cold.unverified {
+		g.limit.cold.assume(g.Clock.Now(), true)
+	}
+	g.limit.cold.unverified = false
+	g.limit.refresh(g.Clock.Now())
+}
+
+// ColdCheckDue reports whether a health check is to tell whether the instance is cold.
+func (g *Gate) ColdCheckDue() bool {
+	g.limit.mu.Lock()
+	defer g.limit.mu.Unlock()
+	return g.limit.cold.isCheckDue()
+}
+
 // Cold reports whether the instance is treated as cold, and whether it is known to be so.
 func (g *Gate) Cold() (cold, known bool) {
 	g.limit.mu.Lock()
@@ -236,8 +284,13 @@
 func (g *Gate) handleBroken(err error) { g.assumeCold(errors.Is(err, syscall.ECONNREFUSED)) }
 
 // noteRejection treats the instance as cold if another one has responded in its place.
-func (g *Gate) noteRejection(err *instance.RejectedError, expected fleet.InstanceName) {
-	if err.Status == http.StatusMisdirectedRequest && err.RespondedBy != string(expected) {
+func (g *Gate) noteRejection(err *instance.RejectedError) {
+	if g.isReplaced(err) {
 		g.assumeCold(true)
 	}
 }
+
+// isReplaced reports whether a call was rejected by another instance than the local one.
+func (g *Gate) isReplaced(err *instance.RejectedError) bool {
+	return err.Status == http.StatusMisdirectedRequest && err.RespondedBy != string(g.local.Load().ID)
+}
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -90,13 +90,16 @@
 	// OnLeaving is called for each response in which the instance says that it leaves. It
 	// closes the gate before it returns. It may be nil.
 	OnLeaving func(a instance.Announcement)
-	// ColdRate returns the calls per second that a cold instance takes, or 0; nil means that
-	// there is no such limit.
-	ColdRate func() float64
+	// ColdRate returns the calls per second that a cold instance takes, or 0, and whether that
+	// limit applies to a warm one too; nil means that there is no such limit.
+	ColdRate func() (rate float64, evenIfWarm bool)
 	// ColdBound bounds the calls to a cold instance.
 	ColdBound ColdBound
-	// OnColdUnknown is called when it is no longer known whether the instance is cold. It may
-	// be nil and must not block.
+	// SlowStart limits the rate of an instance that has just started or recovered to what it
+	// takes by how it responds.
+	SlowStart bool
+	// OnColdUnknown is called when a health check is to tell whether the instance is cold. It
+	// may be nil, must not block and must not call methods of the gate.
 	OnColdUnknown func()
 
 	// Outgoing is told of the calls that the instance makes.
@@ -141,6 +144,9 @@
 func (g *Gate) Init() {
 	g.Slots.Clock = g.Clock
 	g.attempts.Clock = g.Clock
+	if g.SlowStart {
+		g.limit.slots = g.expectedRun
+	}
 	g.limit.coldRate, g.limit.bound = g.ColdRate, g.ColdBound
 	g.Instance.OnAnnouncement, g.Instance.BeforeSend, g.Instance.OnBroken = g.handleAnnouncement, g.checkSend, g.handleBroken
 }
@@ -171,6 +177,9 @@
 		g.limit.begin(ColdReport{Incarnation: local.Incarnation(), Known: true, Until: local.ColdUntil, At: g.Clock.Now()})
 		g.results.reset()
 	}
+	if previous != nil && local.Open && !previous.Open && !previous.Leaving {
+		g.limit.reopen()
+	}
 	g.Slots.SetLimit(max(1, int(float64(local.Slots)*usableSlotFraction)))
 	g.updateSlots()
 }
@@ -311,6 +320,7 @@
 			g.limit.giveBack()
 		}
 	}
+	g.learnFrom(d, errors.Is(ctx.Err(), context.Canceled))
 	if g.OnDecision != nil {
 		var cancelled *link.CancelledError
 		if errors.As(context.Cause(ctx), &cancelled) {
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -202,8 +202,9 @@
 	n.instance = &instance.Client{Address: n.settings.InstanceAddress, Clock: n.clock, Headers: n.platform.InstanceHeaders, MaxBodyBytes: maxResponseBytes, OnStray: n.onStray, OnJoined: n.onJoined, OnRepeatedID: n.onRepeatedID}
 	n.gate = &gate.Gate{
 		Clock: n.clock, Headers: n.platform.GateHeaders, Instance: n.instance, View: n.view.Load, OnStart: n.onExecutionStarted, OnDecision: n.onDecided, OnRateLimit: n.onRateLimit, OnLeaving: n.onLeaving,
-		ColdRate: n.coldRate, ColdBound: gate.ColdBound{Overage: n.settings.ColdOverage, Slack: n.settings.ColdSlack}, OnColdUnknown: n.coldChecks.request, OutOfDate: n.evacuationsOutOfDate, Region: n.regionOf(n.settings.DataCentre),
+		OutOfDate: n.evacuationsOutOfDate, Region: n.regionOf(n.settings.DataCentre),
 	}
+	n.limitColdCalls()
 	n.gate.Init()
 	n.initEvacuations()
 	n.heartbeats = &HeartbeatTracker{Clock: n.clock, Service: n.settings.Service, Interval: n.settings.HeartbeatInterval, HasDeparted: n.hasDeparted, OnChange: n.onInstanceChange, OnCold: n.gate.HandleColdHeartbeat}
@@ -330,6 +331,7 @@
 // to the directory.
 func (n *Node) onInstanceChange(s *gate.LocalInstance) {
 	n.gate.SetLocalInstance(s)
+	n.coldChecks.request()
 	logs.WithComponent(n.logger, logs.ComponentMember).WithField("id", s.ID).WithField("open", s.Open).WithField("slots", s.Slots).Info("instance announced")
 	n.publishEntry()
 }
