Slow start is off unless the settings turn it on

Cause: the learned rate serves fewer callers where all instances of a service are cold at once, and changes nothing measurable where they are only slower.

--- a/pkg/mesh/retries_test.go
+++ b/pkg/mesh/retries_test.go
@@ -9,6 +9,7 @@
 	"github.com/plantainramp/plantainramp/pkg/callgraph"
 	"github.com/plantainramp/plantainramp/pkg/demand"
 	"github.com/plantainramp/plantainramp/pkg/entrance"
+	"github.com/plantainramp/plantainramp/pkg/gate"
 	"github.com/plantainramp/plantainramp/pkg/routing"
 	"github.com/plantainramp/plantainramp/rpc/linkrpc"
 )
@@ -18,7 +19,7 @@
 // the end of the execution that is taken for one of it.
 func TestCallsAreAttributedToExecution(t *testing.T) {
 	is := is.New(t)
-	n := &Node{demand: &demand.Monitor{}}
+	n := &Node{demand: &demand.Monitor{}, gate: &gate.Gate{}}
 	expires := time.Unix(1000, 0)
 	ended := n.onExecutionStarted(&linkrpc.Run{Route: "gather", Priority: 1, Repeat: true}, expires)
 	call := func() *entrance.Request {
--- a/pkg/mesh/settings.go
+++ b/pkg/mesh/settings.go
@@ -128,7 +128,7 @@
 	s.GracePeriod = b.Duration("grace", 6*time.Second, 100*time.Millisecond)
 	s.MaxDescriptors = b.Int("descriptors", 0, 0, 1<<30)
 	s.MemoryBytes = int64(b.Int("memoryMB", defaultMemoryMB, minMemoryMB, 1<<20)) << 20
-	s.SlowStart = f.Section("pacing").OneOf("slowStart", switchOn, switchOn, switchOff) == switchOn
+	s.SlowStart = f.Section("pacing").OneOf("slowStart", switchOff, switchOn, switchOff) == switchOn
 	logging := f.Section("logs")
 	s.LogLevel = logging.OneOf("level", "info", "debug", "info", "warning", "error")
 	s.LogFormat = logging.OneOf("format", logs.FormatJSON, logs.FormatJSON, logs.FormatText)
--- a/pkg/mesh/settings_test.go
+++ b/pkg/mesh/settings_test.go
@@ -48,14 +48,16 @@
 	is.Equal(s.RetryLimits.Slack, 48.0)
 	is.Equal(s.ColdOverage, 0.0)
 	is.Equal(s.MaxEvacuationDelay, time.Duration(0))
-	is.True(s.SlowStart)
+	is.True(!s.SlowStart)
 }
 
-func TestSlowStartCanBeTurnedOff(t *testing.T) {
+// Guards against a slow start where the settings do not ask for it, and against one that they
+// ask for in vain.
+func TestSlowStartIsTurnedOnBySettings(t *testing.T) {
 	is := is.New(t)
-	s, err := ParseSettings("f", []byte(validSettings+"[pacing]\nslowStart = off\n"))
+	s, err := ParseSettings("f", []byte(validSettings+"[pacing]\nslowStart = on\n"))
 	is.NoErr(err)
-	is.True(!s.SlowStart)
+	is.True(s.SlowStart)
 	_, err = ParseSettings("f", []byte(validSettings+"[pacing]\nslowStart = slow\n"))
 	is.True(strings.Contains(err.Error(), "slowStart"))
 }
