connection: limits of the configuration and a memory budget for request heads

Cause: a node accepted 64 kB of head whatever header_bytes of the configuration says, for 10 s, kept idle connections for 2 min, and had no bound for the memory of all heads. The soft memory limit of the Go runtime was 96 MB whatever memoryMB says.

Change: header_bytes, header_timeout and idle_timeout are applied as the configuration in force states them; where it names none, the former values stay. Heads that do not arrive in one piece take memory from a budget of an eighth of memoryMB. When it is used up, the connection whose head has been read longest is closed, or the request refused with 503. Connections without a whole request make room for new ones after 1 s. The soft limit is 0.7 of memoryMB.

--- a/internal/meshcmd/meshcmd.go
+++ b/internal/meshcmd/meshcmd.go
@@ -33,9 +33,10 @@
 	// gcPercent lets the heap grow to five times the live heap between garbage
 	// collections. The live heap of a node is small.
 	gcPercent = 400
-	// maxMemoryBytes is the soft limit on the memory of the Go runtime. Near it, the
-	// garbage collector runs more often.
-	maxMemoryBytes = 96 << 20
+	// heapFraction is the soft limit on the memory of the Go runtime, as a fraction of the
+	// memory that the settings give the process. Near it, the garbage collector runs more
+	// often. The rest is for the program itself and for what is allocated during a collection.
+	heapFraction = 0.7
 )
 
 // Main runs the daemon until SIGTERM or SIGINT and returns its exit code.
@@ -59,7 +60,7 @@
 		return ExitSettings
 	}
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(maxMemoryBytes)
+	debug.SetMemoryLimit(int64(heapFraction * float64(s.MemoryBytes)))
 	if err := serve(ctx, hangups, *path, s, out); err != nil {
 		_, _ = fmt.Fprintf(errOut, "plantainmesh: %s\n", err)
 		return ExitFailed
--- a/pkg/connection/bound.go
+++ b/pkg/connection/bound.go
@@ -8,9 +8,14 @@
 	"time"
 )
 
-// acceptRetryInterval is the time between two looks for room for a connection, and
-// between two tries of an Accept that failed for lack of resources.
-const acceptRetryInterval = 5 * time.Millisecond
+const (
+	// acceptRetryInterval is the time between two looks for room for a connection, and
+	// between two tries of an Accept that failed for lack of resources.
+	acceptRetryInterval = 5 * time.Millisecond
+	// minUnusedAge is how long a connection is kept in any case until it has sent a whole
+	// request.
+	minUnusedAge = time.Second
+)
 
 // boundListener accepts connections within the bounds of a tracker.
 type boundListener struct {
@@ -22,8 +27,8 @@
 }
 
 // Bound returns a listener that accepts connections while fewer than MaxOpen are open. It
-// closes idle ones to make room, and leaves new ones to the kernel while all carry
-// requests. A lack of descriptors or memory is passed over: Accept tries again, and closes
+// closes idle ones to make room, then those that have sent no whole request for minUnusedAge,
+// and leaves new ones to the kernel while all others carry requests. A lack of descriptors or memory is passed over: Accept tries again, and closes
 // half of the idle connections before.
 func (t *Tracker) Bound(l net.Listener) net.Listener {
 	return &boundListener{Listener: l, tracker: t, closing: make(chan struct{})}
@@ -36,8 +41,11 @@
 			return nil, net.ErrClosed
 		}
 		conn, err := b.Listener.Accept()
+		if err == nil {
+			return b.tracker.limit(conn), nil
+		}
 		if !IsResourceShortage(err) {
-			return conn, err
+			return nil, err
 		}
 		if b.tracker.OnAcceptError != nil {
 			b.tracker.OnAcceptError(err)
@@ -93,7 +101,14 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	excess := len(t.conns) - t.closing + 1 - maxOpen
-	return excess <= t.evict(excess)
+	if excess <= 0 {
+		return true
+	}
+	excess -= t.evict(excess)
+	if excess > 0 {
+		excess -= t.evictUnused(excess)
+	}
+	return excess <= 0
 }
 
 // evict closes up to n of the idle connections, those that have waited longest, and
@@ -107,6 +122,27 @@
 	return count
 }
 
+// evictUnused closes up to n of the connections that have sent no whole request for
+// minUnusedAge, and returns their number. It keeps those on which data has arrived that the
+// server has not come to read. The caller holds mu.
+func (t *Tracker) evictUnused(n int) int {
+	count := 0
+	now := t.Clock.Now()
+	for e := t.unused.Front(); e != nil && count < n; {
+		c := e.Value.(*conn)
+		if now.Sub(c.waitingSince) < minUnusedAge {
+			break
+		}
+		e = e.Next()
+		if c.raw == nil || !isUnread(c.raw) {
+			t.closeConn(c)
+			count++
+		}
+	}
+	t.evicted += count
+	return count
+}
+
 func (t *Tracker) evictHalf() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/pkg/connection/connection.go
+++ b/pkg/connection/connection.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/plantainramp/plantainramp/pkg/clock"
+	"github.com/plantainramp/plantainramp/pkg/memory"
 )
 
 // Use describes the connection of a request at the moment when the request was read.
@@ -35,9 +36,13 @@
 	// Dropped is the number of requests that were read as their connection was closed
 	// and did not reach the handler.
 	Dropped int
-	// Evicted is the number of idle connections that were closed because there were too
-	// many.
+	// Evicted is the number of connections without a request that were closed because there
+	// were too many.
 	Evicted int
+	// HeadsTooLarge is the number of requests that were refused because their head was over
+	// the limit. HeadsRefused and HeadsEvicted are the numbers of connections that were closed
+	// because there was no memory for their head, and to make room for that of another.
+	HeadsTooLarge, HeadsRefused, HeadsEvicted int
 }
 
 // Tracker tracks the connections of one HTTP server. Set Clock, and call Track before
@@ -53,12 +58,28 @@
 	// OnAcceptError is called with the error of an Accept that is tried again; nil is
 	// allowed.
 	OnAcceptError func(error)
+	// Limits returns the limits of requests on connections that the listener of Bound
+	// accepts; nil means those of the server.
+	Limits func() Limits
+	// Heads bounds the memory for the heads of requests on these connections; nil means no
+	// bound.
+	Heads *memory.Budget
+	// OnHeadClosed is called with the reason for which a connection was closed while the
+	// head of a request was read; nil is allowed. It must not call methods of the tracker.
+	OnHeadClosed func(reason string)
 
 	// mu guards the fields below and those of the values of conns.
 	mu    sync.Mutex
 	conns map[net.Conn]*conn
 	// idle holds the *conn that wait for a further request, the longest waiting first.
 	idle list.List
+	// unused holds the *conn that have carried no request, the longest open first.
+	unused list.List
+	// reading holds the *conn with memory reserved for a head that is not read whole, the
+	// one that began to be read first at the front.
+	reading list.List
+	// headsTooLarge, headsRefused and headsEvicted are those of Counts.
+	headsTooLarge, headsRefused, headsEvicted int
 	// closing is the number of values of conns that the tracker has closed.
 	closing int
 	// evicted is the number of connections closed because of MaxIdle or MaxOpen.
@@ -82,8 +103,14 @@
 	// written. It is not updated while the connection is busy.
 	waitingSince time.Time
 	use          Use
-	// idle is the element in Tracker.idle, or nil.
-	idle *list.Element
+	// idle, unused and reading are the elements in the lists of Tracker, or nil.
+	idle, unused, reading *list.Element
+	// readingSince is when the connection was added to Tracker.reading.
+	readingSince time.Time
+	// headReserved is the number of bytes reserved from Tracker.Heads.
+	headReserved int64
+	// limited is netConn if that applies Limits, or nil.
+	limited *limitedConn
 }
 
 type contextKey struct{}
@@ -94,11 +121,19 @@
 	t.conns = map[net.Conn]*conn{}
 	server.ConnContext = t.accept
 	server.ConnState = t.observe
+	if t.Limits != nil {
+		server.ReadHeaderTimeout, server.IdleTimeout, server.MaxHeaderBytes = serverTimeout, serverTimeout, serverHeaderBytes
+	}
 	next := server.Handler
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c, tracked := r.Context().Value(contextKey{}).(*conn); tracked && !t.begin(c) {
+		c, tracked := r.Context().Value(contextKey{}).(*conn)
+		if tracked && !t.begin(c) {
 			panic(http.ErrAbortHandler)
 		}
+		if tracked && c.limited != nil && c.limited.isOverLimit(r) {
+			t.refuseLargeHead(w)
+			return
+		}
 		next.ServeHTTP(w, r)
 	})
 }
@@ -115,7 +150,7 @@
 func (t *Tracker) Counts() Counts {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	counts := Counts{Dropped: t.dropped, Evicted: t.evicted}
+	counts := Counts{Dropped: t.dropped, Evicted: t.evicted, HeadsTooLarge: t.headsTooLarge, HeadsRefused: t.headsRefused, HeadsEvicted: t.headsEvicted}
 	for _, c := range t.conns {
 		switch {
 		case c.closed:
@@ -135,6 +170,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.conns[netConn] = c
+	c.unused = t.unused.PushBack(c)
+	if limited, isLimited := netConn.(*limitedConn); isLimited {
+		c.limited, limited.conn = limited, c
+	}
 	return context.WithValue(ctx, contextKey{}, c)
 }
 
@@ -162,16 +201,26 @@
 func (t *Tracker) closeConn(c *conn) {
 	c.closed = true
 	t.closing++
-	t.leaveIdle(c)
+	t.leaveLists(c)
+	t.releaseHead(c)
 	_ = c.netConn.Close()
 }
 
-// leaveIdle removes a connection from idle. The caller holds mu.
-func (t *Tracker) leaveIdle(c *conn) {
+// leaveLists removes a connection from the lists of those that wait for a request. The
+// caller holds mu.
+func (t *Tracker) leaveLists(c *conn) {
 	if c.idle != nil {
 		t.idle.Remove(c.idle)
 		c.idle = nil
 	}
+	if c.unused != nil {
+		t.unused.Remove(c.unused)
+		c.unused = nil
+	}
+	if c.reading != nil {
+		t.reading.Remove(c.reading)
+		c.reading = nil
+	}
 }
 
 // Close closes all connections that wait for a request. After it returns, no further
@@ -194,7 +243,10 @@
 		return false
 	}
 	c.busy = true
-	t.leaveIdle(c)
+	t.leaveLists(c)
+	if c.limited != nil {
+		c.limited.handling.Store(true)
+	}
 	c.use.Requests++
 	c.use.Idle = now.Sub(c.waitingSince)
 	return true
@@ -209,7 +261,11 @@
 		defer t.mu.Unlock()
 		if c := t.conns[netConn]; c != nil && !c.closed {
 			c.busy, c.waitingSince = false, now
-			t.leaveIdle(c)
+			t.leaveLists(c)
+			t.releaseHead(c)
+			if c.limited != nil {
+				c.limited.reset()
+			}
 			c.idle = t.idle.PushBack(c)
 		}
 		if t.MaxIdle > 0 {
@@ -219,7 +275,8 @@
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		if c := t.conns[netConn]; c != nil {
-			t.leaveIdle(c)
+			t.leaveLists(c)
+			t.releaseHead(c)
 			delete(t.conns, netConn)
 			if c.closed {
 				t.closing--
--- /dev/null
+++ b/pkg/connection/limited_test.go
@@ -0,0 +1,210 @@
+package connection
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/plantainramp/plantainramp/pkg/clock"
+	"github.com/plantainramp/plantainramp/pkg/memory"
+)
+
+// limitedServer is a server with limits whose handler answers with the path of the request.
+type limitedServer struct {
+	tracker *Tracker
+	address string
+
+	mu sync.Mutex
+	// reasons holds the reasons of Tracker.OnHeadClosed.
+	reasons []string
+}
+
+func newLimitedServer(t *testing.T, limits Limits, budget *memory.Budget, maxOpen int) *limitedServer {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	s := &limitedServer{address: l.Addr().String()}
+	s.tracker = &Tracker{Clock: clock.System{}, Limits: func() Limits { return limits }, Heads: budget, MaxOpen: func() int { return maxOpen }, OnHeadClosed: func(reason string) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.reasons = append(s.reasons, reason)
+	}}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(w, r.URL.Path)
+	})}
+	s.tracker.Track(server)
+	go func() { _ = server.Serve(s.tracker.Bound(l)) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return s
+}
+
+func (s *limitedServer) dial(t *testing.T) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	conn, err := net.Dial("tcp", s.address)
+	is := is.New(t)
+	is.NoErr(err)
+	is.NoErr(conn.SetDeadline(time.Now().Add(10 * time.Second)))
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn, bufio.NewReader(conn)
+}
+
+// headOf returns a request whose header fields, apart from Host, have n bytes.
+func headOf(path string, n int) string {
+	return "GET " + path + " HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", n-len("X: \r\n")) + "\r\n\r\n"
+}
+
+func statusOf(t *testing.T, reader *bufio.Reader) int {
+	t.Helper()
+	response, err := http.ReadResponse(reader, nil)
+	is := is.New(t)
+	is.NoErr(err)
+	_, err = io.Copy(io.Discard, response.Body)
+	is.NoErr(err)
+	return response.StatusCode
+}
+
+var generousLimits = Limits{HeaderBytes: 16384, HeaderTimeout: 3 * time.Second, IdleTimeout: 3 * time.Second}
+
+// Guards against heads over the limit that are served, and heads at the limit that are not,
+// also on a connection that has carried requests.
+func TestHeaderBytesAreLimited(t *testing.T) {
+	cases := []struct {
+		name          string
+		bytes, status int
+	}{
+		{"small", 100, http.StatusOK},
+		{"at the limit", 16384, http.StatusOK},
+		{"over the limit", 16385, http.StatusRequestHeaderFieldsTooLarge},
+		{"far over the limit", 200_000, http.StatusRequestHeaderFieldsTooLarge},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newLimitedServer(t, generousLimits, nil, 100)
+			conn, reader := s.dial(t)
+			for range 3 {
+				_, err := io.WriteString(conn, headOf("/a", 16384))
+				is.NoErr(err)
+				is.Equal(statusOf(t, reader), http.StatusOK)
+			}
+			_, _ = io.WriteString(conn, headOf("/a", c.bytes))
+			is.Equal(statusOf(t, reader), c.status)
+		})
+	}
+}
+
+// Several requests are sent before the first is answered. Guards against heads that count
+// towards the limit of another one.
+func TestPipelinedHeadsAreLimitedOneByOne(t *testing.T) {
+	is := is.New(t)
+	s := newLimitedServer(t, generousLimits, nil, 100)
+	conn, reader := s.dial(t)
+	const requests = 8
+	go func() { _, _ = io.WriteString(conn, strings.Repeat(headOf("/a", 12_000), requests)) }()
+	for range requests {
+		is.Equal(statusOf(t, reader), http.StatusOK)
+	}
+}
+
+// Guards against a body that counts as part of the head.
+func TestBodyIsNoHead(t *testing.T) {
+	is := is.New(t)
+	s := newLimitedServer(t, generousLimits, &memory.Budget{Limit: 1}, 100)
+	conn, reader := s.dial(t)
+	_, err := io.WriteString(conn, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 300000\r\n\r\n"+strings.Repeat("b", 300_000))
+	is.NoErr(err)
+	is.Equal(statusOf(t, reader), http.StatusOK)
+}
+
+// Guards against a caller that holds a connection with a head that it does not end, and
+// against the close of one that waits for a request within its time.
+func TestTimeoutsAreThoseOfTheLimits(t *testing.T) {
+	is := is.New(t)
+	s := newLimitedServer(t, Limits{HeaderBytes: 16384, HeaderTimeout: 200 * time.Millisecond, IdleTimeout: time.Second}, nil, 100)
+	idle, idleReader := s.dial(t)
+	slow, slowReader := s.dial(t)
+	reused, reusedReader := s.dial(t)
+	_, err := io.WriteString(reused, headOf("/a", 100)+"GET /a HTTP/1.1\r\n")
+	is.NoErr(err)
+	is.Equal(statusOf(t, reusedReader), http.StatusOK)
+	_, err = io.WriteString(slow, "GET /a HTTP/1.1\r\n")
+	is.NoErr(err)
+	started := time.Now()
+	_, err = slowReader.ReadByte()
+	is.True(err != nil)
+	is.True(time.Since(started) < 900*time.Millisecond)
+	_, err = io.WriteString(idle, headOf("/a", 100))
+	is.NoErr(err)
+	is.Equal(statusOf(t, idleReader), http.StatusOK)
+	_, err = idleReader.ReadByte()
+	is.True(err != nil)
+	is.True(time.Since(started) > 900*time.Millisecond)
+	_, err = reusedReader.ReadByte()
+	is.True(err != nil)
+}
+
+// The memory for heads is used up by one that is not ended. Guards against callers that
+// are refused instead, and against small heads that need that memory.
+func TestSlowHeadMakesRoom(t *testing.T) {
+	is := is.New(t)
+	budget := &memory.Budget{Limit: 80_000}
+	s := newLimitedServer(t, generousLimits, budget, 100)
+	slow, slowReader := s.dial(t)
+	_, err := io.WriteString(slow, strings.TrimSuffix(headOf("/a", 15_000), "\r\n"))
+	is.NoErr(err)
+	for deadline := time.Now().Add(5 * time.Second); budget.Used() < 40_000 && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+	young, youngReader := s.dial(t)
+	_, err = io.WriteString(young, headOf("/a", 15_000))
+	is.NoErr(err)
+	is.Equal(statusOf(t, youngReader), http.StatusServiceUnavailable)
+	small, smallReader := s.dial(t)
+	_, err = io.WriteString(small, headOf("/a", 1000))
+	is.NoErr(err)
+	is.Equal(statusOf(t, smallReader), http.StatusOK)
+	time.Sleep(minHeadAge)
+	other, otherReader := s.dial(t)
+	_, err = io.WriteString(other, headOf("/a", 15_000))
+	is.NoErr(err)
+	is.Equal(statusOf(t, otherReader), http.StatusOK)
+	_, err = slowReader.ReadByte()
+	is.True(err != nil)
+	counts := s.tracker.Counts()
+	is.Equal(counts.HeadsEvicted, 1)
+	is.Equal(counts.HeadsRefused, 1)
+	for deadline := time.Now().Add(5 * time.Second); budget.Used() != 0 && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(budget.Used(), int64(0))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	is.Equal(s.reasons, []string{headRefused, headEvicted})
+}
+
+// Connections without a whole request take all the room. Guards against callers that are
+// not accepted meanwhile.
+func TestUnusedConnectionsMakeRoom(t *testing.T) {
+	is := is.New(t)
+	s := newLimitedServer(t, generousLimits, nil, 4)
+	for range 4 {
+		conn, _ := s.dial(t)
+		_, err := io.WriteString(conn, "GET /a HTTP/1.1\r\n")
+		is.NoErr(err)
+	}
+	conn, reader := s.dial(t)
+	_, err := io.WriteString(conn, headOf("/a", 100))
+	is.NoErr(err)
+	started := time.Now()
+	is.Equal(statusOf(t, reader), http.StatusOK)
+	is.True(time.Since(started) < generousLimits.HeaderTimeout)
+	is.True(s.tracker.Counts().Evicted > 0)
+}
--- a/pkg/memory/budget.go
+++ b/pkg/memory/budget.go
@@ -1,4 +1,4 @@
-// Package memory bounds the bytes that a process holds for request bodies.
+// Package memory bounds the bytes that a process holds for requests and responses.
 package memory
 
 import "sync/atomic"
@@ -9,6 +9,10 @@
 type Budget struct {
 	// Limit is the bound in bytes; 0 means none. It is not changed after the first use.
 	Limit int64
+	// AdmitsFirst reports whether a reservation that exceeds the limit is granted while
+	// there is no other, so that a single large message always passes. It is not changed
+	// after the first use.
+	AdmitsFirst bool
 
 	used    atomic.Int64
 	refused atomic.Int64
@@ -19,7 +23,7 @@
 func (b *Budget) Reserve(n int64) bool {
 	for {
 		used := b.used.Load()
-		if b.Limit > 0 && used+n > b.Limit {
+		if b.Limit > 0 && used+n > b.Limit && (used > 0 || !b.AdmitsFirst) {
 			b.refused.Add(1)
 			return false
 		}
--- /dev/null
+++ b/pkg/memory/held.go
@@ -0,0 +1,123 @@
+package memory
+
+import (
+	"container/list"
+	"sync"
+	"time"
+
+	"github.com/plantainramp/plantainramp/pkg/clock"
+)
+
+// minStall is how long a receiver must have taken nothing before its reservation is ended to
+// make room for another.
+const minStall = 250 * time.Millisecond
+
+// HeldBudget is a budget for data that receivers take at their own pace. If it is used up, the
+// reservations of the receivers that have taken nothing for longest are ended. It answers
+// many callers that ask for large responses and do not read them. Set Clock and Limit before
+// use. It is safe for concurrent use.
+type HeldBudget struct {
+	Budget
+	Clock clock.Clock
+	// OnEvict is called for each reservation that is ended to make room; nil is allowed.
+	OnEvict func()
+
+	// mu guards the fields below and those of the holds.
+	mu sync.Mutex
+	// holds holds the *Hold, the one without progress for longest first.
+	holds   list.List
+	evicted int
+}
+
+// Hold is a reservation of a HeldBudget.
+type Hold struct {
+	budget *HeldBudget
+	bytes  int64
+	// end makes the receiver give the data up.
+	end func()
+	// progress is when the receiver last took data.
+	progress time.Time
+	// element is that in HeldBudget.holds, or nil once the reservation has ended.
+	element *list.Element
+}
+
+// Hold reserves n bytes. If there is no room, it ends the reservations that have had no
+// progress for minStall, and returns nil if that is not enough. end is called if the
+// reservation is ended to make room; it must not wait, and not call methods of the budget.
+func (b *HeldBudget) Hold(n int64, end func()) *Hold {
+	now := b.Clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for !b.Reserve(n) {
+		if !b.evict(now, minStall) {
+			return nil
+		}
+	}
+	h := &Hold{budget: b, bytes: n, end: end, progress: now}
+	h.element = b.holds.PushBack(h)
+	return h
+}
+
+// EvictStalled ends the reservation that has had no progress for longest if that is at
+// least stall, and reports whether it did.
+func (b *HeldBudget) EvictStalled(stall time.Duration) bool {
+	now := b.Clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.evict(now, stall)
+}
+
+// evict is EvictStalled at a given time. The caller holds mu.
+func (b *HeldBudget) evict(now time.Time, stall time.Duration) bool {
+	front := b.holds.Front()
+	if front == nil {
+		return false
+	}
+	oldest := front.Value.(*Hold)
+	if now.Sub(oldest.progress) < stall {
+		return false
+	}
+	oldest.remove()
+	b.evicted++
+	oldest.end()
+	if b.OnEvict != nil {
+		b.OnEvict()
+	}
+	return true
+}
+
+// Evicted returns the number of reservations that were ended to make room.
+func (b *HeldBudget) Evicted() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.evicted
+}
+
+// Progress records that the receiver has taken data.
+func (h *Hold) Progress() {
+	now := h.budget.Clock.Now()
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	h.progress = now
+	if h.element != nil {
+		h.budget.holds.MoveToBack(h.element)
+	}
+}
+
+// Release ends the reservation, unless it was ended to make room. end is not called after
+// Release has returned.
+func (h *Hold) Release() {
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	h.remove()
+}
+
+// remove ends the reservation. The caller holds mu.
+func (h *Hold) remove() {
+	if h.element == nil {
+		return
+	}
+	h.budget.holds.Remove(h.element)
+	h.element = nil
+	h.budget.Budget.Release(h.bytes)
+}
--- /dev/null
+++ b/pkg/mesh/budgets.go
@@ -0,0 +1,122 @@
+package mesh
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/plantainramp/plantainramp/pkg/clock"
+	"github.com/plantainramp/plantainramp/pkg/connection"
+	"github.com/plantainramp/plantainramp/pkg/memory"
+)
+
+const (
+	// defaultHeaderBytes, defaultHeaderTimeout and defaultIdleTimeout are the limits of
+	// requests where the configuration names none.
+	defaultHeaderBytes   = 64 << 10
+	defaultHeaderTimeout = 10 * time.Second
+	defaultIdleTimeout   = 2 * time.Minute
+	// maxHeaderBytes bounds the headers of a request whatever the configuration says.
+	maxHeaderBytes = 512 << 10
+	// maxOtherConns bounds the connections of each server that is not for callers. They
+	// come out of reservedDescriptors.
+	maxOtherConns = 64
+	// headFraction, responseFraction, outgoingFraction, incomingFraction and retainedFraction
+	// are the fractions of the memory of the process that heads of requests may take,
+	// responses that callers have not read, responses on their way from the instance to
+	// other nodes, responses on their way from other nodes, and the outcomes that the gate
+	// retains. The copies that a response takes on its way last shorter than it.
+	headFraction             = 1.0 / 8
+	callerResponsesFraction  = 1.0 / 8
+	outgoingFraction         = 1.0 / 12
+	incomingFraction         = 1.0 / 8
+	retainedFraction         = 1.0 / 16
+	maxRetainedOutcomesBytes = 8 << 20
+)
+
+// budgets bounds the memory for what callers may leave at the node.
+type budgets struct {
+	// heads is for the heads of requests.
+	heads memory.Budget
+	// callerResponses is for responses that callers have not read. outgoing is for those
+	// that are read from the instance or wait to be sent to a peer, and incoming for those
+	// that are read from peers.
+	callerResponses    memory.HeldBudget
+	outgoing, incoming memory.Budget
+}
+
+// init sets the limits; no memory means none.
+func (b *budgets) init(bytes int64, c clock.Clock) {
+	part := func(fraction float64) int64 { return int64(fraction * float64(bytes)) }
+	b.heads.Limit = part(headFraction)
+	b.callerResponses.Limit, b.callerResponses.AdmitsFirst, b.callerResponses.Clock = part(callerResponsesFraction), true, c
+	b.outgoing.Limit, b.outgoing.AdmitsFirst = part(outgoingFraction), true
+	b.incoming.Limit, b.incoming.AdmitsFirst = part(incomingFraction), true
+}
+
+// retainedBytes returns the bound of the outcomes that the gate retains.
+func retainedBytes(memoryBytes int64) int {
+	if memoryBytes <= 0 {
+		return maxRetainedOutcomesBytes
+	}
+	return min(maxRetainedOutcomesBytes, int(retainedFraction*float64(memoryBytes)))
+}
+
+// limitHeads makes the connections of a server apply the limits of heads.
+func (n *Node) limitHeads(t *connection.Tracker) {
+	t.Limits, t.Heads, t.OnHeadClosed = n.headLimits, &n.budgets.heads, n.onHeadClosed
+}
+
+// headLimits returns the limits of requests in force.
+func (n *Node) headLimits() connection.Limits {
+	limits := connection.Limits{HeaderBytes: defaultHeaderBytes, HeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
+	view := n.view.Load()
+	if view == nil {
+		return limits
+	}
+	if named := view.Limits.MaxHeaderBytes; named > 0 {
+		limits.HeaderBytes = int(min(named, maxHeaderBytes))
+	}
+	if named := view.Limits.HeaderTimeout; named > 0 {
+		limits.HeaderTimeout = named
+	}
+	if named := view.Limits.IdleTimeout; named > 0 {
+		limits.IdleTimeout = named
+	}
+	return limits
+}
+
+// onHeadClosed logs a connection that was closed while the head of a request was read.
+func (n *Node) onHeadClosed(reason string) {
+	n.events.Log(eventConnClosed, func() logrus.Fields {
+		return logrus.Fields{"reason": reason, "headBytes": n.budgets.heads.Used(), "headBytesLimit": n.budgets.heads.Limit}
+	})
+}
+
+// onResponseEvicted logs a connection that was closed to make room for the response to
+// another caller.
+func (n *Node) onResponseEvicted() {
+	n.events.Log(eventConnClosed, func() logrus.Fields {
+		b := &n.budgets.callerResponses
+		return logrus.Fields{"reason": "memory needed for another response", "responseBytes": b.Used(), "responseBytesLimit": b.Limit}
+	})
+}
+
+// updateBudgetGauges sets the gauges of the budgets. Bytes are those held now, the other
+// values count since the start of the node.
+func (n *Node) updateBudgetGauges(conns connection.Counts) {
+	b := &n.budgets
+	for kind, budget := range map[string]*memory.Budget{
+		"heads": &b.heads, "caller_responses": &b.callerResponses.Budget, "outgoing_responses": &b.outgoing, "incoming_responses": &b.incoming,
+	} {
+		n.meter.LabelledGauge("budget_bytes", "kind", kind).Update(float64(budget.Used()))
+		n.meter.LabelledGauge("budget_limit_bytes", "kind", kind).Update(float64(budget.Limit))
+		n.meter.LabelledGauge("budget_refused", "kind", kind).Update(float64(budget.Refused()))
+	}
+	for reason, count := range map[string]int{
+		"head_too_large": conns.HeadsTooLarge, "head_refused": conns.HeadsRefused, "head_evicted": conns.HeadsEvicted,
+		"response_evicted": b.callerResponses.Evicted(), "too_many": conns.Evicted,
+	} {
+		n.meter.LabelledGauge("caller_connections_closed", "reason", reason).Update(float64(count))
+	}
+}
--- a/pkg/mesh/events.go
+++ b/pkg/mesh/events.go
@@ -36,6 +36,7 @@
 	eventPanic            logs.EventKind = "panic"
 	eventBodyDiscarded    logs.EventKind = "large body of a peer discarded"
 	eventNotAccepted      logs.EventKind = "connection not accepted"
+	eventConnClosed       logs.EventKind = "connection closed"
 	eventRepeatedID       logs.EventKind = "request id sent to the instance again"
 	eventForeignAnswer    logs.EventKind = "gate returned the answer to another request"
 	eventStray            logs.EventKind = "response of the instance belongs to no call"
--- a/pkg/mesh/gauges.go
+++ b/pkg/mesh/gauges.go
@@ -42,6 +42,7 @@
 		n.meter.LabelledGauge("body_bytes", "source", source).Update(float64(bodies.Used()))
 		n.meter.LabelledGauge("bodies_refused", "source", source).Update(float64(bodies.Refused()))
 	}
+	n.updateBudgetGauges(conns)
 	n.meter.Gauge("caller_connections_evicted").Update(float64(conns.Evicted))
 	n.meter.Gauge("scheduling_delay_seconds").Update(n.processor.Delay().Seconds())
 	if age, known := n.configFollower.Age(); known {
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -164,6 +164,7 @@
 	// callerBodies and peerBodies bound the memory for large request bodies of callers and
 	// of peers.
 	callerBodies, peerBodies memory.Budget
+	budgets                  budgets
 }
 
 // New returns a node that is not yet running.
@@ -174,6 +175,7 @@
 	n.planEvents = &logs.Sampler{Clock: c, Logger: logs.WithComponent(logger, logs.ComponentAdmission), MaxPerSecond: 1}
 	n.callerBodies.Limit = int64(bodyFraction * float64(s.MemoryBytes))
 	n.peerBodies.Limit = n.callerBodies.Limit
+	n.budgets.init(s.MemoryBytes, c)
 	n.makeGate()
 	n.makeDirectory()
 	n.makeEntrance()
--- a/pkg/mesh/run.go
+++ b/pkg/mesh/run.go
@@ -15,12 +15,6 @@
 )
 
 const (
-	// headerTimeout bounds the time for reading the headers of a request.
-	headerTimeout = 10 * time.Second
-	// idleTimeout is how long an idle connection of a caller is kept open.
-	idleTimeout = 2 * time.Minute
-	// maxHeaderBytes bounds the headers of a request.
-	maxHeaderBytes = 64 << 10
 	// checkInterval is the interval of the periodic checks in runChecks.
 	checkInterval = 250 * time.Millisecond
 )
@@ -59,10 +53,11 @@
 			return &settings.ListenError{Key: s.name, Address: s.address, Cause: err}
 		}
 		if s.tracker == nil {
-			s.tracker = &connection.Tracker{Clock: n.clock, OnAcceptError: n.onAcceptFailed}
+			s.tracker = &connection.Tracker{Clock: n.clock, OnAcceptError: n.onAcceptFailed, MaxOpen: func() int { return maxOtherConns }}
 		}
+		n.limitHeads(s.tracker)
 		s.listener = s.tracker.Bound(l)
-		s.server = &http.Server{Handler: n.guardHandler(s.handler), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+		s.server = &http.Server{Handler: n.guardHandler(s.handler)}
 		s.server.BaseContext = func(net.Listener) context.Context { return requestCtx }
 		s.tracker.Track(s.server)
 	}
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -70,6 +70,11 @@
 	// MaxBodyBytes bounds the size of request bodies; 0 means the default of
 	// the entrance.
 	MaxBodyBytes int64
+	// MaxHeaderBytes bounds the header fields of a request, HeaderTimeout the time for
+	// reading its head, and IdleTimeout how long a connection waits for a request; 0 means
+	// the defaults of the node.
+	MaxHeaderBytes             int64
+	HeaderTimeout, IdleTimeout time.Duration
 }
 
 // View is one version of the configuration. It is immutable once built.
