Responses: memory budgets at the entrance, the gate and the link, and a write deadline

Cause: the server for callers had no write deadline, and nothing bounded the memory of responses: those that callers do not read, those that wait at a gate for a link, and those that arrive from other nodes.

Change: responses over 32 kB take memory from three budgets: until their caller has read them (a tenth of memoryMB), from the instance to a link or the entrance (a sixteenth), and from a link to the entrance (a twelfth). A single response always passes. When the first is used up, the callers that have read nothing for longest, at least 250 ms, are disconnected. When there is still no room, the request ends as one that has run (502); it is never reported as not executed. The outcomes kept for queries take at most 1/32 of memoryMB. A response is written until 10 s after the time that its caller said it would wait, and later as long as the caller reads. A response that is not taken whole ends its connection. The body of a large outcome is not copied again when it is decoded.

--- a/pkg/entrance/dispatch.go
+++ b/pkg/entrance/dispatch.go
@@ -130,6 +130,8 @@
 	switch {
 	case err == nil:
 		return outcome, nil
+	case isDiscarded(err):
+		return nil, noMemoryError()
 	case errors.As(err, &notSent) && ctx.Err() != nil:
 		return nil, unsentError(ctx)
 	case errors.As(err, &notSent):
@@ -161,6 +163,8 @@
 			return gate.LostOutcome(linkrpc.Reason_REASON_BROKEN), nil
 		case err == nil:
 			return outcome, nil
+		case isDiscarded(err):
+			return nil, noMemoryError()
 		case r.Route.Idempotent && e.Clock.Now().Sub(started) > idempotentQueryTimeout && e.mayRetry(r):
 			return gate.LostOutcome(linkrpc.Reason_REASON_BROKEN), nil
 		}
--- a/pkg/entrance/entrance.go
+++ b/pkg/entrance/entrance.go
@@ -51,6 +51,9 @@
 	RateLimiter *quota.Limiter
 	// Bodies bounds the memory for large request bodies; nil means no bound.
 	Bodies *memory.Budget
+	// Responses bounds the memory for large responses that callers have not read; nil means
+	// no bound.
+	Responses *memory.HeldBudget
 	// View returns the active configuration, or nil.
 	View func() *routing.View
 	// ConfigFresh reports whether the configuration was confirmed recently enough
@@ -119,10 +122,15 @@
 	defer e.inFlight.Add(-1)
 	r, refusal := e.newRequest(hr)
 	defer e.releaseBody(r)
+	limitWrite(w, r, r.Arrived)
 	var outcome *linkrpc.Outcome
 	if refusal == nil {
 		outcome, refusal = e.handle(hr.Context(), w, hr, r)
 	}
+	if refusal == nil {
+		refusal = e.holdResponse(w, r, outcome)
+		defer e.releaseResponse(r)
+	}
 	status := 0
 	if refusal != nil {
 		status = refusal.Status()
@@ -148,7 +156,7 @@
 		refusal.WriteExact(w)
 		return
 	}
-	writeResponse(w, hr.Method, outcome)
+	e.writeResponse(w, hr.Method, r, outcome)
 }
 
 // callerLeft reports whether the caller of a refused request has disconnected. The context
--- a/pkg/entrance/forward.go
+++ b/pkg/entrance/forward.go
@@ -73,7 +73,7 @@
 
 // writeResponse forwards an instance's response to the caller. The response to a HEAD request
 // keeps the length that the instance names, as it has no body.
-func writeResponse(w http.ResponseWriter, method string, outcome *linkrpc.Outcome) {
+func (e *Entrance) writeResponse(w http.ResponseWriter, method string, r *Request, outcome *linkrpc.Outcome) {
 	header := w.Header()
 	isHead := method == http.MethodHead
 	header["Date"] = nil
@@ -92,5 +92,5 @@
 		header["Content-Length"] = []string{strconv.Itoa(len(outcome.Body))}
 	}
 	w.WriteHeader(int(outcome.Status))
-	_, _ = w.Write(outcome.Body)
+	e.writeBody(w, r, outcome.Body)
 }
--- a/pkg/entrance/request.go
+++ b/pkg/entrance/request.go
@@ -9,6 +9,7 @@
 
 	"github.com/plantainramp/plantainramp/pkg/connection"
 	"github.com/plantainramp/plantainramp/pkg/fleet"
+	"github.com/plantainramp/plantainramp/pkg/memory"
 	"github.com/plantainramp/plantainramp/pkg/problem"
 	"github.com/plantainramp/plantainramp/pkg/routing"
 	"github.com/plantainramp/plantainramp/rpc/linkrpc"
@@ -61,7 +62,9 @@
 	bodyRead bool
 	// reservedBytes is the number of bytes reserved from Entrance.Bodies.
 	reservedBytes int64
-	message       linkrpc.Run
+	// held is the reservation for the response, or nil.
+	held    *memory.Hold
+	message linkrpc.Run
 }
 
 // newRequest finds the route of a request, sets its deadline and checks its API key.
--- a/pkg/gate/attempts.go
+++ b/pkg/gate/attempts.go
@@ -16,7 +16,7 @@
 	// fenceRetention is how long a fenced attempt is rejected. It exceeds the time
 	// that any message can be in transit.
 	fenceRetention = time.Minute
-	// maxRetainedBytes bounds the total size of the retained response bodies.
+	// maxRetainedBytes is the value of Gate.MaxRetainedBytes where none is set.
 	maxRetainedBytes = 8 << 20
 )
 
@@ -52,6 +52,9 @@
 // for concurrent use.
 type attemptTable struct {
 	Clock clock.Clock
+	// MaxRetainedBytes bounds the total size of the retained response bodies; 0 means
+	// maxRetainedBytes.
+	MaxRetainedBytes int
 
 	mu            sync.Mutex
 	byKey         map[attemptKey]*attempt
@@ -98,7 +101,7 @@
 }
 
 // end sets the outcome of an attempt and retains it for outcomeRetention, or until
-// it is evicted because of maxRetainedBytes.
+// it is evicted because of MaxRetainedBytes.
 func (t *attemptTable) end(a *attempt, outcome *linkrpc.Outcome) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -117,12 +120,16 @@
 }
 
 // evict removes the expired attempts, and the oldest ones while the bodies exceed
-// maxRetainedBytes. mu must be held.
+// MaxRetainedBytes. mu must be held.
 func (t *attemptTable) evict() {
 	now := t.Clock.Now()
+	limit := t.MaxRetainedBytes
+	if limit == 0 {
+		limit = maxRetainedBytes
+	}
 	for len(t.expiryOrder) > 0 {
 		a := t.byKey[t.expiryOrder[0]]
-		if a != nil && a.expires.After(now) && t.retainedBytes <= maxRetainedBytes {
+		if a != nil && a.expires.After(now) && t.retainedBytes <= limit {
 			return
 		}
 		if a != nil {
--- a/pkg/gate/execute.go
+++ b/pkg/gate/execute.go
@@ -38,7 +38,7 @@
 	local := g.local.Load()
 	call := &instance.Call{
 		Method: link.DecodeText(run.Method), Target: link.DecodeText(run.Target), Host: link.DecodeText(run.Host), Body: run.Body,
-		Idempotent: run.Idempotent, RequestID: link.DecodeText(run.Request), ExpectedInstance: string(local.ID), Headers: g.instanceHeaders(run, local, remaining),
+		KeepsReservation: true, Idempotent: run.Idempotent, RequestID: link.DecodeText(run.Request), ExpectedInstance: string(local.ID), Headers: g.instanceHeaders(run, local, remaining),
 	}
 	response, err := g.Instance.Do(ctx, call)
 	d.SentAt = call.SentAt
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -81,6 +81,9 @@
 	// OnLeaving is called for each response in which the instance says that it leaves. It
 	// closes the gate before it returns. It may be nil.
 	OnLeaving func(a instance.Announcement)
+	// MaxRetainedBytes bounds the bodies of the retained outcomes; 0 means
+	// maxRetainedBytes.
+	MaxRetainedBytes int
 
 	Slots    Slots
 	limit    rateLimit
@@ -114,7 +117,7 @@
 // Init prepares the gate. It must be called once, before any other method.
 func (g *Gate) Init() {
 	g.Slots.Clock = g.Clock
-	g.attempts.Clock = g.Clock
+	g.attempts.Clock, g.attempts.MaxRetainedBytes = g.Clock, g.MaxRetainedBytes
 	g.Instance.OnAnnouncement = g.handleAnnouncement
 }
 
@@ -205,7 +208,8 @@
 // Run runs a call and returns its outcome. When wanted ends, the caller no longer waits,
 // and the call is not sent to the instance any more, or aborted. When connection ends,
 // the outcome cannot be returned. The call then continues for OrphanTimeout, so that the
-// entrance can query its outcome over a new connection.
+// entrance can query its outcome over a new connection. The memory for the body stays reserved
+// until ReleaseBody.
 func (g *Gate) Run(wanted, connection context.Context, run *linkrpc.Run) *linkrpc.Outcome {
 	ctx, cancel := context.WithCancel(wanted)
 	defer cancel()
@@ -221,6 +225,9 @@
 	return outcome
 }
 
+// ReleaseBody ends the reservation for the body of an outcome that Run has returned.
+func (g *Gate) ReleaseBody(outcome *linkrpc.Outcome) { g.Instance.ReleaseBody(outcome.Body) }
+
 // handleOrphan cancels a call whose connection was lost after OrphanTimeout, unless a
 // query waits for its outcome.
 func (g *Gate) handleOrphan(a *attempt, cancel context.CancelFunc) {
--- /dev/null
+++ b/pkg/instance/body.go
@@ -0,0 +1,100 @@
+package instance
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/plantainramp/plantainramp/pkg/memory"
+)
+
+const (
+	// maxBudgetWait bounds how long the body of a response waits for memory. Its bytes stay in
+	// the buffers of the system meanwhile, and the call keeps its slot.
+	maxBudgetWait = 250 * time.Millisecond
+	// bodyStepBytes is the step in which memory is reserved for a body of unknown length.
+	bodyStepBytes = 256 << 10
+)
+
+// NoMemoryError reports a response for whose body there is no memory.
+type NoMemoryError struct{}
+
+// Error implements error.
+func (e *NoMemoryError) Error() string { return "no memory for the response body" }
+
+// readBody reads the body of a response, up to MaxBodyBytes. The response to a HEAD call has
+// none, whatever its length says. It reserves memory.Large bytes for the body that it returns,
+// and none if it fails.
+func (c *Client) readBody(response *http.Response) ([]byte, error) {
+	if response.Request.Method == http.MethodHead {
+		return nil, nil
+	}
+	if response.ContentLength > c.MaxBodyBytes {
+		return nil, &ResponseTooLargeError{LimitBytes: c.MaxBodyBytes}
+	}
+	if response.ContentLength < 0 {
+		return c.readUnknownLength(response.Body)
+	}
+	size := memory.Large(int(response.ContentLength))
+	if !c.reserve(0, size) {
+		return nil, &NoMemoryError{}
+	}
+	body := make([]byte, response.ContentLength)
+	if _, err := io.ReadFull(response.Body, body); err != nil {
+		c.release(size)
+		return nil, err
+	}
+	return body, nil
+}
+
+// readUnknownLength reads a body to its end.
+func (c *Client) readUnknownLength(source io.Reader) ([]byte, error) {
+	w := &bodyWriter{client: c}
+	_, err := io.Copy(w, io.LimitReader(source, c.MaxBodyBytes+1))
+	body := w.buffer.Bytes()
+	if err == nil && int64(len(body)) > c.MaxBodyBytes {
+		err = &ResponseTooLargeError{LimitBytes: c.MaxBodyBytes}
+	}
+	if err != nil {
+		c.release(w.reserved)
+		return nil, err
+	}
+	c.release(w.reserved - memory.Large(len(body)))
+	return body, nil
+}
+
+// bodyWriter collects a body of unknown length.
+type bodyWriter struct {
+	client   *Client
+	buffer   bytes.Buffer
+	reserved int64
+}
+
+// Write implements io.Writer. It returns *NoMemoryError if there is no memory for the data.
+func (w *bodyWriter) Write(data []byte) (int, error) {
+	size := memory.Large(w.buffer.Len() + len(data))
+	if size > w.reserved {
+		step := max(bodyStepBytes, size-w.reserved)
+		if !w.client.reserve(w.reserved, step) {
+			return 0, &NoMemoryError{}
+		}
+		w.reserved += step
+	}
+	return w.buffer.Write(data)
+}
+
+// reserve reserves n bytes more for the body of a response that holds own bytes.
+func (c *Client) reserve(own, n int64) bool {
+	return c.Budget == nil || n == 0 || c.Budget.AwaitGrow(c.Clock, own, n, maxBudgetWait)
+}
+
+// ReleaseBody ends the reservation for the body of a response.
+func (c *Client) ReleaseBody(body []byte) { c.release(memory.Large(len(body))) }
+
+// release ends a reservation.
+func (c *Client) release(n int64) {
+	if c.Budget != nil && n != 0 {
+		c.Budget.Release(n)
+	}
+}
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -12,7 +12,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -21,6 +20,7 @@
 	"time"
 
 	"github.com/plantainramp/plantainramp/pkg/clock"
+	"github.com/plantainramp/plantainramp/pkg/memory"
 	"github.com/plantainramp/plantainramp/pkg/seam"
 )
 
@@ -68,6 +68,8 @@
 	Headers Headers
 	// MaxBodyBytes bounds the body of a response.
 	MaxBodyBytes int64
+	// Budget bounds the memory for large response bodies; nil means no bound.
+	Budget *memory.Budget
 	// Dial connects to the instance; nil means TCP without keep-alive probes.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// OnConnect is called for each new connection; nil is allowed.
@@ -106,6 +108,9 @@
 	// Idempotent reports whether the call may be repeated. Such a call skips the check
 	// of a recently used connection and may be lost if that has just been closed.
 	Idempotent bool
+	// KeepsReservation reports whether the memory for the response body stays reserved when
+	// Do returns, until ReleaseBody.
+	KeepsReservation bool
 	// SentAt is set by Do before the first byte is written; zero if nothing was.
 	SentAt time.Time
 }
@@ -157,6 +162,9 @@
 		if reused && ctx.Err() == nil && errors.As(err, &unsent) {
 			continue
 		}
+		if response != nil && !call.KeepsReservation {
+			c.ReleaseBody(response.Body)
+		}
 		return response, err
 	}
 }
@@ -203,7 +211,7 @@
 
 // readResponse reads the final response to a call and reports whether the
 // connection may be reused. maySkip tells whether a late copy may be skipped.
-func (c *Client) readResponse(k *conn, call *Call, maySkip bool) (*Response, bool, error) {
+func (c *Client) readResponse(k *conn, call *Call, maySkip bool) (result *Response, reusable bool, err error) {
 	k.header.limit(maxHeaderBytes)
 	response, joined, err := k.readFinalResponse(&http.Request{Method: call.Method})
 	k.header.unlimit()
@@ -212,7 +220,12 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	c.announce(response, call)
-	body, err := readBody(response, c.MaxBodyBytes)
+	body, err := c.readBody(response)
+	defer func() {
+		if result == nil {
+			c.ReleaseBody(body)
+		}
+	}()
 	if err != nil {
 		// Closing the body of an open connection would read the rest of it.
 		_ = k.Close()
@@ -232,7 +245,7 @@
 	if joined && rejection != nil || k.hasJoinedBody(response, body, c.Headers.RequestID) {
 		return nil, false, &ResponseError{HeaderReceived: true, Cause: &JoinedResponsesError{Status: response.Status}}
 	}
-	reusable := !response.Close && !joined
+	reusable = !response.Close && !joined
 	if rejection != nil {
 		return nil, reusable, rejection
 	}
@@ -273,27 +286,6 @@
 	return nil
 }
 
-// readBody reads the body of a response, up to limitBytes. The response to a HEAD call has
-// none, whatever its length says.
-func readBody(response *http.Response, limitBytes int64) ([]byte, error) {
-	if response.Request.Method == http.MethodHead {
-		return nil, nil
-	}
-	if response.ContentLength > limitBytes {
-		return nil, &ResponseTooLargeError{LimitBytes: limitBytes}
-	}
-	if response.ContentLength >= 0 {
-		body := make([]byte, response.ContentLength)
-		_, err := io.ReadFull(response.Body, body)
-		return body, err
-	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, limitBytes+1))
-	if err == nil && int64(len(body)) > limitBytes {
-		return nil, &ResponseTooLargeError{LimitBytes: limitBytes}
-	}
-	return body, err
-}
-
 // flattenHeader returns alternating names and values.
 func flattenHeader(header http.Header) []string {
 	list := make([]string, 0, 2*len(header))
--- a/pkg/link/clientconn.go
+++ b/pkg/link/clientconn.go
@@ -34,11 +34,12 @@
 	reply chan Reply
 	// sent reports whether bytes of the request may have been written.
 	sent bool
+	kind Kind
 }
 
 // openStream registers a new request.
-func (c *clientConn) openStream() (StreamID, *pendingReply) {
-	w := &pendingReply{reply: make(chan Reply, 1)}
+func (c *clientConn) openStream(kind Kind) (StreamID, *pendingReply) {
+	w := &pendingReply{reply: make(chan Reply, 1), kind: kind}
 	c.streams.Lock()
 	defer c.streams.Unlock()
 	c.streams.next++
@@ -46,6 +47,16 @@
 	return c.streams.next, w
 }
 
+// isExempt reports whether the reply to a request needs no reservation. Replies that carry no
+// response of an instance do not, so that nodes exchange records while callers use the memory
+// up.
+func (c *clientConn) isExempt(stream StreamID) bool {
+	c.streams.Lock()
+	defer c.streams.Unlock()
+	w := c.streams.pending[stream]
+	return w != nil && w.kind != KindRun && w.kind != KindAsk
+}
+
 // dropStream removes a request and reports whether it was still pending.
 func (c *clientConn) dropStream(stream StreamID) bool {
 	c.streams.Lock()
@@ -81,7 +92,18 @@
 	c.streams.Unlock()
 	if w != nil {
 		w.reply <- r
+	} else {
+		r.Release()
+	}
+}
+
+// replyOf returns the reply in a message.
+func (c *clientConn) replyOf(m message) Reply {
+	r := Reply{Payload: m.payload, Incarnation: c.incarnation, reserved: m.reserved, budget: c.budget}
+	if m.discarded {
+		r.err = &ReplyDiscardedError{}
 	}
+	return r
 }
 
 // failPending fails all pending requests after the connection was lost: with
--- a/pkg/link/frame.go
+++ b/pkg/link/frame.go
@@ -135,6 +135,11 @@
 	partial map[StreamID]*partialMessage
 	// budget bounds the bytes of the messages that are read in parts; nil means no bound.
 	budget *memory.Budget
+	// isExempt reports whether the message of a stream that is read in parts needs no
+	// reservation; nil means that none is exempt.
+	isExempt func(stream StreamID) bool
+	// replies is the budget that the messages in large have reserved from, or nil.
+	replies *memory.Budget
 
 	// mu guards pending, pendingRequests, large, largeBytes, sendsParts, finishing and
 	// closeErr.
--- a/pkg/link/link.go
+++ b/pkg/link/link.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/plantainramp/plantainramp/pkg/clock"
+	"github.com/plantainramp/plantainramp/pkg/memory"
 	"github.com/plantainramp/plantainramp/rpc/linkrpc"
 )
 
@@ -64,6 +65,13 @@
 	return fmt.Sprintf("the peer does not know messages of kind %d", e.Kind)
 }
 
+// ReplyDiscardedError reports a reply that arrived and was discarded, as Link.Budget had no
+// room for it.
+type ReplyDiscardedError struct{}
+
+// Error implements error.
+func (e *ReplyDiscardedError) Error() string { return "no memory for the reply of the peer" }
+
 // UnresponsiveError reports a peer that did not answer a ping.
 type UnresponsiveError struct {
 	// SinceLastRead is the time since the last message from the peer.
@@ -80,6 +88,17 @@
 	Payload     []byte
 	Incarnation uint64
 	err         error
+	// reserved is the number of bytes that Release returns to budget.
+	reserved int64
+	budget   *memory.Budget
+}
+
+// Release ends the reservation for the payload, which must not be used afterwards. It is
+// called once for each reply without an error.
+func (r *Reply) Release() {
+	if r.budget != nil && r.reserved > 0 {
+		r.budget.Release(r.reserved)
+	}
 }
 
 // Link is a client connection to one peer, dialled on demand and again after it
@@ -99,6 +118,9 @@
 	// OnUnencodable receives an *EncodeError for each message that cannot be encoded; nil is
 	// allowed.
 	OnUnencodable func(error)
+	// Budget bounds the bytes of the replies that arrive in parts, until they are released;
+	// nil means no bound.
+	Budget *memory.Budget
 
 	// mu guards the fields below, except connected.
 	mu sync.Mutex
@@ -143,7 +165,7 @@
 	if kind == KindTopicRead && !c.peer.RelaysTopics {
 		return Reply{}, &NotSentError{Cause: &UnsupportedError{Kind: kind}}
 	}
-	stream, pending := c.openStream()
+	stream, pending := c.openStream(kind)
 	if err := c.send(kind, stream, message, true); err != nil {
 		c.dropStream(stream)
 		reportUnencodable(err, l.OnUnencodable)
@@ -280,6 +302,7 @@
 	}
 	c := &clientConn{}
 	c.framer = newFramer(conn, l.Clock, c.markSent)
+	c.budget, c.framer.isExempt = l.Budget, c.isExempt
 	c.streams.pending = map[StreamID]*pendingReply{}
 	go c.writeLoop()
 	if err := c.send(KindHello, 0, withCapabilities(l.Hello()), false); err != nil {
@@ -313,9 +336,12 @@
 		}
 		c.lastRead.Store(int64(clock.MonotonicOf(l.Clock.Now())))
 		if m.kind == KindReply {
-			c.deliver(m.stream, Reply{Payload: m.payload, Incarnation: c.incarnation})
+			c.deliver(m.stream, c.replyOf(m))
+		} else {
+			c.release(m.reserved)
 		}
 	}
+	c.dropPartials()
 	l.mu.Lock()
 	if l.conn == c {
 		l.conn = nil
--- a/pkg/link/parts.go
+++ b/pkg/link/parts.go
@@ -19,6 +19,8 @@
 	// sent is the number of bytes of payload that were taken out of the queue.
 	sent      int
 	isRequest bool
+	// reserved is the number of bytes to release from framer.replies.
+	reserved int64
 }
 
 // partialMessage is a message of which some parts were read.
@@ -29,6 +31,8 @@
 	// discarded reports that the budget had no room. The parts are skipped, and the
 	// message is passed on without its payload.
 	discarded bool
+	// isExempt reports that nothing is reserved for the message.
+	isExempt bool
 }
 
 // queueLarge adds a message to large. The caller holds mu.
@@ -74,6 +78,7 @@
 	}
 	f.large = f.large[1:]
 	f.largeBytes -= len(rest)
+	f.releaseReply(m.reserved)
 	start := len(batch)
 	batch = appendFrameHeader(batch, len(rest), m.kind, m.stream)
 	batch = append(batch, rest...)
@@ -117,13 +122,18 @@
 	if f.partial == nil {
 		f.partial = map[StreamID]*partialMessage{}
 	}
-	m := &partialMessage{length: length, discarded: f.budget != nil && !f.budget.Reserve(int64(length))}
+	m := &partialMessage{length: length, isExempt: f.isExempt != nil && f.isExempt(stream)}
+	m.discarded = f.budget != nil && !m.isExempt && !f.budget.Reserve(int64(length))
+	if f.budget != nil && !m.isExempt && !m.discarded {
+		// The memory is reserved, and a buffer that grows would take more.
+		m.payload = make([]byte, 0, length)
+	}
 	f.partial[stream] = m
 	return m
 }
 
-// readInto reads size bytes of a message, or skips them if it is discarded. Memory is
-// taken as the data arrives.
+// readInto reads size bytes of a message, or skips them if it is discarded. Memory for which
+// nothing is reserved is taken as the data arrives.
 func (f *framer) readInto(m *partialMessage, size int) error {
 	start := len(m.payload)
 	if start+size > m.length {
@@ -154,7 +164,7 @@
 	}
 	delete(f.partial, m.stream)
 	m.payload, m.discarded = p.payload, p.discarded
-	if f.budget != nil && !p.discarded {
+	if f.budget != nil && !p.discarded && !p.isExempt {
 		m.reserved = int64(p.length)
 	}
 	return m, nil
@@ -167,7 +177,7 @@
 		return
 	}
 	delete(f.partial, stream)
-	if !m.discarded {
+	if !m.discarded && !m.isExempt {
 		f.release(int64(m.length))
 	}
 }
@@ -179,6 +189,23 @@
 	}
 }
 
+// releaseReply releases bytes of a message that was sent, or is not.
+func (f *framer) releaseReply(reserved int64) {
+	if f.replies != nil && reserved > 0 {
+		f.replies.Release(reserved)
+	}
+}
+
+// dropLarge drops the messages in large when writeLoop ends.
+func (f *framer) dropLarge() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range f.large {
+		f.releaseReply(m.reserved)
+	}
+	f.large, f.largeBytes = nil, 0
+}
+
 // dropPartials drops all messages of which some parts were read.
 func (f *framer) dropPartials() {
 	for stream := range f.partial {
--- a/pkg/link/send.go
+++ b/pkg/link/send.go
@@ -27,16 +27,23 @@
 // queue is full, and *EncodeError. The queue always takes the cancellation of a request. With isRequest set,
 // the stream is passed to beforeWrite.
 func (f *framer) send(kind Kind, stream StreamID, message proto.Message, isRequest bool) error {
+	_, err := f.sendReserved(kind, stream, message, isRequest, 0)
+	return err
+}
+
+// sendReserved is send for a message for which bytes of f.replies are reserved. It reports
+// whether these are released once the message is written; if not, the caller releases them.
+func (f *framer) sendReserved(kind Kind, stream StreamID, message proto.Message, isRequest bool, reserved int64) (released bool, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.closeErr != nil {
-		return f.closeErr
+		return false, f.closeErr
 	}
 	if f.finishing {
-		return net.ErrClosed
+		return false, net.ErrClosed
 	}
 	if len(f.pending)+f.largeBytes > maxPendingBytes && kind != KindCancel {
-		return &BacklogError{}
+		return false, &BacklogError{}
 	}
 	start := len(f.pending)
 	f.pending = append(f.pending, 0, 0, 0, 0, byte(kind))
@@ -45,23 +52,23 @@
 		encoded, err := proto.MarshalOptions{}.MarshalAppend(f.pending, message)
 		if err != nil {
 			f.pending = f.pending[:start]
-			return &EncodeError{Kind: kind, Cause: err}
+			return false, &EncodeError{Kind: kind, Cause: err}
 		}
 		f.pending = encoded
 	}
 	if len(f.pending)-start-headerBytes > partBytes && f.sendsParts && stream != 0 {
 		// The message keeps the buffer, and what is queued before it gets another.
-		f.queueLarge(&largeMessage{kind: kind, stream: stream, isRequest: isRequest, payload: f.pending[start+headerBytes:]})
+		f.queueLarge(&largeMessage{kind: kind, stream: stream, isRequest: isRequest, payload: f.pending[start+headerBytes:], reserved: reserved})
 		f.pending = bytes.Clone(f.pending[:start])
 		f.wakeWriter()
-		return nil
+		return true, nil
 	}
 	binary.BigEndian.PutUint32(f.pending[start:], uint32(len(f.pending)-start-headerBytes))
 	if isRequest {
 		f.pendingRequests = append(f.pendingRequests, queuedRequest{stream: stream, start: start, end: len(f.pending)})
 	}
 	f.wakeWriter()
-	return nil
+	return false, nil
 }
 
 // withdraw removes a request from the send queue. It returns false if the request is not
@@ -97,6 +104,7 @@
 // writeLoop writes queued messages until the connection fails or finishWrites was
 // called. It swaps two buffers, so that messages can be queued during a write.
 func (f *framer) writeLoop() {
+	defer f.dropLarge()
 	var spare []byte
 	for range f.wake {
 		for more := true; more; {
--- a/pkg/link/server.go
+++ b/pkg/link/server.go
@@ -83,6 +83,10 @@
 	// Budget bounds the bytes of the requests that arrive in parts, until they are
 	// answered; nil means no bound.
 	Budget *memory.Budget
+	// Replies bounds the memory for large bodies of replies until they are written; nil means
+	// no bound. Handle has reserved memory.Large bytes for the body of an outcome that it
+	// returns for a KindRun.
+	Replies *memory.Budget
 
 	// CloseTimeout bounds how long Close waits for the requests being handled, the
 	// writing of their replies and the peers' receipt of these. It begins again each time
@@ -162,7 +166,7 @@
 
 func (s *Server) serveConn(netConn net.Conn) {
 	c := &serverConn{framer: newFramer(netConn, s.Clock, nil), ended: make(chan struct{}), requests: map[StreamID]*serverRequest{}}
-	c.budget = s.Budget
+	c.budget, c.replies = s.Budget, s.Replies
 	defer close(c.ended)
 	defer c.dropPartials()
 	defer c.close()
@@ -243,10 +247,26 @@
 // wait for a reply that is dropped until the time of its request has passed. Only a connection
 // that is closed takes no reply, which its peer learns.
 func (s *Server) reply(c *serverConn, r *serverRequest, reply proto.Message) {
-	err := s.queueReply(c, r.stream, reply)
+	reserved, ok := s.reserveReply(r, reply)
+	if !ok {
+		_ = s.queueReply(c, r.stream, substituteReply(r.Kind), 0)
+		return
+	}
+	err := s.queueReply(c, r.stream, reply, reserved)
 	if reportUnencodable(err, s.OnUnencodable) {
-		_ = s.queueReply(c, r.stream, substituteReply(r.Kind))
+		_ = s.queueReply(c, r.stream, substituteReply(r.Kind), 0)
+	}
+}
+
+// reserveReply returns the number of bytes reserved for a reply. It returns false if there is
+// no memory for it.
+func (s *Server) reserveReply(r *serverRequest, reply proto.Message) (reserved int64, ok bool) {
+	outcome, isOutcome := reply.(*linkrpc.Outcome)
+	if s.Replies == nil || !isOutcome {
+		return 0, true
 	}
+	reserved = memory.Large(len(outcome.Body))
+	return reserved, r.Kind == KindRun || reserved == 0 || s.Replies.Reserve(reserved)
 }
 
 // substituteReply returns the reply to a request whose own reply cannot be encoded. A call may
@@ -259,10 +279,18 @@
 	return nil
 }
 
-// queueReply queues a reply. While the queue is full it waits.
-func (s *Server) queueReply(c *serverConn, stream StreamID, reply proto.Message) error {
+// queueReply queues a reply. While the queue is full it waits. The bytes reserved for the reply
+// are released once it is written, or cannot be.
+func (s *Server) queueReply(c *serverConn, stream StreamID, reply proto.Message, reserved int64) error {
+	queued := false
+	defer func() {
+		if !queued {
+			c.releaseReply(reserved)
+		}
+	}()
 	for {
-		err := c.send(KindReply, stream, reply, false)
+		var err error
+		queued, err = c.sendReserved(KindReply, stream, reply, false, reserved)
 		if err == nil {
 			return nil
 		}
--- a/pkg/memory/budget.go
+++ b/pkg/memory/budget.go
@@ -1,7 +1,29 @@
 // Package memory bounds the bytes that a process holds for requests and responses.
 package memory
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/plantainramp/plantainramp/pkg/clock"
+)
+
+const (
+	// SmallBytes is the size up to which a response needs no reservation, so that ordinary
+	// callers are answered while the memory for large ones is used up.
+	SmallBytes = 32 << 10
+	// waitInterval is the time between two tries of AwaitGrow.
+	waitInterval = 5 * time.Millisecond
+)
+
+// Large returns the number of bytes to reserve for a response of n bytes: none for a small
+// one.
+func Large(n int) int64 {
+	if n <= SmallBytes {
+		return 0
+	}
+	return int64(n)
+}
 
 // Budget bounds the bytes that are reserved at the same time. It answers a burst of large
 // requests: those beyond the limit are turned away before they take memory. The zero value
@@ -20,11 +42,33 @@
 
 // Reserve reserves n bytes. It returns false, and reserves nothing, if that would exceed
 // the limit.
-func (b *Budget) Reserve(n int64) bool {
+func (b *Budget) Reserve(n int64) bool { return b.Grow(0, n) }
+
+// Grow reserves n bytes more for the holder of own bytes. It returns false, and reserves
+// nothing, if that would exceed the limit.
+func (b *Budget) Grow(own, n int64) bool {
+	if b.grow(own, n) {
+		return true
+	}
+	b.refused.Add(1)
+	return false
+}
+
+// AwaitGrow is Grow, but waits for room for up to maxWait.
+func (b *Budget) AwaitGrow(c clock.Clock, own, n int64, maxWait time.Duration) bool {
+	for waited := time.Duration(0); waited < maxWait; waited += waitInterval {
+		if b.grow(own, n) {
+			return true
+		}
+		<-c.After(waitInterval)
+	}
+	return b.Grow(own, n)
+}
+
+func (b *Budget) grow(own, n int64) bool {
 	for {
 		used := b.used.Load()
-		if b.Limit > 0 && used+n > b.Limit && (used > 0 || !b.AdmitsFirst) {
-			b.refused.Add(1)
+		if b.Limit > 0 && used+n > b.Limit && (used > own || !b.AdmitsFirst) {
 			return false
 		}
 		if b.used.CompareAndSwap(used, used+n) {
--- a/pkg/memory/held.go
+++ b/pkg/memory/held.go
@@ -93,15 +93,18 @@
 	return b.evicted
 }
 
-// Progress records that the receiver has taken data.
-func (h *Hold) Progress() {
+// Progress records that the receiver has taken data. It returns false if the reservation was
+// ended to make room.
+func (h *Hold) Progress() bool {
 	now := h.budget.Clock.Now()
 	h.budget.mu.Lock()
 	defer h.budget.mu.Unlock()
-	h.progress = now
-	if h.element != nil {
-		h.budget.holds.MoveToBack(h.element)
+	if h.element == nil {
+		return false
 	}
+	h.progress = now
+	h.budget.holds.MoveToBack(h.element)
+	return true
 }
 
 // Release ends the reservation, unless it was ended to make room. end is not called after
--- a/pkg/mesh/budgets.go
+++ b/pkg/mesh/budgets.go
@@ -25,12 +25,13 @@
 	// are the fractions of the memory of the process that heads of requests may take,
 	// responses that callers have not read, responses on their way from the instance to
 	// other nodes, responses on their way from other nodes, and the outcomes that the gate
-	// retains. The copies that a response takes on its way last shorter than it.
-	headFraction             = 1.0 / 8
-	callerResponsesFraction  = 1.0 / 8
-	outgoingFraction         = 1.0 / 12
-	incomingFraction         = 1.0 / 8
-	retainedFraction         = 1.0 / 16
+	// retains. Together with the bodies of requests they leave two fifths for connections,
+	// copies and the program itself.
+	headFraction             = 1.0 / 12
+	callerResponsesFraction  = 1.0 / 10
+	outgoingFraction         = 1.0 / 16
+	incomingFraction         = 1.0 / 12
+	retainedFraction         = 1.0 / 32
 	maxRetainedOutcomesBytes = 8 << 20
 )
 
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -176,6 +176,7 @@
 	n.callerBodies.Limit = int64(bodyFraction * float64(s.MemoryBytes))
 	n.peerBodies.Limit = n.callerBodies.Limit
 	n.budgets.init(s.MemoryBytes, c)
+	n.budgets.callerResponses.OnEvict = n.onResponseEvicted
 	n.makeGate()
 	n.makeDirectory()
 	n.makeEntrance()
@@ -191,8 +192,8 @@
 }
 
 func (n *Node) makeGate() {
-	n.instance = &instance.Client{Address: n.settings.InstanceAddress, Clock: n.clock, Headers: n.platform.InstanceHeaders, MaxBodyBytes: maxResponseBytes, OnStray: n.onStray, OnJoined: n.onJoined, OnRepeatedID: n.onRepeatedID}
-	n.gate = &gate.Gate{Clock: n.clock, Headers: n.platform.GateHeaders, Instance: n.instance, View: n.view.Load, OnStart: n.onExecutionStarted, OnDecision: n.onDecided, OnRateLimit: n.onRateLimit, OnLeaving: n.onLeaving}
+	n.instance = &instance.Client{Address: n.settings.InstanceAddress, Clock: n.clock, Headers: n.platform.InstanceHeaders, MaxBodyBytes: maxResponseBytes, Budget: &n.budgets.outgoing, OnStray: n.onStray, OnJoined: n.onJoined, OnRepeatedID: n.onRepeatedID}
+	n.gate = &gate.Gate{Clock: n.clock, Headers: n.platform.GateHeaders, Instance: n.instance, View: n.view.Load, OnStart: n.onExecutionStarted, OnDecision: n.onDecided, OnRateLimit: n.onRateLimit, OnLeaving: n.onLeaving, MaxRetainedBytes: retainedBytes(n.settings.MemoryBytes)}
 	n.gate.Init()
 	n.heartbeats = &HeartbeatTracker{Clock: n.clock, Service: n.settings.Service, Interval: n.settings.HeartbeatInterval, HasDeparted: n.hasDeparted, OnChange: n.onInstanceChange}
 }
@@ -200,7 +201,7 @@
 func (n *Node) makeDirectory() {
 	self := directory.NodeAddress(n.settings.PeerAddress)
 	n.peers = &peering.Peers{
-		LocalNode: self, DataCentre: n.settings.DataCentre, Clock: n.clock, Logger: logs.WithComponent(n.logger, logs.ComponentPeer), Gate: n.gate, Hello: n.hello, OnUnencodable: n.logUnencodable,
+		LocalNode: self, DataCentre: n.settings.DataCentre, Clock: n.clock, Logger: logs.WithComponent(n.logger, logs.ComponentPeer), Gate: n.gate, Hello: n.hello, OnUnencodable: n.logUnencodable, Replies: &n.budgets.incoming,
 	}
 	n.directory = &directory.Directory{
 		Self: self, Clock: n.clock, Logger: logs.WithComponent(n.logger, logs.ComponentMember), Put: n.platform.PutEntry, Connected: n.peers.Connected, OnChange: n.onDirectoryChange,
@@ -213,13 +214,13 @@
 		Relay:     n.relay(linkrpc.Topic_TOPIC_DIRECTORY, func() *topic.Follower { return n.directoryFollower }),
 	}
 	n.demand = &demand.Monitor{Clock: n.clock, LocalNode: self, Service: n.settings.Service, Load: n.gate.Load, View: n.view.Load, Directory: n.directory.Snapshot, OnPlan: n.onPlan}
-	n.links = &link.Server{Clock: n.clock, Hello: n.hello, Handle: n.handlePeerRequest, OnStatus: n.handleStatus, OnTokenGifts: n.handleTokenGifts, OnReports: n.handleReports, OnUnreadable: func(err error) { n.logUnreadable("message without a reply", err) }, OnUnencodable: n.logUnencodable, OnAcceptError: n.onAcceptFailed, OnPanic: n.onPanic, CloseLimit: n.linkCloseLimit, Budget: &n.peerBodies}
+	n.links = &link.Server{Clock: n.clock, Hello: n.hello, Handle: n.handlePeerRequest, OnStatus: n.handleStatus, OnTokenGifts: n.handleTokenGifts, OnReports: n.handleReports, OnUnreadable: func(err error) { n.logUnreadable("message without a reply", err) }, OnUnencodable: n.logUnencodable, OnAcceptError: n.onAcceptFailed, OnPanic: n.onPanic, CloseLimit: n.linkCloseLimit, Budget: &n.peerBodies, Replies: &n.budgets.outgoing}
 }
 
 func (n *Node) makeEntrance() {
 	n.rateLimiter = &quota.Limiter{Clock: n.clock, Uptime: n.uptime, StartFull: n.settings.FirstStart}
 	n.entrance = &entrance.Entrance{
-		Clock: n.clock, Headers: n.platform.EntranceHeaders, Service: n.settings.Service, Peers: n.peers, RateLimiter: n.rateLimiter, Bodies: &n.callerBodies,
+		Clock: n.clock, Headers: n.platform.EntranceHeaders, Service: n.settings.Service, Peers: n.peers, RateLimiter: n.rateLimiter, Bodies: &n.callerBodies, Responses: &n.budgets.callerResponses,
 		View: n.view.Load, ConfigFresh: n.keysFresh, Stopping: n.stopping.Load, Takes: n.takes, OnFinish: n.onFinished, Incarnation: n.incarnation,
 		OnArrival: n.onArrived, Admit: n.admit, RetryFraction: n.executions.repeatedFraction, TokenHome: n.tokenHome, OnBorrowError: n.onBorrowFailed, OnForeignAnswer: n.onForeignAnswer,
 	}
--- a/pkg/peering/peer.go
+++ b/pkg/peering/peer.go
@@ -110,6 +110,7 @@
 // runLocally runs a call at the local gate. The call is cancelled when ctx ends.
 func (p *Peer) runLocally(ctx context.Context, run *linkrpc.Run) (*linkrpc.Outcome, uint64, error) {
 	outcome := p.gate.Run(ctx, context.Background(), run)
+	p.gate.ReleaseBody(outcome)
 	p.noteLeaving(outcome.Load)
 	if outcome.Fate == linkrpc.Fate_FATE_NOT_RUN && ctx.Err() != nil {
 		return nil, 0, &link.NotSentError{Cause: ctx.Err()}
@@ -129,8 +130,9 @@
 	if err != nil {
 		return nil, reply.Incarnation, err
 	}
-	outcome := &linkrpc.Outcome{}
-	if err := proto.Unmarshal(reply.Payload, outcome); err != nil {
+	defer reply.Release()
+	outcome, err := decodeOutcome(reply.Payload)
+	if err != nil {
 		return nil, reply.Incarnation, &link.ConnectionLostError{Incarnation: reply.Incarnation, Cause: err}
 	}
 	if outcome.Load != nil {
@@ -148,6 +150,7 @@
 	if err != nil {
 		return 0, err
 	}
+	defer reply.Release()
 	grant := &linkrpc.TokenGrant{}
 	if err := proto.Unmarshal(reply.Payload, grant); err != nil {
 		return 0, err
@@ -162,6 +165,7 @@
 	if err != nil {
 		return nil, err
 	}
+	defer reply.Release()
 	answer := &linkrpc.TopicRecords{}
 	if err := proto.Unmarshal(reply.Payload, answer); err != nil {
 		return nil, err
@@ -191,7 +195,10 @@
 // TellDeparture tells the peer that the instance beside this node leaves, and waits until
 // the peer has noted it. It returns the errors of link.Call.
 func (p *Peer) TellDeparture(ctx context.Context, status *linkrpc.Status) error {
-	_, err := p.link.Call(ctx, link.KindDeparture, status)
+	reply, err := p.link.Call(ctx, link.KindDeparture, status)
+	if err == nil {
+		reply.Release()
+	}
 	return err
 }
 
--- a/pkg/peering/peering.go
+++ b/pkg/peering/peering.go
@@ -18,6 +18,7 @@
 	"github.com/plantainramp/plantainramp/pkg/gate"
 	"github.com/plantainramp/plantainramp/pkg/link"
 	"github.com/plantainramp/plantainramp/pkg/logs"
+	"github.com/plantainramp/plantainramp/pkg/memory"
 	"github.com/plantainramp/plantainramp/rpc/linkrpc"
 )
 
@@ -48,6 +49,8 @@
 	// OnUnencodable receives the error of each message to a peer that cannot be encoded; nil
 	// is allowed.
 	OnUnencodable func(error)
+	// Replies bounds the memory for large replies of peers; nil means no bound.
+	Replies *memory.Budget
 
 	// mu guards peers and leaving.
 	mu    sync.Mutex
@@ -119,7 +122,7 @@
 		return &Peer{Node: entry.Node, gate: p.Gate, noteLeaving: p.NoteLeaving}
 	}
 	peer := &Peer{Node: entry.Node, noteLeaving: p.NoteLeaving}
-	peer.link = &link.Link{Address: string(entry.Node), Clock: p.Clock, Hello: p.Hello, Dial: p.Dial, OnUnencodable: p.OnUnencodable, OnStateChange: func(connected bool, cause error) {
+	peer.link = &link.Link{Address: string(entry.Node), Clock: p.Clock, Hello: p.Hello, Dial: p.Dial, OnUnencodable: p.OnUnencodable, Budget: p.Replies, OnStateChange: func(connected bool, cause error) {
 		logger := p.Logger.WithField("peer", entry.Node)
 		if connected {
 			logger.Info("peer reached")
