--- a/pkg/connection/connection.go
+++ b/pkg/connection/connection.go
@@ -55,6 +55,10 @@
 	// MaxOpen returns the bound of all open connections that Bound applies; nil means no
 	// bound.
 	MaxOpen func() int
+	// CloseStalled is called when there is no room for a connection and none that waits for a
+	// request can be closed. It closes one whose caller does not read its response, if there
+	// is one. It must not call methods of the tracker; nil is allowed.
+	CloseStalled func()
 	// OnAcceptError is called with the error of an Accept that is tried again; nil is
 	// allowed.
 	OnAcceptError func(error)
--- a/pkg/connection/limited_test.go
+++ b/pkg/connection/limited_test.go
@@ -208,3 +208,30 @@
 	is.True(time.Since(started) < generousLimits.HeaderTimeout)
 	is.True(s.tracker.Counts().Evicted > 0)
 }
+
+// All connections carry requests whose callers do not read the response. Guards against
+// callers that are not accepted until these have ended.
+func TestStalledConnectionsMakeRoom(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	stalled := make(chan struct{})
+	tracker := &Tracker{Clock: clock.System{}, MaxOpen: func() int { return 1 }, CloseStalled: sync.OnceFunc(func() { close(stalled) })}
+	server := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/stalled" {
+			<-stalled
+			panic(http.ErrAbortHandler)
+		}
+	})}
+	tracker.Track(server)
+	go func() { _ = server.Serve(tracker.Bound(l)) }()
+	t.Cleanup(func() { _ = server.Close() })
+	s := &limitedServer{address: l.Addr().String()}
+	first, _ := s.dial(t)
+	_, err = io.WriteString(first, headOf("/stalled", 100))
+	is.NoErr(err)
+	second, reader := s.dial(t)
+	_, err = io.WriteString(second, headOf("/a", 100))
+	is.NoErr(err)
+	is.Equal(statusOf(t, reader), http.StatusOK)
+}
--- a/pkg/entrance/entrance.go
+++ b/pkg/entrance/entrance.go
@@ -54,6 +54,9 @@
 	// Responses bounds the memory for large responses that callers have not read; nil means
 	// no bound.
 	Responses *memory.HeldBudget
+	// WriteMargin is how long after the time at which its caller stops waiting a response is
+	// still written; 0 means defaultWriteMargin.
+	WriteMargin time.Duration
 	// View returns the active configuration, or nil.
 	View func() *routing.View
 	// ConfigFresh reports whether the configuration was confirmed recently enough
@@ -122,7 +125,7 @@
 	defer e.inFlight.Add(-1)
 	r, refusal := e.newRequest(hr)
 	defer e.releaseBody(r)
-	limitWrite(w, r, r.Arrived)
+	e.limitWrite(w, r, r.Arrived)
 	var outcome *linkrpc.Outcome
 	if refusal == nil {
 		outcome, refusal = e.handle(hr.Context(), w, hr, r)
--- a/pkg/entrance/response.go
+++ b/pkg/entrance/response.go
@@ -12,17 +12,16 @@
 )
 
 const (
-	// writeMargin is how long after the time at which its caller stops waiting a response is
-	// still written, and how long a caller that reads late may take for writeChunkBytes.
-	writeMargin = 10 * time.Second
+	// defaultWriteMargin is the value of Entrance.WriteMargin where none is set.
+	defaultWriteMargin = 10 * time.Second
 	// writeChunkBytes is the size of the pieces in which a large response is written.
 	writeChunkBytes = 64 << 10
 )
 
 // limitWrite sets the time until which the response to a request may be written. Until its
-// caller stops waiting, the caller may read at any pace. One that reads later gets writeMargin
+// caller stops waiting, the caller may read at any pace. One that reads later gets WriteMargin
 // for each piece.
-func limitWrite(w http.ResponseWriter, r *Request, now time.Time) {
+func (e *Entrance) limitWrite(w http.ResponseWriter, r *Request, now time.Time) {
 	expires := r.Expires
 	if expires.IsZero() {
 		expires = r.Arrived.Add(defaultTimeout)
@@ -30,7 +29,11 @@
 	if now.After(expires) {
 		expires = now
 	}
-	setWriteDeadline(w, expires.Add(writeMargin))
+	margin := e.WriteMargin
+	if margin == 0 {
+		margin = defaultWriteMargin
+	}
+	setWriteDeadline(w, expires.Add(margin))
 }
 
 // setWriteDeadline sets the write deadline of a connection, if it has one.
@@ -80,7 +83,7 @@
 		writePiece(w, body[:writeChunkBytes])
 		body = body[writeChunkBytes:]
 		if now := e.Clock.Now(); now.After(r.Expires) {
-			limitWrite(w, r, now)
+			e.limitWrite(w, r, now)
 		}
 		if r.held != nil && !r.held.Progress() {
 			panic(http.ErrAbortHandler)
--- a/pkg/instance/body.go
+++ b/pkg/instance/body.go
@@ -9,13 +9,9 @@
 	"github.com/plantainramp/plantainramp/pkg/memory"
 )
 
-const (
-	// maxBudgetWait bounds how long the body of a response waits for memory. Its bytes stay in
-	// the buffers of the system meanwhile, and the call keeps its slot.
-	maxBudgetWait = 250 * time.Millisecond
-	// bodyStepBytes is the step in which memory is reserved for a body of unknown length.
-	bodyStepBytes = 256 << 10
-)
+// maxBudgetWait bounds how long the body of a response waits for memory. Its bytes stay in
+// the buffers of the system meanwhile, and the call keeps its slot.
+const maxBudgetWait = 250 * time.Millisecond
 
 // NoMemoryError reports a response for whose body there is no memory.
 type NoMemoryError struct{}
@@ -60,7 +56,6 @@
 		c.release(w.reserved)
 		return nil, err
 	}
-	c.release(w.reserved - memory.Large(len(body)))
 	return body, nil
 }
 
@@ -74,13 +69,10 @@
 // Write implements io.Writer. It returns *NoMemoryError if there is no memory for the data.
 func (w *bodyWriter) Write(data []byte) (int, error) {
 	size := memory.Large(w.buffer.Len() + len(data))
-	if size > w.reserved {
-		step := max(bodyStepBytes, size-w.reserved)
-		if !w.client.reserve(w.reserved, step) {
-			return 0, &NoMemoryError{}
-		}
-		w.reserved += step
+	if !w.client.reserve(w.reserved, size-w.reserved) {
+		return 0, &NoMemoryError{}
 	}
+	w.reserved = size
 	return w.buffer.Write(data)
 }
 
--- a/pkg/link/clientconn.go
+++ b/pkg/link/clientconn.go
@@ -47,14 +47,20 @@
 	return c.streams.next, w
 }
 
-// isExempt reports whether the reply to a request needs no reservation. Replies that carry no
-// response of an instance do not, so that nodes exchange records while callers use the memory
-// up.
-func (c *clientConn) isExempt(stream StreamID) bool {
+// replyTreatment returns how the reply to a request is read in parts. Replies that carry no
+// response of an instance need no reservation, so that nodes exchange records while callers
+// use the memory up.
+func (c *clientConn) replyTreatment(stream StreamID) treatment {
 	c.streams.Lock()
 	defer c.streams.Unlock()
 	w := c.streams.pending[stream]
-	return w != nil && w.kind != KindRun && w.kind != KindAsk
+	switch {
+	case w == nil:
+		return treatUnwanted
+	case w.kind == KindRun || w.kind == KindAsk:
+		return treatReserved
+	}
+	return treatExempt
 }
 
 // dropStream removes a request and reports whether it was still pending.
--- a/pkg/link/frame.go
+++ b/pkg/link/frame.go
@@ -135,9 +135,9 @@
 	partial map[StreamID]*partialMessage
 	// budget bounds the bytes of the messages that are read in parts; nil means no bound.
 	budget *memory.Budget
-	// isExempt reports whether the message of a stream that is read in parts needs no
-	// reservation; nil means that none is exempt.
-	isExempt func(stream StreamID) bool
+	// treatment returns how the message of a stream is read in parts; nil means that all are
+	// reserved for.
+	treatment func(stream StreamID) treatment
 	// replies is the budget that the messages in large have reserved from, or nil.
 	replies *memory.Budget
 
--- a/pkg/link/parts.go
+++ b/pkg/link/parts.go
@@ -10,6 +10,19 @@
 // same time.
 const maxPartialMessages = 4096
 
+// Treatments of a message that is read in parts.
+const (
+	// treatReserved means that it is read if the budget has room for it.
+	treatReserved treatment = iota
+	// treatExempt means that it is read in any case.
+	treatExempt
+	// treatUnwanted means that it is skipped, as nobody waits for it.
+	treatUnwanted
+)
+
+// treatment is how a message is read in parts.
+type treatment int
+
 // largeMessage is a message in the send queue that is sent in parts, so that it does not
 // delay the messages behind it.
 type largeMessage struct {
@@ -122,8 +135,13 @@
 	if f.partial == nil {
 		f.partial = map[StreamID]*partialMessage{}
 	}
-	m := &partialMessage{length: length, isExempt: f.isExempt != nil && f.isExempt(stream)}
-	m.discarded = f.budget != nil && !m.isExempt && !f.budget.Reserve(int64(length))
+	m := &partialMessage{length: length}
+	how := treatReserved
+	if f.treatment != nil {
+		how = f.treatment(stream)
+	}
+	m.isExempt = how == treatExempt
+	m.discarded = how == treatUnwanted || f.budget != nil && how == treatReserved && !f.budget.Reserve(int64(length))
 	if f.budget != nil && !m.isExempt && !m.discarded {
 		// The memory is reserved, and a buffer that grows would take more.
 		m.payload = make([]byte, 0, length)
--- a/pkg/mesh/descriptors.go
+++ b/pkg/mesh/descriptors.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sys/unix"
@@ -19,6 +20,9 @@
 	// callerFraction is the fraction of the descriptors that connections of callers may
 	// take in any case. Idle ones take no more.
 	callerFraction = 0.25
+	// maxStallWhenFull is how long a caller may read nothing of a large response while no
+	// connection can be accepted otherwise.
+	maxStallWhenFull = time.Second
 )
 
 // maxDescriptors returns the number of descriptors that the process may have.
@@ -52,6 +56,7 @@
 	n.callerConns.MaxIdle = n.minCallerConns()
 	n.callerConns.MaxOpen = n.maxCallerConns
 	n.callerConns.OnAcceptError = n.onAcceptFailed
+	n.callerConns.CloseStalled = func() { n.budgets.callerResponses.EvictStalled(maxStallWhenFull) }
 }
 
 // onAcceptFailed logs an Accept that failed for lack of resources and is tried again.
