--- a/overlimit/harness_test.go
+++ b/overlimit/harness_test.go
@@ -107,13 +107,13 @@
 
 // cluster is a store and the nodes that use it.
 type cluster struct {
-	t     *testing.T
+	t     testing.TB
 	store string
 	nodes []*node
 }
 
 // newCluster starts a store and a node for each service.
-func newCluster(t *testing.T, services ...string) *cluster {
+func newCluster(t testing.TB, services ...string) *cluster {
 	t.Helper()
 	store := platformtest.NewStore()
 	text, err := json.Marshal(platformtest.Manifest{
@@ -147,7 +147,7 @@
 }
 
 // listen listens on a free local port until the test ends.
-func listen(t *testing.T) net.Listener {
+func listen(t testing.TB) net.Listener {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -282,14 +282,15 @@
 	}
 }
 
-// peakMemoryMB returns the largest resident memory that the process has had.
-func (n *node) peakMemoryMB(t *testing.T) float64 {
+// memoryMB returns a value of the status of the process: VmRSS is its resident memory, and VmHWM
+// the largest that it has had.
+func (n *node) memoryMB(t testing.TB, name string) float64 {
 	t.Helper()
 	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.process.Process.Pid))
 	if err != nil {
 		t.Fatalf("node %s: %v: %s", n.name, err, n.log())
 	}
-	_, rest, _ := strings.Cut(string(status), "VmHWM:")
+	_, rest, _ := strings.Cut(string(status), name)
 	fields := strings.Fields(rest)
 	if len(fields) == 0 {
 		t.Fatalf("node %s has ended: %s", n.name, n.log())
@@ -311,7 +312,7 @@
 			c.t.Fatalf("node %s has ended: %s", n.name, n.log())
 		default:
 		}
-		memory, descriptors := n.peakMemoryMB(c.t), n.maxDescriptors.Load()
+		memory, descriptors := n.memoryMB(c.t, "VmHWM:"), n.maxDescriptors.Load()
 		c.t.Logf("node %s: peak resident memory %.1f MB, most descriptors %d", n.name, memory, descriptors)
 		if memory > memoryMB {
 			c.t.Errorf("node %s: resident memory reached %.1f MB, its settings give it %d", n.name, memory, memoryMB)
--- a/pkg/mesh/descriptors.go
+++ b/pkg/mesh/descriptors.go
@@ -20,6 +20,11 @@
 	// callerFraction is the fraction of the descriptors that connections of callers may
 	// take in any case. Idle ones take no more.
 	callerFraction = 0.25
+	// connBytes is the memory that a connection takes without large heads and bodies, and
+	// connMemoryFraction the fraction of the memory that connections of callers may take.
+	// Measured were 14 to 16 kB with a head that has begun (docs/CAPACITY.md).
+	connBytes          = 24 << 10
+	connMemoryFraction = 0.5
 	// maxStallWhenFull is how long a caller may read nothing of a large response while no
 	// connection can be accepted otherwise.
 	maxStallWhenFull = time.Second
@@ -38,8 +43,15 @@
 }
 
 // maxCallerConns returns the number of connections of callers that leaves descriptors for
-// the links to peers and for the connections to the instance.
+// the links to peers and for the connections to the instance, and memory for all else.
 func (n *Node) maxCallerConns() int {
+	if n.settings.MemoryBytes <= 0 {
+		return n.maxConnsByDescriptors()
+	}
+	return min(n.maxConnsByDescriptors(), int(connMemoryFraction*float64(n.settings.MemoryBytes))/connBytes)
+}
+
+func (n *Node) maxConnsByDescriptors() int {
 	slots := assumedSlots
 	if local := n.gate.LocalInstance(); local != nil {
 		slots = local.Slots
