meshcmd: the soft memory limit rises only while much is held for callers

Cause: with a soft limit of 0.7 of memoryMB at all times, a node under ordinary load held more memory: at memoryMB = 284 and 15,000 to 20,000 calls a second VmRSS of the node beside the instance was 194 to 197 MB, where it was 101 MB with the earlier limit of 96 MB.

Change: the limit is 96 MB, or 0.7 of memoryMB if that is less, and rises up to the latter by twice what the budgets and more than 1,000 connections hold.

--- a/internal/meshcmd/meshcmd.go
+++ b/internal/meshcmd/meshcmd.go
@@ -29,15 +29,9 @@
 	ExitSettings = 2
 )
 
-const (
-	// gcPercent lets the heap grow to five times the live heap between garbage
-	// collections. The live heap of a node is small.
-	gcPercent = 400
-	// heapFraction is the soft limit on the memory of the Go runtime, as a fraction of the
-	// memory that the settings give the process. Near it, the garbage collector runs more
-	// often. The rest is for the program itself and for what is allocated during a collection.
-	heapFraction = 0.7
-)
+// gcPercent lets the heap grow to five times the live heap between garbage
+// collections. The live heap of a node is small.
+const gcPercent = 400
 
 // Main runs the daemon until SIGTERM or SIGINT and returns its exit code.
 func Main(args []string, out, errOut io.Writer) int {
@@ -60,7 +54,6 @@
 		return ExitSettings
 	}
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(heapFraction * float64(s.MemoryBytes)))
 	if err := serve(ctx, hangups, *path, s, out); err != nil {
 		_, _ = fmt.Fprintf(errOut, "plantainmesh: %s\n", err)
 		return ExitFailed
@@ -77,6 +70,9 @@
 	}
 	go watchHangups(ctx, hangups, path, logger)
 	node := mesh.New(s, platform.New(platform.NewStore(s.StoreAddress)), clock.System{}, uptime.SinceBoot, logger)
+	limit := softLimit{memoryBytes: s.MemoryBytes, set: func(bytes int64) { debug.SetMemoryLimit(bytes) }}
+	limit.update(0)
+	node.OnHeldBytes(limit.update)
 	err = node.Run(ctx)
 	if dropped := logWriter.Dropped(); dropped > 0 {
 		logger.WithField("lines", dropped).Warn("log lines were dropped because the log output was too slow")
--- a/pkg/mesh/budgets.go
+++ b/pkg/mesh/budgets.go
@@ -33,6 +33,9 @@
 	incomingFraction         = 1.0 / 12
 	retainedFraction         = 1.0 / 32
 	maxRetainedOutcomesBytes = 8 << 20
+	// ordinaryConns is the number of connections of callers that a node has in ordinary
+	// operation.
+	ordinaryConns = 1000
 )
 
 // budgets bounds the memory for what callers may leave at the node.
@@ -44,6 +47,8 @@
 	// that are read from peers.
 	callerResponses    memory.HeldBudget
 	outgoing, incoming memory.Budget
+	// onHeld is the function of OnHeldBytes, or nil.
+	onHeld func(bytes int64)
 }
 
 // init sets the limits; no memory means none.
@@ -103,6 +108,25 @@
 	})
 }
 
+// OnHeldBytes makes Run call a function several times a second, from one goroutine, with the
+// number of bytes that the node holds for callers beyond what ordinary ones need. It must be
+// called before Run.
+func (n *Node) OnHeldBytes(report func(bytes int64)) { n.budgets.onHeld = report }
+
+// reportHeld calls the function of OnHeldBytes.
+func (n *Node) reportHeld() {
+	if n.budgets.onHeld == nil {
+		return
+	}
+	held := n.callerBodies.Used() + n.peerBodies.Used()
+	b := &n.budgets
+	for _, budget := range []*memory.Budget{&b.heads, &b.callerResponses.Budget, &b.outgoing, &b.incoming} {
+		held += budget.Used()
+	}
+	conns := n.callerConns.Counts()
+	n.budgets.onHeld(held + connBytes*int64(max(0, conns.Busy+conns.Idle+conns.Unused-ordinaryConns)))
+}
+
 // updateBudgetGauges sets the gauges of the budgets. Bytes are those held now, the other
 // values count since the start of the node.
 func (n *Node) updateBudgetGauges(conns connection.Counts) {
--- a/pkg/mesh/run.go
+++ b/pkg/mesh/run.go
@@ -108,12 +108,13 @@
 }
 
 // runChecks closes the gate of an unresponsive instance, expired connections to the
-// instance, and unresponsive connections to peers. No event triggers these, so it polls
-// until ctx ends.
+// instance, and unresponsive connections to peers, and reports the bytes held for callers. No
+// event triggers these, so it polls until ctx ends.
 func (n *Node) runChecks(ctx context.Context) {
 	clock.Every(ctx, n.clock, clock.FixedPeriod(checkInterval), n.guarded("the checks", func() {
 		n.heartbeats.CheckLiveness()
 		n.instance.CloseExpired()
 		n.peers.CheckLiveness()
+		n.reportHeld()
 	}))
 }
