--- a/overlimit/harness_test.go
+++ b/overlimit/harness_test.go
@@ -81,7 +81,7 @@
 		return 1
 	}
 	defer func() { _ = os.RemoveAll(binaryDir) }()
-	if out, err := exec.Command("go", "build", "-o", binaryDir, "../cmd/plantainmesh").CombinedOutput(); err != nil {
+	if out, err := exec.Command("go", "build", "-o", binaryDir, "../cmd/plantainmesh", "../cmd/plantainnode", "../cmd/plantainramp", "../cmd/standin").CombinedOutput(); err != nil {
 		fmt.Fprintf(os.Stderr, "build: %v: %s", err, out)
 		return 1
 	}
