plantainnode: a write deadline and budgets for responses

Cause: responses that many callers did not read took 576 to 587 MB of a plantainnode, which may take 128 MB.

Change: the writing of responses moves from pkg/entrance to connection.Responses, which both programs use. A call for whose response there is no memory ends as one that has run (502).

--- a/pkg/caller/handler.go
+++ b/pkg/caller/handler.go
@@ -12,8 +12,10 @@
 	"github.com/plantainramp/plantainramp/pkg/call"
 	"github.com/plantainramp/plantainramp/pkg/clock"
 	"github.com/plantainramp/plantainramp/pkg/config"
+	"github.com/plantainramp/plantainramp/pkg/connection"
 	"github.com/plantainramp/plantainramp/pkg/fleet"
 	"github.com/plantainramp/plantainramp/pkg/logs"
+	"github.com/plantainramp/plantainramp/pkg/memory"
 	"github.com/plantainramp/plantainramp/pkg/meter"
 	"github.com/plantainramp/plantainramp/pkg/problem"
 	"github.com/plantainramp/plantainramp/pkg/retry"
@@ -45,18 +47,37 @@
 	MaxBodyBytes int64
 	// DefaultDeadline is the time until the deadline of requests that set none.
 	DefaultDeadline time.Duration
+	// Responses bounds the memory for large responses that callers have not read; nil means
+	// no bound.
+	Responses *memory.HeldBudget
 }
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	start := h.Clock.Now()
+	responses := connection.Responses{Clock: h.Clock, Budget: h.Responses}
+	responses.Limit(w, start, start.Add(h.DefaultDeadline))
 	c, err := h.readCall(r, start)
 	var response *call.Response
 	if err == nil {
 		response, err = h.handleCall(r.Context(), c)
 	}
-	h.writeResponse(w, c, response, err)
-	h.recordResult(c, response, err, h.Clock.Now().Sub(start))
+	var hold *memory.Hold
+	if err == nil {
+		var held bool
+		if hold, held = responses.Hold(w, len(response.Body)); !held {
+			err = problem.NewUncertain(problem.KindUncertain, "the node has no memory for the answer; the call has run")
+		}
+	}
+	if hold != nil {
+		defer hold.Release()
+	}
+	defer func() { h.recordResult(c, response, err, h.Clock.Now().Sub(start)) }()
+	responses.Limit(w, h.Clock.Now(), c.Deadline)
+	h.writeHead(w, c, response, err)
+	if err == nil {
+		responses.Write(w, response.Body, c.Deadline, hold)
+	}
 }
 
 // handleCall passes a call to CallHandler. If the call has a parent, handleCall adds its
@@ -203,7 +224,8 @@
 	return nil
 }
 
-func (h *Handler) writeResponse(w http.ResponseWriter, c *parsedCall, response *call.Response, err error) {
+// writeHead writes the head of a response, or a whole one if the call failed.
+func (h *Handler) writeHead(w http.ResponseWriter, c *parsedCall, response *call.Response, err error) {
 	w.Header().Set(call.HeaderRequestID, string(c.Request))
 	if err != nil {
 		asProblem(err).Write(w)
@@ -215,7 +237,6 @@
 	w.Header().Set(call.HeaderRequestID, string(c.Request))
 	w.Header().Set("Content-Length", strconv.Itoa(len(response.Body)))
 	w.WriteHeader(response.Status)
-	_, _ = w.Write(response.Body)
 }
 
 // asProblem returns the *problem.Error in err. Any other error becomes a problem of
--- a/pkg/entrance/entrance.go
+++ b/pkg/entrance/entrance.go
@@ -55,7 +55,7 @@
 	// no bound.
 	Responses *memory.HeldBudget
 	// WriteMargin is how long after the time at which its caller stops waiting a response is
-	// still written; 0 means defaultWriteMargin.
+	// still written; 0 means the default of connection.Responses.
 	WriteMargin time.Duration
 	// View returns the active configuration, or nil.
 	View func() *routing.View
@@ -125,7 +125,7 @@
 	defer e.inFlight.Add(-1)
 	r, refusal := e.newRequest(hr)
 	defer e.releaseBody(r)
-	e.limitWrite(w, r, r.Arrived)
+	e.limitWrite(w, r)
 	var outcome *linkrpc.Outcome
 	if refusal == nil {
 		outcome, refusal = e.handle(hr.Context(), w, hr, r)
--- a/pkg/entrance/forward.go
+++ b/pkg/entrance/forward.go
@@ -92,5 +92,6 @@
 		header["Content-Length"] = []string{strconv.Itoa(len(outcome.Body))}
 	}
 	w.WriteHeader(int(outcome.Status))
-	e.writeBody(w, r, outcome.Body)
+	responses := e.responses()
+	responses.Write(w, outcome.Body, r.Expires, r.held)
 }
--- a/pkg/entrance/response.go
+++ b/pkg/entrance/response.go
@@ -3,57 +3,37 @@
 import (
 	"errors"
 	"net/http"
-	"time"
 
+	"github.com/plantainramp/plantainramp/pkg/connection"
 	"github.com/plantainramp/plantainramp/pkg/link"
-	"github.com/plantainramp/plantainramp/pkg/memory"
 	"github.com/plantainramp/plantainramp/pkg/problem"
 	"github.com/plantainramp/plantainramp/rpc/linkrpc"
 )
 
-const (
-	// defaultWriteMargin is the value of Entrance.WriteMargin where none is set.
-	defaultWriteMargin = 10 * time.Second
-	// writeChunkBytes is the size of the pieces in which a large response is written.
-	writeChunkBytes = 64 << 10
-)
+// responses returns the writer of responses to callers.
+func (e *Entrance) responses() connection.Responses {
+	return connection.Responses{Clock: e.Clock, Budget: e.Responses, Margin: e.WriteMargin}
+}
 
-// limitWrite sets the time until which the response to a request may be written. Until its
-// caller stops waiting, the caller may read at any pace. One that reads later gets WriteMargin
-// for each piece.
-func (e *Entrance) limitWrite(w http.ResponseWriter, r *Request, now time.Time) {
+// limitWrite sets the time until which the response to a request may be written.
+func (e *Entrance) limitWrite(w http.ResponseWriter, r *Request) {
 	expires := r.Expires
 	if expires.IsZero() {
 		expires = r.Arrived.Add(defaultTimeout)
 	}
-	if now.After(expires) {
-		expires = now
-	}
-	margin := e.WriteMargin
-	if margin == 0 {
-		margin = defaultWriteMargin
-	}
-	setWriteDeadline(w, expires.Add(margin))
-}
-
-// setWriteDeadline sets the write deadline of a connection, if it has one.
-func setWriteDeadline(w http.ResponseWriter, deadline time.Time) {
-	if c, ok := w.(interface{ SetWriteDeadline(time.Time) error }); ok {
-		_ = c.SetWriteDeadline(deadline)
-	}
+	responses := e.responses()
+	responses.Limit(w, r.Arrived, expires)
 }
 
 // holdResponse reserves memory for a large response until releaseResponse. If there is none,
 // it returns a refusal that says that the request was executed.
 func (e *Entrance) holdResponse(w http.ResponseWriter, r *Request, outcome *linkrpc.Outcome) *problem.Error {
-	size := memory.Large(len(outcome.Body))
-	if e.Responses == nil || size == 0 {
-		return nil
-	}
-	r.held = e.Responses.Hold(size, func() { setWriteDeadline(w, r.Arrived) })
-	if r.held == nil {
+	responses := e.responses()
+	hold, held := responses.Hold(w, len(outcome.Body))
+	if !held {
 		return noMemoryError()
 	}
+	r.held = hold
 	return nil
 }
 
@@ -75,25 +55,3 @@
 		r.held.Release()
 	}
 }
-
-// writeBody writes the body of a response. It ends the connection if the caller does not take
-// it whole, so that a truncated response does not look complete.
-func (e *Entrance) writeBody(w http.ResponseWriter, r *Request, body []byte) {
-	for len(body) > writeChunkBytes {
-		writePiece(w, body[:writeChunkBytes])
-		body = body[writeChunkBytes:]
-		if now := e.Clock.Now(); now.After(r.Expires) {
-			e.limitWrite(w, r, now)
-		}
-		if r.held != nil && !r.held.Progress() {
-			panic(http.ErrAbortHandler)
-		}
-	}
-	writePiece(w, body)
-}
-
-func writePiece(w http.ResponseWriter, piece []byte) {
-	if _, err := w.Write(piece); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
-		panic(http.ErrAbortHandler)
-	}
-}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -18,6 +18,7 @@
 	"github.com/plantainramp/plantainramp/pkg/fleet"
 	"github.com/plantainramp/plantainramp/pkg/logs"
 	"github.com/plantainramp/plantainramp/pkg/member"
+	"github.com/plantainramp/plantainramp/pkg/memory"
 	"github.com/plantainramp/plantainramp/pkg/meter"
 	"github.com/plantainramp/plantainramp/pkg/outcome"
 	"github.com/plantainramp/plantainramp/pkg/peer"
@@ -70,6 +71,8 @@
 	adminAPI        *admin.API
 	snapshotter     *config.Snapshotter
 	failureDetector *member.FailureDetector
+	// responses bounds the memory for large responses that callers have not read.
+	responses memory.HeldBudget
 }
 
 // New returns a node. The injector must provide *settings.Settings, clock.Clock,
@@ -143,6 +146,7 @@
 	n.upstream = &upstream.Client{
 		Address: n.settings.UpstreamAddress, Clock: n.clock, MaxResponseBytes: n.settings.MaxResponseBytes,
 		Unfenced: n.settings.Disabled[settings.MechanismFence],
+		Budget:   &memory.Budget{Limit: upstreamResponseBytes, AdmitsFirst: true},
 	}
 	n.admission = &admission.Controller{Clock: n.clock, Disabled: n.settings.Disabled[settings.MechanismAdmission]}
 	n.upstream.OnDialError = n.admission.StartRamp
@@ -160,17 +164,18 @@
 }
 
 func (n *Node) initHandlers() {
+	n.responses = memory.HeldBudget{Budget: memory.Budget{Limit: callerResponseBytes, AdmitsFirst: true}, Clock: n.clock}
 	callersChain := call.Chain(n.router.Handle, n.writer.Middleware(), n.limiter.Middleware())
 	n.callersHandler = &caller.Handler{
 		Follower: n.follower, Clock: n.clock, Logger: n.componentLogger(logs.ComponentCaller), Meter: n.meter, CallHandler: callersChain,
-		Ready: n.ready, MaxBodyBytes: n.settings.MaxBodyBytes, DefaultDeadline: n.settings.DefaultDeadline,
+		Ready: n.ready, MaxBodyBytes: n.settings.MaxBodyBytes, DefaultDeadline: n.settings.DefaultDeadline, Responses: &n.responses,
 		ForwardKeys: n.settings.Disabled[settings.MechanismStrip],
 	}
 	outboundChain := call.Chain(n.router.Handle, n.writer.Middleware())
 	n.outboundHandler = &caller.Handler{
 		Follower: n.follower, Clock: n.clock, Logger: n.componentLogger(logs.ComponentCaller), Meter: n.meter, CallHandler: outboundChain,
 		FindParent: n.upstream.RunningCall,
-		Ready:      n.ready, MaxBodyBytes: n.settings.MaxBodyBytes, DefaultDeadline: n.settings.DefaultDeadline,
+		Ready:      n.ready, MaxBodyBytes: n.settings.MaxBodyBytes, DefaultDeadline: n.settings.DefaultDeadline, Responses: &n.responses,
 	}
 	n.adminAPI = &admin.API{Follower: n.follower, Status: n.status, Metrics: n.meter.Handler(), Version: n.version}
 }
--- /dev/null
+++ b/pkg/upstream/body.go
@@ -0,0 +1,52 @@
+package upstream
+
+import (
+	"bytes"
+	"io"
+	"time"
+
+	"github.com/plantainramp/plantainramp/pkg/memory"
+)
+
+// maxBudgetWait bounds how long a response waits for memory. Its bytes stay in the buffers of
+// the system meanwhile.
+const maxBudgetWait = 250 * time.Millisecond
+
+// NoMemoryError reports a response for which there is no memory.
+type NoMemoryError struct{}
+
+// Error implements error.
+func (e *NoMemoryError) Error() string { return "no memory for the answer of the upstream" }
+
+// bodyReader reads the body of a response and reserves memory for it.
+type bodyReader struct {
+	client   *Client
+	buffer   bytes.Buffer
+	reserved int64
+}
+
+// readAll reads a body to its end.
+func (b *bodyReader) readAll(source io.Reader) ([]byte, error) {
+	_, err := io.Copy(b, source)
+	return b.buffer.Bytes(), err
+}
+
+// Write implements io.Writer. It returns *NoMemoryError if there is no memory for the data.
+func (b *bodyReader) Write(data []byte) (int, error) {
+	size := memory.Large(b.buffer.Len() + len(data))
+	budget := b.client.Budget
+	if budget != nil && size > b.reserved {
+		if !budget.AwaitGrow(b.client.Clock, b.reserved, size-b.reserved, maxBudgetWait) {
+			return 0, &NoMemoryError{}
+		}
+		b.reserved = size
+	}
+	return b.buffer.Write(data)
+}
+
+// release ends the reservation.
+func (b *bodyReader) release() {
+	if b.reserved > 0 {
+		b.client.Budget.Release(b.reserved)
+	}
+}
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -67,7 +67,9 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, limitBytes+1))
+	reader := bodyReader{client: u}
+	defer reader.release()
+	body, err := reader.readAll(io.LimitReader(response.Body, limitBytes+1))
 	isWhole := err == nil && int64(len(body)) <= limitBytes
 	if isWhole && x.isJoined(response, body) {
 		err = &JoinedResponsesError{Status: response.Status}
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -17,6 +17,7 @@
 	"github.com/plantainramp/plantainramp/pkg/call"
 	"github.com/plantainramp/plantainramp/pkg/clock"
 	"github.com/plantainramp/plantainramp/pkg/fleet"
+	"github.com/plantainramp/plantainramp/pkg/memory"
 	"github.com/plantainramp/plantainramp/pkg/problem"
 )
 
@@ -44,6 +45,8 @@
 	Clock   clock.Clock
 	// MaxResponseBytes bounds the body of a response. Larger responses are refused.
 	MaxResponseBytes int64
+	// Budget bounds the memory for large responses while they are read; nil means no bound.
+	Budget *memory.Budget
 	// Unfenced disables the check that the start deadline of a call has not passed.
 	Unfenced bool
 	// OnDialError, if set, is called when a connection to the upstream cannot be
