entrance: a budget for smaller bodies that are being read

Cause: bodies of up to 32 kB need no memory of the budget for large ones, and a caller that does not end its body kept up to that much for as long as it said it would wait.

Change: bodies of 4 to 32 kB take memory from a budget of a sixteenth of memoryMB while they are read. When it is used up, the one that has been read longest, at least 250 ms, is refused with 408, or else the new one with 503; neither has run.

--- a/pkg/entrance/body.go
+++ b/pkg/entrance/body.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"github.com/plantainramp/plantainramp/pkg/memory"
 	"github.com/plantainramp/plantainramp/pkg/problem"
 )
 
@@ -23,6 +24,9 @@
 	// smallBodyBytes is the size up to which a body needs no reservation, so that small
 	// requests are served while the memory for large ones is used up.
 	smallBodyBytes = 32 << 10
+	// tinyBodyBytes is the size up to which a body needs no memory beyond that of its
+	// connection, also while it is read.
+	tinyBodyBytes = 4 << 10
 	// unreadBodyTimeout bounds the wait for the rest of a small body whose request was
 	// refused, so that its connection can be kept.
 	unreadBodyTimeout = 200 * time.Millisecond
@@ -56,6 +60,13 @@
 		return nil, bodiesFullError()
 	}
 	controller := http.NewResponseController(w)
+	hold, held := e.holdSmallBody(controller, hr.ContentLength, r)
+	if !held {
+		return nil, bodiesFullError()
+	}
+	if hold != nil {
+		defer hold.Release()
+	}
 	if err := controller.SetReadDeadline(r.Deadline); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		return nil, problem.New(problem.KindMalformed, "the body could not be read whole: "+err.Error())
 	}
@@ -66,6 +77,10 @@
 	})
 	body, err := e.readWhole(http.MaxBytesReader(w, hr.Body, limit), hr.ContentLength, r)
 	stopWatching()
+	if hold != nil {
+		// What ends the reservation changes the deadline.
+		hold.Release()
+	}
 	if err != nil {
 		return nil, bodyError(hr.Context(), err, limit)
 	}
@@ -74,6 +89,20 @@
 	return body, nil
 }
 
+// holdSmallBody reserves memory for a body that reserve does not cover, while it is read. The
+// reservation is nil if the body needs none. If there is no memory, the bodies that have been
+// read longest are refused, or else holdSmallBody returns false.
+func (e *Entrance) holdSmallBody(controller *http.ResponseController, length int64, r *Request) (hold *memory.Hold, held bool) {
+	if e.SmallBodies == nil || 0 <= length && length <= tinyBodyBytes || length > smallBodyBytes {
+		return nil, true
+	}
+	if length < 0 {
+		length = smallBodyBytes
+	}
+	hold = e.SmallBodies.Hold(length, func() { _ = controller.SetReadDeadline(r.Arrived) })
+	return hold, hold != nil
+}
+
 // readWhole reads a body of the given length, or to its end if the length is negative.
 // Memory for a large one is taken as the data arrives.
 func (e *Entrance) readWhole(source io.Reader, length int64, r *Request) ([]byte, error) {
--- a/pkg/entrance/body_test.go
+++ b/pkg/entrance/body_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/plantainramp/plantainramp/pkg/clock"
 	"github.com/plantainramp/plantainramp/pkg/memory"
 	"github.com/plantainramp/plantainramp/pkg/routing"
 )
@@ -275,3 +276,30 @@
 	is.Equal(s.executions.Load(), int64(3))
 	s.awaitReserved(t, 0)
 }
+
+// A caller does not end its small body, and there is memory for one. Guards against callers
+// that are refused instead of it, and against memory that such callers hold for long.
+func TestUnendedSmallBodyMakesRoom(t *testing.T) {
+	is := is.New(t)
+	s := newUploadServer(t, 0)
+	s.entrance.SmallBodies = &memory.HeldBudget{Budget: memory.Budget{Limit: 50_000}, Clock: clock.System{}}
+	body := strings.Repeat("b", 30_000)
+	unended := s.open(t, "Content-Length: 30000")
+	_, err := io.WriteString(unended, body[1:])
+	is.NoErr(err)
+	for deadline := time.Now().Add(5 * time.Second); s.entrance.SmallBodies.Used() == 0 && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+	early := s.open(t, "Content-Length: 30000")
+	is.Equal(early.status(t).StatusCode, http.StatusServiceUnavailable)
+	time.Sleep(300 * time.Millisecond)
+	for range 3 {
+		other := s.open(t, "Content-Length: 30000")
+		_, err = io.WriteString(other, body)
+		is.NoErr(err)
+		is.Equal(other.status(t).StatusCode, http.StatusOK)
+	}
+	is.Equal(unended.status(t).StatusCode, http.StatusRequestTimeout)
+	is.Equal(s.entrance.SmallBodies.Used(), int64(0))
+	is.Equal(s.executions.Load(), int64(3))
+}
--- a/pkg/entrance/entrance.go
+++ b/pkg/entrance/entrance.go
@@ -51,6 +51,9 @@
 	RateLimiter *quota.Limiter
 	// Bodies bounds the memory for large request bodies; nil means no bound.
 	Bodies *memory.Budget
+	// SmallBodies bounds the memory for smaller bodies that are being read; nil means no
+	// bound.
+	SmallBodies *memory.HeldBudget
 	// Responses bounds the memory for large responses that callers have not read; nil means
 	// no bound.
 	Responses *memory.HeldBudget
--- a/pkg/mesh/budgets.go
+++ b/pkg/mesh/budgets.go
@@ -21,13 +21,14 @@
 	// maxOtherConns bounds the connections of each server that is not for callers. They
 	// come out of reservedDescriptors.
 	maxOtherConns = 64
-	// headFraction, responseFraction, outgoingFraction, incomingFraction and retainedFraction
-	// are the fractions of the memory of the process that heads of requests may take,
-	// responses that callers have not read, responses on their way from the instance to
+	// headFraction, smallBodiesFraction, callerResponsesFraction, outgoingFraction,
+	// incomingFraction and retainedFraction are the fractions of the memory of the process
+	// that heads of requests may take, smaller bodies of requests that are being read, responses that callers have not read, responses on their way from the instance to
 	// other nodes, responses on their way from other nodes, and the outcomes that the gate
 	// retains. Together with the bodies of requests they leave two fifths for connections,
 	// copies and the program itself.
 	headFraction             = 1.0 / 12
+	smallBodiesFraction      = 1.0 / 16
 	callerResponsesFraction  = 1.0 / 10
 	outgoingFraction         = 1.0 / 16
 	incomingFraction         = 1.0 / 12
@@ -42,6 +43,9 @@
 type budgets struct {
 	// heads is for the heads of requests.
 	heads memory.Budget
+	// smallBodies is for bodies of requests that are being read and need no memory of
+	// Node.callerBodies.
+	smallBodies memory.HeldBudget
 	// callerResponses is for responses that callers have not read. outgoing is for those
 	// that are read from the instance or wait to be sent to a peer, and incoming for those
 	// that are read from peers.
@@ -55,6 +59,7 @@
 func (b *budgets) init(bytes int64, c clock.Clock) {
 	part := func(fraction float64) int64 { return int64(fraction * float64(bytes)) }
 	b.heads.Limit = part(headFraction)
+	b.smallBodies.Limit, b.smallBodies.Clock = part(smallBodiesFraction), c
 	b.callerResponses.Limit, b.callerResponses.AdmitsFirst, b.callerResponses.Clock = part(callerResponsesFraction), true, c
 	b.outgoing.Limit, b.outgoing.AdmitsFirst = part(outgoingFraction), true
 	b.incoming.Limit, b.incoming.AdmitsFirst = part(incomingFraction), true
@@ -120,19 +125,27 @@
 	}
 	held := n.callerBodies.Used() + n.peerBodies.Used()
 	b := &n.budgets
-	for _, budget := range []*memory.Budget{&b.heads, &b.callerResponses.Budget, &b.outgoing, &b.incoming} {
+	for _, budget := range []*memory.Budget{&b.heads, &b.smallBodies.Budget, &b.callerResponses.Budget, &b.outgoing, &b.incoming} {
 		held += budget.Used()
 	}
 	conns := n.callerConns.Counts()
 	n.budgets.onHeld(held + connBytes*int64(max(0, conns.Busy+conns.Idle+conns.Unused-ordinaryConns)))
 }
 
+// onBodyEvicted logs a request that was refused to make room for the body of another one.
+func (n *Node) onBodyEvicted() {
+	n.events.Log(eventConnClosed, func() logrus.Fields {
+		b := &n.budgets.smallBodies
+		return logrus.Fields{"reason": "memory needed for another body", "smallBodyBytes": b.Used(), "smallBodyBytesLimit": b.Limit}
+	})
+}
+
 // updateBudgetGauges sets the gauges of the budgets. Bytes are those held now, the other
 // values count since the start of the node.
 func (n *Node) updateBudgetGauges(conns connection.Counts) {
 	b := &n.budgets
 	for kind, budget := range map[string]*memory.Budget{
-		"heads": &b.heads, "caller_responses": &b.callerResponses.Budget, "outgoing_responses": &b.outgoing, "incoming_responses": &b.incoming,
+		"heads": &b.heads, "small_bodies": &b.smallBodies.Budget, "caller_responses": &b.callerResponses.Budget, "outgoing_responses": &b.outgoing, "incoming_responses": &b.incoming,
 	} {
 		n.meter.LabelledGauge("budget_bytes", "kind", kind).Update(float64(budget.Used()))
 		n.meter.LabelledGauge("budget_limit_bytes", "kind", kind).Update(float64(budget.Limit))
@@ -140,7 +153,7 @@
 	}
 	for reason, count := range map[string]int{
 		"head_too_large": conns.HeadsTooLarge, "head_refused": conns.HeadsRefused, "head_evicted": conns.HeadsEvicted,
-		"response_evicted": b.callerResponses.Evicted(), "too_many": conns.Evicted,
+		"body_evicted": b.smallBodies.Evicted(), "response_evicted": b.callerResponses.Evicted(), "too_many": conns.Evicted,
 	} {
 		n.meter.LabelledGauge("caller_connections_closed", "reason", reason).Update(float64(count))
 	}
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -176,7 +176,7 @@
 	n.callerBodies.Limit = int64(bodyFraction * float64(s.MemoryBytes))
 	n.peerBodies.Limit = n.callerBodies.Limit
 	n.budgets.init(s.MemoryBytes, c)
-	n.budgets.callerResponses.OnEvict = n.onResponseEvicted
+	n.budgets.callerResponses.OnEvict, n.budgets.smallBodies.OnEvict = n.onResponseEvicted, n.onBodyEvicted
 	n.makeGate()
 	n.makeDirectory()
 	n.makeEntrance()
@@ -220,7 +220,7 @@
 func (n *Node) makeEntrance() {
 	n.rateLimiter = &quota.Limiter{Clock: n.clock, Uptime: n.uptime, StartFull: n.settings.FirstStart}
 	n.entrance = &entrance.Entrance{
-		Clock: n.clock, Headers: n.platform.EntranceHeaders, Service: n.settings.Service, Peers: n.peers, RateLimiter: n.rateLimiter, Bodies: &n.callerBodies, Responses: &n.budgets.callerResponses,
+		Clock: n.clock, Headers: n.platform.EntranceHeaders, Service: n.settings.Service, Peers: n.peers, RateLimiter: n.rateLimiter, Bodies: &n.callerBodies, SmallBodies: &n.budgets.smallBodies, Responses: &n.budgets.callerResponses,
 		View: n.view.Load, ConfigFresh: n.keysFresh, Stopping: n.stopping.Load, Takes: n.takes, OnFinish: n.onFinished, Incarnation: n.incarnation,
 		OnArrival: n.onArrived, Admit: n.admit, RetryFraction: n.executions.repeatedFraction, TokenHome: n.tokenHome, OnBorrowError: n.onBorrowFailed, OnForeignAnswer: n.onForeignAnswer,
 	}
