mesh: the limits of the configuration apply to callers only

Cause: instances, and what reads metrics or checks readiness, may reuse connections that were idle for longer than idle_timeout, which the configuration states for callers.

Change: their connections keep the former limits, with the bound of connections and the budget for heads.

--- a/pkg/mesh/budgets.go
+++ b/pkg/mesh/budgets.go
@@ -73,14 +73,22 @@
 	return min(maxRetainedOutcomesBytes, int(retainedFraction*float64(memoryBytes)))
 }
 
-// limitHeads makes the connections of a server apply the limits of heads.
+// limitHeads makes the connections of a server apply the limits of heads. Those of the
+// configuration concern callers only: others may reuse connections that were idle for longer.
 func (n *Node) limitHeads(t *connection.Tracker) {
-	t.Limits, t.Heads, t.OnHeadClosed = n.headLimits, &n.budgets.heads, n.onHeadClosed
+	t.Limits, t.Heads, t.OnHeadClosed = defaultHeadLimits, &n.budgets.heads, n.onHeadClosed
+	if t == &n.callerConns {
+		t.Limits = n.headLimits
+	}
+}
+
+func defaultHeadLimits() connection.Limits {
+	return connection.Limits{HeaderBytes: defaultHeaderBytes, HeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
 }
 
-// headLimits returns the limits of requests in force.
+// headLimits returns the limits of callers' requests in force.
 func (n *Node) headLimits() connection.Limits {
-	limits := connection.Limits{HeaderBytes: defaultHeaderBytes, HeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
+	limits := defaultHeadLimits()
 	view := n.view.Load()
 	if view == nil {
 		return limits
