connection: callers that receive nothing make room, whatever the size of their responses

Cause: a caller that sends many requests at once and does not read the small responses kept its connection until its deadline, an hour at most. Enough of them kept all other callers out.

Change: while no connection can be accepted otherwise, those are closed whose callers have received nothing of what was sent to them for 1 s, as TCP_INFO shows. It is asked only then. This replaces the hook that closed only those with large responses.

--- a/pkg/connection/bound.go
+++ b/pkg/connection/bound.go
@@ -28,7 +28,7 @@
 
 // Bound returns a listener that accepts connections while fewer than MaxOpen are open. It
 // closes idle ones to make room, then those that have sent no whole request for minUnusedAge,
-// then those whose callers do not read, and leaves new ones to the kernel while all others carry requests. A lack of descriptors or memory is passed over: Accept tries again, and closes
+// then those whose callers receive nothing, and leaves new ones to the kernel while all others carry requests. A lack of descriptors or memory is passed over: Accept tries again, and closes
 // half of the idle connections before.
 func (t *Tracker) Bound(l net.Listener) net.Listener {
 	return &boundListener{Listener: l, tracker: t, closing: make(chan struct{})}
@@ -94,18 +94,10 @@
 // makeRoom closes idle connections until one more may be open, and reports whether it
 // may.
 func (t *Tracker) makeRoom() bool {
-	if t.MaxOpen == nil || t.closeForRoom(t.MaxOpen()) {
+	if t.MaxOpen == nil {
 		return true
 	}
-	if t.CloseStalled != nil {
-		t.CloseStalled()
-	}
-	return false
-}
-
-// closeForRoom closes connections that wait for a request until one more than those that are
-// open is within maxOpen, and reports whether it is.
-func (t *Tracker) closeForRoom(maxOpen int) bool {
+	maxOpen := t.MaxOpen()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	excess := len(t.conns) - t.closing + 1 - maxOpen
@@ -116,6 +108,9 @@
 	if excess > 0 {
 		excess -= t.evictUnused(excess)
 	}
+	if excess > 0 {
+		excess -= t.evictStalled(excess)
+	}
 	return excess <= 0
 }
 
--- a/pkg/connection/connection.go
+++ b/pkg/connection/connection.go
@@ -37,8 +37,8 @@
 	// and did not reach the handler.
 	Dropped int
 	// Evicted is the number of connections without a request that were closed because there
-	// were too many.
-	Evicted int
+	// were too many, and Stalled that of those whose callers received nothing.
+	Evicted, Stalled int
 	// HeadsTooLarge is the number of requests that were refused because their head was over
 	// the limit. HeadsRefused and HeadsEvicted are the numbers of connections that were closed
 	// because there was no memory for their head, and to make room for that of another.
@@ -55,10 +55,6 @@
 	// MaxOpen returns the bound of all open connections that Bound applies; nil means no
 	// bound.
 	MaxOpen func() int
-	// CloseStalled is called when there is no room for a connection and none that waits for a
-	// request can be closed. It closes one whose caller does not read its response, if there
-	// is one. It must not call methods of the tracker; nil is allowed.
-	CloseStalled func()
 	// OnAcceptError is called with the error of an Accept that is tried again; nil is
 	// allowed.
 	OnAcceptError func(error)
@@ -88,6 +84,10 @@
 	closing int
 	// evicted is the number of connections closed because of MaxIdle or MaxOpen.
 	evicted int
+	// stalled is the number of connections closed because their callers received nothing.
+	stalled int
+	// lastStallScan is when evictStalled last looked at the connections.
+	lastStallScan time.Time
 	// closed reports whether Close was called.
 	closed  bool
 	dropped int
@@ -113,6 +113,10 @@
 	readingSince time.Time
 	// headReserved is the number of bytes reserved from Tracker.Heads.
 	headReserved int64
+	// stalledSince is since when evictStalled has seen no more than received bytes confirmed
+	// by the caller, or zero if nothing waits for that.
+	stalledSince time.Time
+	received     uint64
 	// limited is netConn if that applies Limits, or nil.
 	limited *limitedConn
 }
@@ -154,7 +158,7 @@
 func (t *Tracker) Counts() Counts {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	counts := Counts{Dropped: t.dropped, Evicted: t.evicted, HeadsTooLarge: t.headsTooLarge, HeadsRefused: t.headsRefused, HeadsEvicted: t.headsEvicted}
+	counts := Counts{Dropped: t.dropped, Evicted: t.evicted, Stalled: t.stalled, HeadsTooLarge: t.headsTooLarge, HeadsRefused: t.headsRefused, HeadsEvicted: t.headsEvicted}
 	for _, c := range t.conns {
 		switch {
 		case c.closed:
@@ -201,7 +205,8 @@
 	}
 }
 
-// closeConn closes a connection that waits for a request. The caller holds mu.
+// closeConn closes a connection that waits for a request, or whose caller receives nothing. The
+// caller holds mu.
 func (t *Tracker) closeConn(c *conn) {
 	c.closed = true
 	t.closing++
--- a/pkg/memory/held.go
+++ b/pkg/memory/held.go
@@ -49,7 +49,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for !b.Reserve(n) {
-		if !b.evict(now, minStall) {
+		if !b.evict(now) {
 			return nil
 		}
 	}
@@ -58,23 +58,15 @@
 	return h
 }
 
-// EvictStalled ends the reservation that has had no progress for longest if that is at
-// least stall, and reports whether it did.
-func (b *HeldBudget) EvictStalled(stall time.Duration) bool {
-	now := b.Clock.Now()
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.evict(now, stall)
-}
-
-// evict is EvictStalled at a given time. The caller holds mu.
-func (b *HeldBudget) evict(now time.Time, stall time.Duration) bool {
+// evict ends the reservation that has had no progress for longest if that is at least
+// minStall, and reports whether it did. The caller holds mu.
+func (b *HeldBudget) evict(now time.Time) bool {
 	front := b.holds.Front()
 	if front == nil {
 		return false
 	}
 	oldest := front.Value.(*Hold)
-	if now.Sub(oldest.progress) < stall {
+	if now.Sub(oldest.progress) < minStall {
 		return false
 	}
 	oldest.remove()
--- a/pkg/mesh/budgets.go
+++ b/pkg/mesh/budgets.go
@@ -161,7 +161,7 @@
 	}
 	for reason, count := range map[string]int{
 		"head_too_large": conns.HeadsTooLarge, "head_refused": conns.HeadsRefused, "head_evicted": conns.HeadsEvicted,
-		"body_evicted": b.smallBodies.Evicted(), "response_evicted": b.callerResponses.Evicted(), "too_many": conns.Evicted,
+		"body_evicted": b.smallBodies.Evicted(), "response_evicted": b.callerResponses.Evicted(), "too_many": conns.Evicted, "stalled": conns.Stalled,
 	} {
 		n.meter.LabelledGauge("caller_connections_closed", "reason", reason).Update(float64(count))
 	}
--- a/pkg/mesh/descriptors.go
+++ b/pkg/mesh/descriptors.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"time"
 
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sys/unix"
@@ -25,9 +24,6 @@
 	// Measured were 14 to 16 kB with a head that has begun (docs/CAPACITY.md).
 	connBytes          = 24 << 10
 	connMemoryFraction = 0.5
-	// maxStallWhenFull is how long a caller may read nothing of a large response while no
-	// connection can be accepted otherwise.
-	maxStallWhenFull = time.Second
 )
 
 // maxDescriptors returns the number of descriptors that the process may have.
@@ -68,7 +64,6 @@
 	n.callerConns.MaxIdle = n.minCallerConns()
 	n.callerConns.MaxOpen = n.maxCallerConns
 	n.callerConns.OnAcceptError = n.onAcceptFailed
-	n.callerConns.CloseStalled = func() { n.budgets.callerResponses.EvictStalled(maxStallWhenFull) }
 }
 
 // onAcceptFailed logs an Accept that failed for lack of resources and is tried again.
