--- a/internal/meshcmd/meshcmd.go
+++ b/internal/meshcmd/meshcmd.go
@@ -29,15 +29,10 @@
 	ExitSettings = 2
 )
 
-const (
-	// gcPercent lets the heap grow to twice the live heap between garbage collections.
-	// Nodes run beside instances on small machines: a higher value saves little processor
-	// time and doubles the memory.
-	gcPercent = 100
-	// maxMemoryBytes is the soft limit on the memory of the Go runtime. Near it, the
-	// garbage collector runs more often.
-	maxMemoryBytes = 96 << 20
-)
+// gcPercent lets the heap grow to twice the live heap between garbage collections.
+// Nodes run beside instances on small machines: a higher value saves little processor
+// time and doubles the memory.
+const gcPercent = 100
 
 // Main runs the daemon until SIGTERM or SIGINT and returns its exit code.
 func Main(args []string, out, errOut io.Writer) int {
@@ -60,7 +55,6 @@
 		return ExitSettings
 	}
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(maxMemoryBytes)
 	if err := serve(ctx, hangups, *path, s, out); err != nil {
 		_, _ = fmt.Fprintf(errOut, "plantainmesh: %s\n", err)
 		return ExitFailed
@@ -77,6 +71,9 @@
 	}
 	go watchHangups(ctx, hangups, path, logger)
 	node := mesh.New(s, platform.New(platform.NewStore(s.StoreAddress)), clock.System{}, uptime.SinceBoot, logger)
+	limit := softLimit{memoryBytes: s.MemoryBytes, set: func(bytes int64) { debug.SetMemoryLimit(bytes) }}
+	limit.update(0)
+	node.OnHeldBytes(limit.update)
 	err = node.Run(ctx)
 	if dropped := logWriter.Dropped(); dropped > 0 {
 		logger.WithField("lines", dropped).Warn("log lines were dropped because the log output was too slow")
--- a/pkg/entrance/entrance.go
+++ b/pkg/entrance/entrance.go
@@ -51,6 +51,15 @@
 	RateLimiter *quota.Limiter
 	// Bodies bounds the memory for large request bodies; nil means no bound.
 	Bodies *memory.Budget
+	// SmallBodies bounds the memory for smaller bodies that are being read; nil means no
+	// bound.
+	SmallBodies *memory.HeldBudget
+	// Responses bounds the memory for large responses that callers have not read; nil means
+	// no bound.
+	Responses *memory.HeldBudget
+	// WriteMargin is how long after the time at which its caller stops waiting a response is
+	// still written; 0 means the default of connection.Responses.
+	WriteMargin time.Duration
 	// View returns the active configuration, or nil.
 	View func() *routing.View
 	// ConfigFresh reports whether the configuration was confirmed recently enough
@@ -129,10 +138,15 @@
 	defer e.inFlight.Add(-1)
 	r, refusal := e.newRequest(hr)
 	defer e.releaseBody(r)
+	e.limitWrite(w, r)
 	var outcome *linkrpc.Outcome
 	if refusal == nil {
 		outcome, refusal = e.handle(hr.Context(), w, hr, r)
 	}
+	if refusal == nil {
+		refusal = e.holdResponse(w, r, outcome)
+		defer e.releaseResponse(r)
+	}
 	status := 0
 	if refusal != nil {
 		status = refusal.Status()
@@ -158,7 +172,7 @@
 		refusal.WriteExact(w)
 		return
 	}
-	writeResponse(w, hr.Method, outcome)
+	e.writeResponse(w, hr.Method, r, outcome)
 }
 
 // callerLeft reports whether the caller of a refused request has disconnected. The context
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -104,6 +104,9 @@
 
 	// Outgoing is told of the calls that the instance makes.
 	Outgoing OutgoingCalls
+	// MaxRetainedBytes bounds the bodies of the retained outcomes; 0 means
+	// maxRetainedBytes.
+	MaxRetainedBytes int
 
 	Slots    Slots
 	results  resultMeter
@@ -143,7 +146,7 @@
 // Init prepares the gate. It must be called once, before any other method.
 func (g *Gate) Init() {
 	g.Slots.Clock = g.Clock
-	g.attempts.Clock = g.Clock
+	g.attempts.Clock, g.attempts.MaxRetainedBytes = g.Clock, g.MaxRetainedBytes
 	if g.SlowStart {
 		g.limit.slots = g.expectedRun
 	}
@@ -260,7 +263,8 @@
 // Run runs a call and returns its outcome. When wanted ends, the caller no longer waits,
 // and the call is not sent to the instance any more, or aborted. When connection ends,
 // the outcome cannot be returned. The call then continues for OrphanTimeout, so that the
-// entrance can query its outcome over a new connection.
+// entrance can query its outcome over a new connection. The memory for the body stays reserved
+// until ReleaseBody.
 func (g *Gate) Run(wanted, connection context.Context, run *linkrpc.Run) *linkrpc.Outcome {
 	ctx, cancel := context.WithCancel(wanted)
 	defer cancel()
@@ -276,6 +280,9 @@
 	return outcome
 }
 
+// ReleaseBody ends the reservation for the body of an outcome that Run has returned.
+func (g *Gate) ReleaseBody(outcome *linkrpc.Outcome) { g.Instance.ReleaseBody(outcome.Body) }
+
 // handleOrphan cancels a call whose connection was lost after OrphanTimeout, unless a
 // query waits for its outcome.
 func (g *Gate) handleOrphan(a *attempt, cancel context.CancelFunc) {
--- a/pkg/link/clientconn.go
+++ b/pkg/link/clientconn.go
@@ -34,11 +34,12 @@
 	reply chan Reply
 	// sent reports whether bytes of the request may have been written.
 	sent bool
+	kind Kind
 }
 
 // openStream registers a new request.
-func (c *clientConn) openStream() (StreamID, *pendingReply) {
-	w := &pendingReply{reply: make(chan Reply, 1)}
+func (c *clientConn) openStream(kind Kind) (StreamID, *pendingReply) {
+	w := &pendingReply{reply: make(chan Reply, 1), kind: kind}
 	c.streams.Lock()
 	defer c.streams.Unlock()
 	c.streams.next++
@@ -46,6 +47,22 @@
 	return c.streams.next, w
 }
 
+// replyTreatment returns how the reply to a request is read in parts. Replies that carry no
+// response of an instance need no reservation, so that nodes exchange records while callers
+// use the memory up.
+func (c *clientConn) replyTreatment(stream StreamID) treatment {
+	c.streams.Lock()
+	defer c.streams.Unlock()
+	w := c.streams.pending[stream]
+	switch {
+	case w == nil:
+		return treatUnwanted
+	case w.kind == KindRun || w.kind == KindAsk:
+		return treatReserved
+	}
+	return treatExempt
+}
+
 // dropStream removes a request and reports whether it was still pending.
 func (c *clientConn) dropStream(stream StreamID) bool {
 	c.streams.Lock()
@@ -81,7 +98,18 @@
 	c.streams.Unlock()
 	if w != nil {
 		w.reply <- r
+	} else {
+		r.Release()
+	}
+}
+
+// replyOf returns the reply in a message.
+func (c *clientConn) replyOf(m message) Reply {
+	r := Reply{Payload: m.payload, Incarnation: c.incarnation, reserved: m.reserved, budget: c.budget}
+	if m.discarded {
+		r.err = &ReplyDiscardedError{}
 	}
+	return r
 }
 
 // failPending fails all pending requests after the connection was lost: with
--- a/pkg/link/frame.go
+++ b/pkg/link/frame.go
@@ -135,6 +135,11 @@
 	partial map[StreamID]*partialMessage
 	// budget bounds the bytes of the messages that are read in parts; nil means no bound.
 	budget *memory.Budget
+	// treatment returns how the message of a stream is read in parts; nil means that all are
+	// reserved for.
+	treatment func(stream StreamID) treatment
+	// replies is the budget that the messages in large have reserved from, or nil.
+	replies *memory.Budget
 
 	// mu guards pending, pendingRequests, large, largeBytes, sendsParts, finishing and
 	// closeErr.
--- a/pkg/link/link.go
+++ b/pkg/link/link.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -11,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/plantainramp/plantainramp/pkg/clock"
+	"github.com/plantainramp/plantainramp/pkg/memory"
 	"github.com/plantainramp/plantainramp/rpc/linkrpc"
 )
 
@@ -26,60 +26,22 @@
 	redialDelay = 300 * time.Millisecond
 )
 
-// NotSentError reports a request of which no byte was written, so that the peer
-// cannot have acted on it.
-type NotSentError struct {
-	Cause error
-}
-
-// Error implements error.
-func (e *NotSentError) Error() string { return "request not sent to peer: " + e.Cause.Error() }
-
-// Unwrap returns the cause.
-func (e *NotSentError) Unwrap() error { return e.Cause }
-
-// ConnectionLostError reports a connection that failed after a request may have
-// been sent on it, so that its outcome is unknown.
-type ConnectionLostError struct {
-	// Incarnation is the incarnation of the peer that the request was sent to.
-	Incarnation uint64
-	Cause       error
-}
-
-// Error implements error.
-func (e *ConnectionLostError) Error() string {
-	return "connection to peer lost: " + e.Cause.Error()
-}
-
-// Unwrap returns the cause.
-func (e *ConnectionLostError) Unwrap() error { return e.Cause }
-
-// UnsupportedError reports a peer of a build that does not know a kind of message.
-type UnsupportedError struct {
-	Kind Kind
-}
-
-// Error implements error.
-func (e *UnsupportedError) Error() string {
-	return fmt.Sprintf("the peer does not know messages of kind %d", e.Kind)
-}
-
-// UnresponsiveError reports a peer that did not answer a ping.
-type UnresponsiveError struct {
-	// SinceLastRead is the time since the last message from the peer.
-	SinceLastRead time.Duration
-}
-
-// Error implements error.
-func (e *UnresponsiveError) Error() string {
-	return "peer is unresponsive: no message for " + e.SinceLastRead.String()
-}
-
 // Reply is the reply to a request, with the incarnation of the peer that sent it.
 type Reply struct {
 	Payload     []byte
 	Incarnation uint64
 	err         error
+	// reserved is the number of bytes that Release returns to budget.
+	reserved int64
+	budget   *memory.Budget
+}
+
+// Release ends the reservation for the payload, which must not be used afterwards. It is
+// called once for each reply without an error.
+func (r *Reply) Release() {
+	if r.budget != nil && r.reserved > 0 {
+		r.budget.Release(r.reserved)
+	}
 }
 
 // Link is a client connection to one peer, dialled on demand and again after it
@@ -99,6 +61,9 @@
 	// OnUnencodable receives an *EncodeError for each message that cannot be encoded; nil is
 	// allowed.
 	OnUnencodable func(error)
+	// Budget bounds the bytes of the replies that arrive in parts, until they are released;
+	// nil means no bound.
+	Budget *memory.Budget
 
 	// mu guards the fields below, except connected.
 	mu sync.Mutex
@@ -143,7 +108,7 @@
 	if kind == KindTopicRead && !c.peer.RelaysTopics {
 		return Reply{}, &NotSentError{Cause: &UnsupportedError{Kind: kind}}
 	}
-	stream, pending := c.openStream()
+	stream, pending := c.openStream(kind)
 	if err := c.send(kind, stream, message, true); err != nil {
 		c.dropStream(stream)
 		reportUnencodable(err, l.OnUnencodable)
@@ -280,6 +245,7 @@
 	}
 	c := &clientConn{}
 	c.framer = newFramer(conn, l.Clock, c.markSent)
+	c.budget, c.treatment = l.Budget, c.replyTreatment
 	c.streams.pending = map[StreamID]*pendingReply{}
 	go c.writeLoop()
 	if err := c.send(KindHello, 0, withCapabilities(l.Hello()), false); err != nil {
@@ -313,9 +279,12 @@
 		}
 		c.lastRead.Store(int64(clock.MonotonicOf(l.Clock.Now())))
 		if m.kind == KindReply {
-			c.deliver(m.stream, Reply{Payload: m.payload, Incarnation: c.incarnation})
+			c.deliver(m.stream, c.replyOf(m))
+		} else {
+			c.release(m.reserved)
 		}
 	}
+	c.dropPartials()
 	l.mu.Lock()
 	if l.conn == c {
 		l.conn = nil
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -29,7 +29,6 @@
 	"github.com/plantainramp/plantainramp/pkg/peering"
 	"github.com/plantainramp/plantainramp/pkg/processor"
 	"github.com/plantainramp/plantainramp/pkg/quota"
-	"github.com/plantainramp/plantainramp/pkg/recovery"
 	"github.com/plantainramp/plantainramp/pkg/routing"
 	"github.com/plantainramp/plantainramp/pkg/topic"
 	"github.com/plantainramp/plantainramp/pkg/uptime"
@@ -174,6 +173,7 @@
 	// callerBodies and peerBodies bound the memory for large request bodies of callers and
 	// of peers.
 	callerBodies, peerBodies memory.Budget
+	budgets                  budgets
 }
 
 // New returns a node that is not yet running.
@@ -184,6 +184,8 @@
 	n.planEvents = &logs.Sampler{Clock: c, Logger: logs.WithComponent(logger, logs.ComponentAdmission), MaxPerSecond: 1}
 	n.callerBodies.Limit = int64(bodyFraction * float64(s.MemoryBytes))
 	n.peerBodies.Limit = n.callerBodies.Limit
+	n.budgets.init(s.MemoryBytes, c)
+	n.budgets.callerResponses.OnEvict, n.budgets.smallBodies.OnEvict = n.onResponseEvicted, n.onBodyEvicted
 	n.makeGate()
 	n.makeDirectory()
 	n.makeEntrance()
@@ -199,10 +201,10 @@
 }
 
 func (n *Node) makeGate() {
-	n.instance = &instance.Client{Address: n.settings.InstanceAddress, Clock: n.clock, Headers: n.platform.InstanceHeaders, MaxBodyBytes: maxResponseBytes, OnStray: n.onStray, OnJoined: n.onJoined, OnRepeatedID: n.onRepeatedID}
+	n.instance = &instance.Client{Address: n.settings.InstanceAddress, Clock: n.clock, Headers: n.platform.InstanceHeaders, MaxBodyBytes: maxResponseBytes, Budget: &n.budgets.outgoing, OnStray: n.onStray, OnJoined: n.onJoined, OnRepeatedID: n.onRepeatedID}
 	n.gate = &gate.Gate{
 		Clock: n.clock, Headers: n.platform.GateHeaders, Instance: n.instance, View: n.view.Load, OnStart: n.onExecutionStarted, OnDecision: n.onDecided, OnRateLimit: n.onRateLimit, OnLeaving: n.onLeaving,
-		OutOfDate: n.evacuationsOutOfDate, Region: n.regionOf(n.settings.DataCentre),
+		OutOfDate: n.evacuationsOutOfDate, Region: n.regionOf(n.settings.DataCentre), MaxRetainedBytes: retainedBytes(n.settings.MemoryBytes),
 	}
 	n.limitColdCalls()
 	n.gate.Init()
@@ -214,7 +216,7 @@
 	self := directory.NodeAddress(n.settings.PeerAddress)
 	n.peers = &peering.Peers{
 		LocalNode: self, DataCentre: n.settings.DataCentre, Clock: n.clock, Logger: logs.WithComponent(n.logger, logs.ComponentPeer), Gate: n.gate, Hello: n.hello, OnUnencodable: n.logUnencodable,
-		Excluded: n.evacuations.Has,
+		Excluded: n.evacuations.Has, Replies: &n.budgets.incoming,
 	}
 	n.directory = &directory.Directory{
 		Self: self, Clock: n.clock, Logger: logs.WithComponent(n.logger, logs.ComponentMember), Put: n.platform.PutEntry, Connected: n.peers.Connected, OnChange: n.onDirectoryChange,
@@ -227,13 +229,13 @@
 		Relay:     n.relay(linkrpc.Topic_TOPIC_DIRECTORY, func() *topic.Follower { return n.directoryFollower }),
 	}
 	n.demand = &demand.Monitor{Clock: n.clock, LocalNode: self, Service: n.settings.Service, Load: n.gate.Load, View: n.view.Load, Directory: n.directory.Snapshot, OnPlan: n.onPlan, Excluded: n.evacuations.Has}
-	n.links = &link.Server{Clock: n.clock, Hello: n.hello, Handle: n.handlePeerRequest, OnStatus: n.handleStatus, OnTokenGifts: n.handleTokenGifts, OnReports: n.handleReports, OnUnreadable: func(err error) { n.logUnreadable("message without a reply", err) }, OnUnencodable: n.logUnencodable, OnAcceptError: n.onAcceptFailed, OnPanic: n.onPanic, CloseLimit: n.linkCloseLimit, Budget: &n.peerBodies}
+	n.links = &link.Server{Clock: n.clock, Hello: n.hello, Handle: n.handlePeerRequest, OnStatus: n.handleStatus, OnTokenGifts: n.handleTokenGifts, OnReports: n.handleReports, OnUnreadable: func(err error) { n.logUnreadable("message without a reply", err) }, OnUnencodable: n.logUnencodable, OnAcceptError: n.onAcceptFailed, OnPanic: n.onPanic, CloseLimit: n.linkCloseLimit, Budget: &n.peerBodies, Replies: &n.budgets.outgoing}
 }
 
 func (n *Node) makeEntrance() {
 	n.rateLimiter = &quota.Limiter{Clock: n.clock, Uptime: n.uptime, StartFull: n.settings.FirstStart}
 	n.entrance = &entrance.Entrance{
-		Clock: n.clock, Headers: n.platform.EntranceHeaders, Service: n.settings.Service, Peers: n.peers, RateLimiter: n.rateLimiter, Bodies: &n.callerBodies,
+		Clock: n.clock, Headers: n.platform.EntranceHeaders, Service: n.settings.Service, Peers: n.peers, RateLimiter: n.rateLimiter, Bodies: &n.callerBodies, SmallBodies: &n.budgets.smallBodies, Responses: &n.budgets.callerResponses,
 		View: n.view.Load, ConfigFresh: n.keysFresh, Stopping: n.stopping.Load, Takes: n.takes, OnFinish: n.onFinished, Incarnation: n.incarnation,
 		OnArrival: n.onArrived, Unavailable: n.unavailable, Region: n.regionOf, Admit: n.admit, RetryFraction: n.executions.repeatedFraction, OnRetry: n.onRetry, TokenHome: n.tokenHome, OnBorrowError: n.onBorrowFailed, OnForeignAnswer: n.onForeignAnswer,
 	}
@@ -252,69 +254,9 @@
 
 func (n *Node) hello() *linkrpc.Hello { return &linkrpc.Hello{Incarnation: n.incarnation} }
 
-// keysFresh reports whether the configuration was confirmed recently enough to trust
-// the keys in it.
-func (n *Node) keysFresh() bool {
-	age, known := n.configFollower.Age()
-	return known && age < n.settings.MaxRevocationDelay-freshnessMargin
-}
-
 // ready reports whether the node accepts requests of callers.
 func (n *Node) ready() bool { return n.view.Load() != nil && !n.stopping.Load() }
 
-// applyConfig activates each configuration among the records that is newer than the
-// active one. One that cannot be decoded is skipped and logged. Evacuations are applied
-// first, so that no request is sent by a configuration whose evacuations are not in force.
-func (n *Node) applyConfig(records []topic.Record, full bool) {
-	n.applyEvacuations(records, full)
-	for _, r := range records {
-		if r.Key != n.platform.ConfigKey || len(r.Value) == 0 {
-			continue
-		}
-		var view *routing.View
-		var err error
-		if panicked := recovery.Run("the configuration", func() { view, err = n.platform.DecodeConfig(r.Value) }); panicked != nil {
-			n.onPanic(panicked)
-			err = panicked
-		}
-		if err != nil {
-			n.configLogger.WithError(err).Warn("configuration left out")
-			continue
-		}
-		if current := n.view.Load(); current != nil && view.Version <= current.Version {
-			if view.Version < current.Version {
-				n.configLogger.WithField("version", view.Version).WithField("inForce", current.Version).Info("configuration ignored: it is older than the active one")
-			}
-			continue
-		}
-		n.activate(view)
-		n.configLogger.WithField("version", view.Version).WithField("organisations", len(view.Organisations)).Info("configuration in force")
-	}
-}
-
-// activate makes a configuration the active one. Its limits are set first, so that no
-// request finds an organisation without the limit that it has.
-func (n *Node) activate(view *routing.View) {
-	n.limitsMu.Lock()
-	defer n.limitsMu.Unlock()
-	n.updateRateLimits(view)
-	n.view.Store(view)
-}
-
-// updateRateLimits sets the limits of a configuration. The caller holds limitsMu.
-func (n *Node) updateRateLimits(view *routing.View) {
-	limits := map[fleet.OrganisationID]quota.Limit{}
-	for _, o := range view.Organisations {
-		if o.Rate > 0 {
-			limits[o.ID] = quota.Limit{
-				Rate:  o.Rate * fleet.Rate(1+n.settings.MaxOverageFraction*usedToleranceFraction),
-				Burst: o.Burst + n.settings.MaxOverageBurst*usedToleranceFraction,
-			}
-		}
-	}
-	n.rateLimiter.Update(limits, n.fleetSize())
-}
-
 // applyDirectory applies records of the directory, and then what they say of the local
 // instance.
 func (n *Node) applyDirectory(records []topic.Record, full bool) {
