--- a/internal/meshcmd/softlimit.go
+++ b/internal/meshcmd/softlimit.go
@@ -2,8 +2,8 @@
 
 const (
 	// ordinaryHeapBytes is the soft limit on the memory of the Go runtime while the node holds
-	// little for callers. A heap of more costs memory all the time and saves little: at 18,000
-	// calls a second it grew to any limit that it was given.
+	// little for callers. A larger heap costs memory all the time and saves little
+	// processor time.
 	ordinaryHeapBytes = 96 << 20
 	// heapFraction is the largest soft limit, as a fraction of the memory that the settings
 	// give the process. The rest is for the program itself and for what is allocated during a
--- a/overlimit/overlimit_test.go
+++ b/overlimit/overlimit_test.go
@@ -5,9 +5,12 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/matryer/is"
 )
 
 const (
@@ -33,8 +36,11 @@
 }
 
 // crowd runs one function for each connection of n callers, all at once, and returns when
-// they have returned. The connections end after crowdTime.
-func crowd(address string, n int, act func(conn net.Conn)) {
+// they have returned. The connections end after crowdTime. It fails the test if fewer than half
+// of the callers get a connection: a crowd that never came shows nothing.
+func crowd(t *testing.T, address string, n int, act func(conn net.Conn)) {
+	t.Helper()
+	var connected atomic.Int64
 	var group sync.WaitGroup
 	for range n {
 		group.Go(func() {
@@ -42,6 +48,7 @@
 			if err != nil {
 				return
 			}
+			connected.Add(1)
 			defer func() { _ = conn.Close() }()
 			_ = conn.(*net.TCPConn).SetReadBuffer(receiveBufferBytes)
 			_ = conn.SetDeadline(time.Now().Add(crowdTime))
@@ -49,12 +56,13 @@
 		})
 	}
 	group.Wait()
+	is.New(t).True(connected.Load() >= int64(n)/2)
 }
 
 // Guards against memory held for complete request heads over the limit of the configuration.
 func TestHeadsOverLimit(t *testing.T) {
 	c := newCluster(t, "desk")
-	crowd(c.nodes[0].address(0), headCallers, func(conn net.Conn) {
+	crowd(t, c.nodes[0].address(0), headCallers, func(conn net.Conn) {
 		_, _ = io.WriteString(conn, requestHead("/slow/x")+padding(overLimitBytes)+"\r\n")
 		_, _ = io.Copy(io.Discard, conn)
 	})
@@ -70,7 +78,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			nodes := newCluster(t, "desk")
-			crowd(nodes.nodes[0].address(0), headCallers, func(conn net.Conn) {
+			crowd(t, nodes.nodes[0].address(0), headCallers, func(conn net.Conn) {
 				_, err := io.WriteString(conn, requestHead("/slow/x")+c.beginning)
 				for err == nil {
 					time.Sleep(sendInterval)
@@ -87,13 +95,13 @@
 func TestEmptyLinesWithoutEnd(t *testing.T) {
 	c := newCluster(t, "desk")
 	lines := strings.Repeat("\r\n", 8<<10)
-	crowd(c.nodes[0].address(0), headCallers, func(conn net.Conn) {
+	crowd(t, c.nodes[0].address(0), headCallers, func(conn net.Conn) {
 		_, err := io.WriteString(conn, strings.Replace(requestHead("/small/x"), "GET", "POST", 1)+"Content-Length: 0\r\n\r\n")
 		for err == nil {
 			_, err = io.WriteString(conn, lines)
 		}
 	})
-	crowd(c.nodes[0].address(0), headCallers, func(conn net.Conn) {
+	crowd(t, c.nodes[0].address(0), headCallers, func(conn net.Conn) {
 		var err error
 		for err == nil {
 			_, err = io.WriteString(conn, lines)
@@ -141,7 +149,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			nodes := newCluster(t, c.services...)
-			crowd(nodes.nodes[0].address(0), responseCallers, c.act)
+			crowd(t, nodes.nodes[0].address(0), responseCallers, c.act)
 			nodes.check()
 		})
 	}
@@ -158,7 +166,7 @@
 		time.Sleep(crowdTime / 2)
 		_ = entrance.process.Process.Signal(syscall.SIGCONT)
 	}()
-	crowd(entrance.address(0), responseCallers, func(conn net.Conn) {
+	crowd(t, entrance.address(0), responseCallers, func(conn net.Conn) {
 		askForLarge(conn, "/late/x")
 		_, _ = io.Copy(io.Discard, conn)
 	})
--- a/overlimit/plantainnode_test.go
+++ b/overlimit/plantainnode_test.go
@@ -102,7 +102,7 @@
 // read.
 func TestUnreadResponsesOfPlantainnode(t *testing.T) {
 	n := startPlantainnode(t)
-	crowd(local(0), responseCallers, func(conn net.Conn) {
+	crowd(t, local(0), responseCallers, func(conn net.Conn) {
 		_, _ = fmt.Fprintf(conn, "GET /desk/large?size=%d HTTP/1.1\r\nHost: h\r\n\r\n", plantainnodeBytes)
 		time.Sleep(crowdTime)
 	})
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -16,7 +16,7 @@
 	otherDataCentrePenalty = 0.3
 	// spillRange is the further difference over which the share of the calls that are sent
 	// to the other data centre rises to all of them, where the fullness of the local instances
-	// is not known but by the mean of the past.
+	// is known only as a mean of past reports.
 	spillRange = 0.3
 	// overloadFullness is the fullness above which the cost of an instance
 	// rises more steeply, by overloadSlope for each unit of fullness.
@@ -30,14 +30,14 @@
 	// defaultLimit is assumed for an instance that has not reported its slots.
 	defaultLimit = 8
 	// freshJitter is the range of a random part of the cost by which equal instances are
-	// told apart, and staleJitter the further range if the fullness is not known but by the
-	// mean of the past: what differs in the reports that all entrances read must not decide
+	// told apart, and staleJitter the further range if the fullness is known only as a mean of
+	// past reports: what differs in the reports that all entrances read must not decide
 	// on all calls until the next.
 	freshJitter = 0.02
 	staleJitter = 0.4
 	// eligibleRange is how much more than the best instance of its data centre an instance
 	// may cost and still be drawn, and staleEligibleRange what is added to that where the
-	// fullness is not known but by the mean of the past.
+	// fullness is known only as a mean of past reports.
 	eligibleRange      = 0.5
 	staleEligibleRange = 2.0
 	// maxStaleFullness bounds the fullness from staleness staleFrom on. A queue that was
--- a/pkg/balancer/outlier.go
+++ b/pkg/balancer/outlier.go
@@ -20,8 +20,8 @@
 )
 
 // markOutliers marks the candidates that reject or fail more of their calls than the others
-// and returns their number. If half of them do, the others are no measure, and none is
-// marked.
+// and returns their number. If more than half of them do, the others are no
+// measure, and none is marked.
 func markOutliers(candidates []Candidate) int {
 	suspects := 0
 	for i := range candidates {
@@ -55,7 +55,7 @@
 }
 
 func (c *Candidate) outlierPenalty() float64 {
-	return min(maxOutlierPenalty, outlierCost/max(c.useful(), outlierCost/maxOutlierPenalty))
+	return outlierCost / max(c.useful(), outlierCost/maxOutlierPenalty)
 }
 
 // probe returns an outlier of the group that gets the call as a probe, or -1.
--- a/pkg/connection/bound.go
+++ b/pkg/connection/bound.go
@@ -28,7 +28,8 @@
 
 // Bound returns a listener that accepts connections while fewer than MaxOpen are open. It
 // closes idle ones to make room, then those that have sent no whole request for minUnusedAge,
-// then those whose callers receive nothing, and leaves new ones to the kernel while all others carry requests. A lack of descriptors or memory is passed over: Accept tries again, and closes
+// then those whose callers receive nothing, and leaves new ones to the kernel while all others
+// carry requests. A lack of descriptors or memory is passed over: Accept tries again, and closes
 // half of the idle connections before.
 func (t *Tracker) Bound(l net.Listener) net.Listener {
 	return &boundListener{Listener: l, tracker: t, closing: make(chan struct{})}
--- a/pkg/connection/limited.go
+++ b/pkg/connection/limited.go
@@ -18,7 +18,7 @@
 	// its request line.
 	requestLineBytes = 4 << 10
 	// headCostFactor is the memory that a head takes per byte, as it is read and as parsed
-	// fields. 400 connections with heads of 60 kB held 300 kB each.
+	// fields.
 	headCostFactor = 4
 	// minHeadAge is how long a head may be read before its connection is closed to make room
 	// for another.
@@ -207,10 +207,10 @@
 	t.mu.Lock()
 	evicted := 0
 	more := total - c.headReserved
-	reserved = !c.closed && (more <= 0 || t.Heads.Reserve(more))
+	reserved = !c.closed && (more <= 0 || t.Heads.TryReserve(more))
 	for !reserved && !c.closed && t.evictHead(c, now) {
 		evicted++
-		reserved = t.Heads.Reserve(more)
+		reserved = t.Heads.TryReserve(more)
 	}
 	closed = c.closed
 	switch {
--- a/pkg/entrance/dispatch.go
+++ b/pkg/entrance/dispatch.go
@@ -55,11 +55,11 @@
 func (e *Entrance) tryTargets(ctx context.Context, r *Request) (*linkrpc.Outcome, *problem.Error) {
 	service := r.Route.PickService()
 	r.message.Service = string(service)
-	e.earnRetries(r)
+	added := e.earnRetries(r)
 	reached := false
 	defer func() {
 		if !reached {
-			e.retryBudget.removeRequest(service)
+			e.retryBudget.takeBack(service, added)
 		}
 	}()
 	tried, allowed := map[directory.NodeAddress]bool{}, e.allowedDataCentres(r)
@@ -76,6 +76,7 @@
 		r.Dispatches++
 		outcome, refusal := e.sendCall(ctx, r, target)
 		if refusal != nil {
+			reached = reached || refusal.Execution != problem.NotExecuted
 			return nil, refusal
 		}
 		outcome = e.withOwnAnswer(r, withDecodedHeaders(outcome))
--- a/pkg/entrance/retry.go
+++ b/pkg/entrance/retry.go
@@ -11,9 +11,8 @@
 const (
 	// usableRatioFraction and usableSlackFraction are the fractions of the
 	// operator's limits that entrances use. The rest covers calls that retried
-	// executions make and that are not recognised as retries. In 1,500 random schedules
-	// of chains with up to 64 calls in a run, 3 exceeded the limit with a ratio fraction
-	// of 0.65, and 8 with 0.75.
+	// executions make and that are not recognised as retries, and saved tokens that are
+	// spent as the load falls.
 	usableRatioFraction = 0.65
 	usableSlackFraction = 0.8
 	// maxDebtTokens bounds how far the calls of retried executions can overdraw
@@ -95,32 +94,28 @@
 	return s
 }
 
-func (b *retryBudget) addRequest(service fleet.ServiceName) { b.addCall(service, 0) }
-
 // addCall adds the tokens that a call earns, and deducts those of a call that the local
 // instance makes because the execution that makes it is a retry. repeatFraction is the
-// probability of that.
-func (b *retryBudget) addCall(service fleet.ServiceName, repeatFraction float64) {
+// probability of that. It returns the tokens that were added, for takeBack.
+func (b *retryBudget) addCall(service fleet.ServiceName, repeatFraction float64) (added float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.service(service)
 	earned := b.tokensPerRequest * (1 - repeatFraction)
 	s.allocator.Earn(earned)
 	s.allocator.Charge(repeatFraction)
-	s.tokens = max(min(s.tokens+earned, b.maxTokens)-repeatFraction, -maxDebtTokens)
+	added = max(0, min(earned, b.maxTokens-s.tokens))
+	s.tokens = max(s.tokens+added-repeatFraction, -maxDebtTokens)
+	return added
 }
 
-// removeRequest takes back what a request earned that has reached no instance.
-func (b *retryBudget) removeRequest(service fleet.ServiceName) {
+// takeBack removes the tokens that a request added which has reached no instance.
+func (b *retryBudget) takeBack(service fleet.ServiceName, added float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.service(service)
-	s.allocator.Charge(b.tokensPerRequest)
-	s.tokens = max(s.tokens-b.tokensPerRequest, -maxDebtTokens)
-}
-
-func (b *retryBudget) take(service fleet.ServiceName) bool {
-	return b.takeFor(service, retrybudget.Call{}) == RetrySpent
+	s.allocator.Charge(added)
+	s.tokens = max(s.tokens-added, -maxDebtTokens)
 }
 
 // takeFor spends a token on a call if there is one and it is not reserved for others.
@@ -154,10 +149,10 @@
 // service returns the service that the request is sent to.
 func (r *Request) service() fleet.ServiceName { return fleet.ServiceName(r.message.Service) }
 
-// earnRetries adds what the request earns to the budget. A call of a retried execution is
+// earnRetries adds what the request earns to the budget, and returns the tokens that were added. A call of a retried execution is
 // itself a retry, and so are the calls of its own execution. Where it is not known whether
 // the execution is one, a random call is marked, so that the fraction is right further down.
-func (e *Entrance) earnRetries(r *Request) {
+func (e *Entrance) earnRetries(r *Request) (added float64) {
 	repeatFraction := 0.0
 	switch {
 	case r.Caller.Known:
@@ -166,7 +161,7 @@
 		repeatFraction = e.RetryFraction()
 	}
 	r.message.Repeat = rand.Float64() < repeatFraction
-	e.retryBudget.addCall(r.service(), repeatFraction)
+	return e.retryBudget.addCall(r.service(), repeatFraction)
 }
 
 // takeRetry uses one retry of the budget and reports whether the request may be
--- a/pkg/entrance/retry_test.go
+++ b/pkg/entrance/retry_test.go
@@ -20,9 +20,9 @@
 	b := &retryBudget{}
 	b.setLimits(RetryLimits{Ratio: 1, Slack: 10}, 1)
 	tokens := func() float64 { return b.services["deep"].tokens }
-	b.addRequest("deep")
+	added := b.addCall("deep", 0)
 	is.Equal(tokens(), usableRatioFraction)
-	b.removeRequest("deep")
+	b.takeBack("deep", added)
 	is.Equal(tokens(), 0.0)
 	b.addCall("deep", 1)
 	is.Equal(tokens(), -1.0)
--- a/pkg/entrance/retryschedule_test.go
+++ b/pkg/entrance/retryschedule_test.go
@@ -152,9 +152,9 @@
 		fraction = float64(s.repeated[service-1][node]) / float64(s.running[service-1][node])
 		markedRepeat = s.random.Float64() < fraction
 	}
-	b.addCall(name, fraction)
+	added := b.addCall(name, fraction)
 	if s.random.Float64() < s.phase().refused {
-		b.removeRequest(name)
+		b.takeBack(name, added)
 		done(false)
 		return
 	}
--- a/pkg/gate/cold.go
+++ b/pkg/gate/cold.go
@@ -20,7 +20,8 @@
 	// windowBurstFraction is the fraction of the rate that may be sent in a window on top of
 	// it: the pacer lets as much pass at once after an idle time.
 	windowBurstFraction = 0.25
-	// healthChecksPerWindow is the highest number of health checks of the node in a window.
+	// healthChecksPerWindow is the number of health checks of the node in a window while none of
+	// them finds the instance warm.
 	// They are counted, but never held back, as the state of the instance depends on them.
 	healthChecksPerWindow = 6
 )
@@ -95,8 +96,9 @@
 
 func (c *coldState) noteEnd(now time.Time) { c.ended, c.endedAt = c.reported, now }
 
-// heartbeat applies what a heartbeat says. A new incarnation that does not say is unknown. One that arrived before the state became unknown,
-// or whose sender has ended since, is inconclusive; it can only prolong a cold period.
+// heartbeat applies what a heartbeat says. If it does not say whether a new incarnation is cold,
+// the state is unknown. A heartbeat that arrived before the state became unknown, or whose sender
+// has ended since, is inconclusive: it can only prolong a cold period.
 func (c *coldState) heartbeat(r ColdReport) {
 	stale := r.Incarnation == c.ended && r.At.Sub(c.endedAt) < staleReportTime
 	switch {
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -95,8 +95,8 @@
 	ColdRate func() (rate float64, evenIfWarm bool)
 	// ColdBound bounds the calls to a cold instance.
 	ColdBound ColdBound
-	// SlowStart limits the rate of an instance that has just started or recovered to what it
-	// takes by how it responds.
+	// SlowStart limits the rate of an instance that says that it is cold, whose gate opens
+	// again, or whose named limit has ended, to what it takes by how it responds.
 	SlowStart bool
 	// OnColdUnknown is called when a health check is to tell whether the instance is cold. It
 	// may be nil, must not block and must not call methods of the gate.
@@ -164,7 +164,7 @@
 		g.OnLeaving(a)
 	}
 	if (g.limit.observe(a) || a.Err != nil) && g.OnRateLimit != nil {
-		g.OnRateLimit(a, g.limit.rate())
+		g.OnRateLimit(a, g.limit.namedRate())
 	}
 }
 
@@ -243,11 +243,11 @@
 	return load
 }
 
-// RateLimit returns the rate in force in calls per second, or 0.
-func (g *Gate) RateLimit() float64 { return g.limit.rateAt(g.Clock.Now()) }
+// Pace returns the rate at which calls are sent at most, in calls per second, or 0 for no limit.
+func (g *Gate) Pace() float64 { return g.limit.rateAt(g.Clock.Now()) }
 
-// NamedRateLimit returns the rate limit that the instance names in calls per second, or 0.
-func (g *Gate) NamedRateLimit() float64 { return g.limit.namedRate() }
+// RateLimit returns the rate limit that the instance names in calls per second, or 0.
+func (g *Gate) RateLimit() float64 { return g.limit.namedRate() }
 
 // NotRunOutcome returns the outcome of a call that was not run and never will be.
 func NotRunOutcome(reason linkrpc.Reason) *linkrpc.Outcome {
--- a/pkg/gate/learned.go
+++ b/pkg/gate/learned.go
@@ -54,26 +54,34 @@
 
 // learnFrom applies a call that has ended to the learned rate. A call that its caller or the
 // end of the node cancelled says nothing of the instance, and neither does one that another
-// instance answered.
+// instance answered, that was not sent in the end, or whose response the node had no memory for.
 func (g *Gate) learnFrom(d *Decision, cancelled bool) {
 	if d.SentAt.IsZero() || cancelled || g.givenUp.Load() {
 		return
 	}
 	now := g.Clock.Now()
 	s := slowstart.Sample{RunTime: now.Sub(d.SentAt)}
-	var rejected *instance.RejectedError
+	var noMemory *instance.NoMemoryError
 	switch {
 	case d.Outcome.Fate == linkrpc.Fate_FATE_ANSWERED && d.Outcome.Status >= http.StatusInternalServerError:
 		s.Outcome = slowstart.OutcomeError
 	case d.Outcome.Fate == linkrpc.Fate_FATE_ANSWERED:
 	case d.Outcome.Reason == linkrpc.Reason_REASON_EXPIRED:
 		// A call of the instance may have taken the time. It counts as slow.
+	case errors.As(d.Cause, &noMemory), d.Outcome.Fate == linkrpc.Fate_FATE_NOT_RUN && d.Outcome.Reason != linkrpc.Reason_REASON_REJECTED:
+		return
 	case d.Outcome.Reason != linkrpc.Reason_REASON_REJECTED:
 		s.Outcome = slowstart.OutcomeFailed
-	case errors.As(d.Cause, &rejected) && g.isReplaced(rejected):
+	case g.isAnsweredByOther(d):
 		return
 	default:
 		s.Outcome = slowstart.OutcomeRejected
 	}
 	g.limit.observeCall(now, s)
 }
+
+// isAnsweredByOther reports whether another instance rejected the call in place of the local one.
+func (g *Gate) isAnsweredByOther(d *Decision) bool {
+	var rejected *instance.RejectedError
+	return errors.As(d.Cause, &rejected) && g.isReplaced(rejected)
+}
--- a/pkg/gate/ratelimit.go
+++ b/pkg/gate/ratelimit.go
@@ -17,9 +17,9 @@
 
 // rateLimit is the rate at which calls are sent to the local instance. It is the lowest of
 // the limit that the instance names in its responses, of the rate that it takes while it is
-// cold, and of the rate learned from how it responds. Responses are read in another order than they were written, so one counts only if
-// its call was sent after the response that named the present limit was read. The zero value
-// has no limit. It is safe for concurrent use.
+// cold, and of the rate learned from how it responds. Responses are read in another order than
+// they were written, so one counts only if its call was sent after the response that named the
+// present limit was read. The zero value has no limit. It is safe for concurrent use.
 type rateLimit struct {
 	// coldRate is Gate.ColdRate.
 	coldRate func() (rate float64, evenIfWarm bool)
@@ -110,13 +110,6 @@
 	}
 }
 
-// rate returns the limit in calls per second that was last in force, or 0.
-func (l *rateLimit) rate() float64 {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.pacer.Rate()
-}
-
 // rateAt returns the limit in calls per second that is in force now, or 0.
 func (l *rateLimit) rateAt(now time.Time) float64 {
 	l.mu.Lock()
@@ -143,7 +136,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.refresh(now)
-	if _, cold := l.coldRateOf(now); cold && runTime == 0 {
+	if _, applies := l.coldRateOf(now); applies && runTime == 0 {
 		runTime = assumedRunTime
 	}
 	load.Limit = uint32(l.pacer.Concurrency(int(load.Limit), runTime))
--- a/pkg/gate/ratelimit_test.go
+++ b/pkg/gate/ratelimit_test.go
@@ -157,3 +157,10 @@
 	g.Run(t.Context(), t.Context(), run)
 	is.Equal(g.Load().RateLimit, 10.0)
 }
+
+// rate returns the limit in calls per second that was last in force, or 0.
+func (l *rateLimit) rate() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.pacer.Rate()
+}
--- a/pkg/gate/results.go
+++ b/pkg/gate/results.go
@@ -76,7 +76,7 @@
 	case d.Outcome.Fate == linkrpc.Fate_FATE_ANSWERED:
 		return failurerate.ResultDone, true
 	case d.Outcome.Reason == linkrpc.Reason_REASON_REJECTED:
-		return failurerate.ResultRejected, !full
+		return failurerate.ResultRejected, !full && !g.isAnsweredByOther(d)
 	}
 	return failurerate.ResultFailed, isFault(ctx, d, usual) && !g.Outgoing.mayExplain(d.SentAt)
 }
@@ -86,7 +86,11 @@
 func isFault(ctx context.Context, d *Decision, usual time.Duration) bool {
 	var givenUp *GivenUpError
 	var noResponse *instance.ResponseError
+	var noMemory *instance.NoMemoryError
 	switch {
+	case errors.As(d.Cause, &noMemory):
+		// The node lacks the memory for the response.
+		return false
 	case ctx.Err() != nil || errors.As(d.Cause, &givenUp) || !errors.As(d.Cause, &noResponse):
 		return false
 	case d.Outcome.Reason == linkrpc.Reason_REASON_EXPIRED:
--- a/pkg/instance/broken.go
+++ b/pkg/instance/broken.go
@@ -5,6 +5,8 @@
 	"errors"
 	"io"
 	"syscall"
+
+	"github.com/plantainramp/plantainramp/pkg/connection"
 )
 
 // IdleConnClosedError reports that the instance closed an idle connection before it expired.
@@ -31,9 +33,10 @@
 	}
 }
 
-// noteNotConnected reports that no connection could be opened, unless the call was cancelled.
+// noteNotConnected reports that no connection could be opened, unless the call was cancelled or
+// the node lacks descriptors or memory, which says nothing about the instance.
 func (c *Client) noteNotConnected(ctx context.Context, err error) {
-	if c.OnBroken != nil && ctx.Err() == nil {
+	if c.OnBroken != nil && ctx.Err() == nil && !connection.IsResourceShortage(err) {
 		c.OnBroken(err)
 	}
 }
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -80,8 +80,8 @@
 	// BeforeSend is called each time that a call is about to be written to a connection. If
 	// it returns an error, the call is not sent. nil permits all calls.
 	BeforeSend func(call *Call) error
-	// OnBroken is called when the instance refuses a connection or ends one that is in use or
-	// kept for later calls, before Do returns or sends the call again; nil is allowed.
+	// OnBroken is called when no connection to the instance can be opened, for another reason than
+	// a lack of descriptors or memory of the node, or when it ends one that is in use or kept for later calls, before Do returns or sends the call again; nil is allowed.
 	OnBroken func(err error)
 	// OnAnnouncement is called for each response of the instance that a call is addressed
 	// to, before Do returns; nil is allowed.
@@ -197,6 +197,7 @@
 	} else {
 		n, err := k.Write(request)
 		if err != nil && n == 0 {
+			call.SentAt = time.Time{}
 			return nil, false, &NotSentError{Cause: err}
 		}
 		written <- err
--- a/pkg/link/link.go
+++ b/pkg/link/link.go
@@ -36,7 +36,7 @@
 	budget   *memory.Budget
 }
 
-// Release ends the reservation for the payload, which must not be used afterwards. It is
+// Release ends the reservation for the payload, which is not counted afterwards. It is
 // called once for each reply without an error.
 func (r *Reply) Release() {
 	if r.budget != nil && r.reserved > 0 {
--- a/pkg/memory/budget.go
+++ b/pkg/memory/budget.go
@@ -65,6 +65,10 @@
 	return b.Grow(own, n)
 }
 
+// TryReserve is Reserve, but does not count as refused if there is no room, for a caller that makes
+// room and tries again.
+func (b *Budget) TryReserve(n int64) bool { return b.grow(0, n) }
+
 func (b *Budget) grow(own, n int64) bool {
 	for {
 		used := b.used.Load()
--- a/pkg/memory/held.go
+++ b/pkg/memory/held.go
@@ -48,8 +48,9 @@
 	now := b.Clock.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for !b.Reserve(n) {
+	for !b.TryReserve(n) {
 		if !b.evict(now) {
+			b.refused.Add(1)
 			return nil
 		}
 	}
--- a/pkg/mesh/budgets.go
+++ b/pkg/mesh/budgets.go
@@ -21,17 +21,21 @@
 	// maxOtherConns bounds the connections of each server that is not for callers. They
 	// come out of reservedDescriptors.
 	maxOtherConns = 64
-	// headFraction, smallBodiesFraction, callerResponsesFraction, outgoingFraction,
-	// incomingFraction and retainedFraction are the fractions of the memory of the process
-	// that heads of requests may take, smaller bodies of requests that are being read, responses that callers have not read, responses on their way from the instance to
-	// other nodes, responses on their way from other nodes, and the outcomes that the gate
-	// retains. Together with the bodies of requests they leave two fifths for connections,
-	// copies and the program itself.
-	headFraction             = 1.0 / 12
-	smallBodiesFraction      = 1.0 / 16
-	callerResponsesFraction  = 1.0 / 10
-	outgoingFraction         = 1.0 / 16
-	incomingFraction         = 1.0 / 12
+	// The fractions below are of the memory of the process. With the bodies of requests and
+	// the connections of callers they add up to less than all of it.
+	//
+	// headFraction is for the heads of requests.
+	headFraction = 1.0 / 12
+	// smallBodiesFraction is for smaller bodies of requests that are being read.
+	smallBodiesFraction = 1.0 / 16
+	// callerResponsesFraction is for responses that callers have not read.
+	callerResponsesFraction = 1.0 / 10
+	// outgoingFraction is for responses on their way from the instance to other nodes, and
+	// incomingFraction for those on their way from other nodes.
+	outgoingFraction = 1.0 / 16
+	incomingFraction = 1.0 / 12
+	// retainedFraction is for the outcomes that the gate retains, at most
+	// maxRetainedOutcomesBytes.
 	retainedFraction         = 1.0 / 32
 	maxRetainedOutcomesBytes = 8 << 20
 	// ordinaryConns is the number of connections of callers that a node has in ordinary
--- a/pkg/mesh/budgets_test.go
+++ b/pkg/mesh/budgets_test.go
@@ -52,6 +52,7 @@
 	b.init(memoryBytes, nil)
 	total := b.heads.Limit + b.smallBodies.Limit + b.callerResponses.Limit + b.outgoing.Limit + b.incoming.Limit + int64(retainedBytes(memoryBytes))
 	is.True(total < memoryBytes/2)
+	is.True(float64(total)+(2*bodyFraction+connMemoryFraction)*memoryBytes < memoryBytes)
 	is.Equal(retainedBytes(1<<30), maxRetainedOutcomesBytes)
 	is.Equal(retainedBytes(0), maxRetainedOutcomesBytes)
 }
--- a/pkg/mesh/coldcheck.go
+++ b/pkg/mesh/coldcheck.go
@@ -192,7 +192,7 @@
 
 // logPace logs a change of the rate at which calls are sent to the instance.
 func (n *Node) logPace() {
-	pace, c := n.gate.RateLimit(), &n.coldChecks
+	pace, c := n.gate.Pace(), &n.coldChecks
 	if pace == c.loggedPace {
 		return
 	}
@@ -200,7 +200,7 @@
 	c.loggedPace = pace
 	n.events.Log(eventPace, func() logrus.Fields {
 		load := n.gate.Slots.Load()
-		return logrus.Fields{"ratePerS": pace, "previousPerS": previous, "namedPerS": n.gate.NamedRateLimit(), "inFlight": load.InFlight, "queued": load.Queued, "runMs": milliseconds(load.MeanSlotTime)}
+		return logrus.Fields{"ratePerS": pace, "previousPerS": previous, "namedPerS": n.gate.RateLimit(), "inFlight": load.InFlight, "queued": load.Queued, "runMs": milliseconds(load.MeanSlotTime)}
 	})
 }
 
@@ -220,7 +220,7 @@
 	if cold {
 		text = "instance is cold"
 	}
-	logs.WithComponent(n.logger, logs.ComponentMember).WithField("id", local.ID).WithField("known", known).WithField("ratePerS", n.gate.RateLimit()).Info(text)
+	logs.WithComponent(n.logger, logs.ComponentMember).WithField("id", local.ID).WithField("known", known).WithField("ratePerS", n.gate.Pace()).Info(text)
 }
 
 func zeroOrOne(condition bool) float64 {
--- a/pkg/mesh/descriptors.go
+++ b/pkg/mesh/descriptors.go
@@ -21,9 +21,8 @@
 	callerFraction = 0.25
 	// connBytes is the memory that a connection takes without large heads and bodies, and
 	// connMemoryFraction the fraction of the memory that connections of callers may take.
-	// Measured were 14 to 16 kB with a head that has begun (docs/CAPACITY.md).
 	connBytes          = 24 << 10
-	connMemoryFraction = 0.5
+	connMemoryFraction = 0.4
 )
 
 // maxDescriptors returns the number of descriptors that the process may have.
--- a/pkg/mesh/evacuation.go
+++ b/pkg/mesh/evacuation.go
@@ -15,8 +15,8 @@
 )
 
 // maxPauseFraction is how long the node may stand still without reading again which data
-// centres are evacuated, as a fraction of MaxEvacuationDelay. Before, what it knows is up to two
-// and a half polls old (docs/design/scale.md), 0.7 of that delay.
+// centres are evacuated, as a fraction of MaxEvacuationDelay. A node knows an evacuation within two
+// and a half polls (docs/design/scale.md), 0.7 of that delay, to which such a pause may add.
 const maxPauseFraction = 0.2
 
 // evacuationState holds the evacuated data centres, and those that were evacuated since the
@@ -138,7 +138,7 @@
 		n.configLogger.WithField("dataCentre", dataCentre).Warn("data centre taken back")
 	}
 	if slices.Contains(change.TakenBack, n.settings.DataCentre) {
-		n.onTakenBack()
+		n.gate.AssumeCold()
 	}
 	if n.gate.SetSuspended(n.suspended()) {
 		n.publishEntry()
@@ -157,6 +157,3 @@
 func (n *Node) regionOf(dataCentre fleet.DataCentre) fleet.Region {
 	return n.settings.Regions[dataCentre]
 }
-
-// onTakenBack is called before the gate opens again after an evacuation.
-func (n *Node) onTakenBack() { n.gate.AssumeCold() }
--- a/pkg/mesh/events.go
+++ b/pkg/mesh/events.go
@@ -169,7 +169,7 @@
 func (n *Node) decisionFields(d *gate.Decision) logrus.Fields {
 	load := n.gate.Slots.Load()
 	f := logrus.Fields{
-		"rateLimitPerS": n.gate.RateLimit(), "request": link.DecodeText(d.Run.Request), "route": d.Run.Route, "inner": d.Run.Inner, "reason": d.Outcome.Reason.String(), "waitedMs": milliseconds(d.Waited),
+		"rateLimitPerS": n.gate.Pace(), "request": link.DecodeText(d.Run.Request), "route": d.Run.Route, "inner": d.Run.Inner, "reason": d.Outcome.Reason.String(), "waitedMs": milliseconds(d.Waited),
 		"ranMs": milliseconds(d.Ran), "inFlight": load.InFlight, "limit": load.Limit, "queued": load.Queued, "runMs": milliseconds(load.MeanSlotTime),
 		"schedDelayMs": milliseconds(n.processor.Delay()),
 	}
--- a/pkg/mesh/heartbeat.go
+++ b/pkg/mesh/heartbeat.go
@@ -70,8 +70,8 @@
 	stoodStill time.Duration
 	// slots is what the newest heartbeat says.
 	slots int
-	// coldUntil is when the current incarnation stops being cold by its newest heartbeat;
-	// zero if that says that it is warm, or does not say.
+	// coldUntil is when the current incarnation stops being cold by the heartbeat that
+	// first said that it is cold; zero if the newest says that it is warm, or does not say.
 	coldUntil time.Time
 	// confirmed is the incarnation that is known not to have departed before this process
 	// started. Another one stays closed, as its heartbeat may have been sent before it
@@ -97,7 +97,8 @@
 		return false
 	}
 	deregistered := t.current.Instance == "" && t.deregistered.covers(sender)
-	if sender != t.current {
+	isFirst := sender != t.current
+	if isFirst {
 		t.currentSince = now
 	}
 	t.current, t.lastSequence, t.lastHeartbeat, t.slots = sender, h.Sequence, now, h.Slots
@@ -105,19 +106,24 @@
 	if h.Draining || deregistered {
 		t.markDeparted(sender)
 	}
-	t.noteCold(h, now)
+	t.noteCold(h, now, isFirst)
 	t.update()
 	return true
 }
 
-// noteCold applies what a heartbeat says on the cold period. The caller holds mu.
-func (t *HeartbeatTracker) noteCold(h Heartbeat, now time.Time) {
-	t.coldUntil = time.Time{}
+// noteCold applies what a heartbeat says on the cold period. The state of the instance changes
+// only as it begins and ends: the heartbeats in between would announce the instance again and
+// again. The caller holds mu.
+func (t *HeartbeatTracker) noteCold(h Heartbeat, now time.Time, isFirst bool) {
+	until := time.Time{}
 	if h.ColdRemaining > 0 {
-		t.coldUntil = now.Add(h.ColdRemaining)
+		until = now.Add(h.ColdRemaining)
+	}
+	if isFirst || t.coldUntil.IsZero() || until.IsZero() {
+		t.coldUntil = until
 	}
 	if t.OnCold != nil {
-		t.OnCold(gate.ColdReport{Incarnation: h.incarnation(), Known: h.ColdKnown, Until: t.coldUntil, At: now})
+		t.OnCold(gate.ColdReport{Incarnation: h.incarnation(), Known: h.ColdKnown, Until: until, At: now})
 	}
 }
 
--- a/pkg/mesh/outliers.go
+++ b/pkg/mesh/outliers.go
@@ -18,10 +18,9 @@
 )
 
 // noteOutgoing tells the gate of the end of a request that the local instance may have
-// made, before the response is sent. A request that was refused before its route or key
-// was known may be one.
+// made, before the response is sent. While the node holds no configuration, any may be one.
 func (n *Node) noteOutgoing(r *entrance.Request, status int, rejection *problem.Error) {
-	if r.Inner || r.Organisation == nil {
+	if r.Inner || r.View == nil {
 		n.gate.Outgoing.End(r, n.clock.Now(), rejection == nil && !r.CallerLeft && status < http.StatusBadRequest)
 	}
 }
--- a/pkg/mesh/settings.go
+++ b/pkg/mesh/settings.go
@@ -66,7 +66,8 @@
 	// at most ColdOverage times the rate of a cold instance of its service, plus ColdSlack
 	// calls. Both are 0 if the settings define no bound.
 	ColdOverage, ColdSlack float64
-	// SlowStart limits the rate of an instance that has just started or recovered.
+	// SlowStart limits the rate of an instance that says that it is cold, that was silent or
+	// unreachable, or whose named limit has ended, to what it takes by how it responds.
 	SlowStart bool
 	// RetryLimits bounds the requests that are sent again to another instance.
 	RetryLimits entrance.RetryLimits
--- a/pkg/retrybudget/retrybudget.go
+++ b/pkg/retrybudget/retrybudget.go
@@ -93,7 +93,7 @@
 		return false
 	}
 	a.credit = min(a.credit+supply/demand, maxCredit)
-	if a.credit < 1 {
+	if a.credit < 1 || tokens < 1 {
 		return false
 	}
 	a.credit--
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -125,6 +125,10 @@
 	if ctx.Err() != nil {
 		return problem.NewUncertain(problem.KindDeadline, "the call was cancelled while it ran")
 	}
+	var noMemory *NoMemoryError
+	if eris.As(err, &noMemory) {
+		return problem.NewUncertain(problem.KindUncertain, "the node has no memory for the answer of the upstream")
+	}
 	var joined *JoinedResponsesError
 	if eris.As(err, &joined) {
 		return problem.NewUncertain(problem.KindUncertain, "the answer of the upstream is joined with another one")
