--- a/pkg/cmd/root/root.go
+++ b/pkg/cmd/root/root.go
@@ -8,6 +8,7 @@
 
 	"github.com/plantainramp/plantainramp/internal/iostreams"
 	"github.com/plantainramp/plantainramp/pkg/clock"
+	configcheck "github.com/plantainramp/plantainramp/pkg/cmd/config/check"
 	"github.com/plantainramp/plantainramp/pkg/cmd/explain"
 	"github.com/plantainramp/plantainramp/pkg/cmd/factory"
 	"github.com/plantainramp/plantainramp/pkg/cmd/key/newkey"
@@ -61,6 +62,7 @@
 	stateshow.NewCmdShow(f, app.Command("state", "Show the configuration in effect."), nil)
 	memberlist.NewCmdList(f, app.Command("member", "Show the list of members."), nil)
 	check.NewCmdCheck(f, app.Command("settings", "Check settings."), nil)
+	configcheck.NewCmdCheck(f, app.Command("config", "Check configurations of plantainmesh."), nil)
 	newkey.NewCmdNew(f, app.Command("key", "Create callers' keys."), nil)
 	load := app.Command("load", "Run and compare experiments.")
 	run.NewCmdRun(f, load, nil)
