connection: the worst connection makes room at once, and a lasting shortage asks for more progress

Callers saw: beside a crowd larger than the bound of connections, whose members read slowly or not at all, send a body, a head or nothing, an ordinary caller got no answer within the 10 s that its request allows; the same at the ports for heartbeats and readiness checks. Cause: at its bound a node closed at most one connection in 250 ms whose caller had received nothing for 1 s, none that received or sent a little, and one without a whole request only after 1 s; the kernel's queue is first come, first served, so each ordinary caller waited for the crowd before it. Ruled out: memory (the budgets had room) and the instance (it was idle). Change: a connection is accepted first, and then the worst open one is closed for it: without a whole request for the grace, idle, or with less than the due rate of a body or a response. The grace shrinks and the rate grows while none can be closed, but not where that could not help. Reset, not closed, are those with a response under way, as the system would keep what was not sent. Accept no longer closes an idle connection before a new one is there; so TestStalledConnectionsMakeRoom lowers the bound after its last ordinary request, which had been accepted ahead: the same connections compete as before.

--- a/pkg/connection/bound.go
+++ b/pkg/connection/bound.go
@@ -12,9 +12,10 @@
 	// acceptRetryInterval is the time between two looks for room for a connection, and
 	// between two tries of an Accept that failed for lack of resources.
 	acceptRetryInterval = 5 * time.Millisecond
-	// minUnusedAge is how long a connection is kept in any case until it has sent a whole
-	// request.
-	minUnusedAge = time.Second
+
+	// unusedClosed and slowClosed are reasons of Tracker.OnClosed.
+	unusedClosed = "too many connections: no whole request was sent"
+	slowClosed   = "too many connections: too little progress with a body or a response"
 )
 
 // boundListener accepts connections within the bounds of a tracker.
@@ -26,11 +27,12 @@
 	closeOnce sync.Once
 }
 
-// Bound returns a listener that accepts connections while fewer than MaxOpen are open. It
-// closes idle ones to make room, then those that have sent no whole request for minUnusedAge,
-// then those whose callers receive nothing, and leaves new ones to the kernel while all others
-// carry requests. A lack of descriptors or memory is passed over: Accept tries again, and closes
-// half of the idle connections before.
+// Bound returns a listener that accepts connections while fewer than MaxOpen are open. To make
+// room for a new one it closes the one that has waited longest for a whole request, for a
+// further request, or whose caller makes the least progress with a body or a response. shortage
+// says how much progress keeps a connection. While all carry requests that are being handled, a
+// new one waits. A lack of descriptors or memory is passed over: Accept tries again, and closes
+// connections before.
 func (t *Tracker) Bound(l net.Listener) net.Listener {
 	return &boundListener{Listener: l, tracker: t, closing: make(chan struct{})}
 }
@@ -38,20 +40,20 @@
 // Accept implements net.Listener.
 func (b *boundListener) Accept() (net.Conn, error) {
 	for {
-		if !b.awaitRoom() {
-			return nil, net.ErrClosed
-		}
 		conn, err := b.Listener.Accept()
-		if err == nil {
+		switch {
+		case err == nil && b.awaitRoom():
 			return b.tracker.limit(conn), nil
-		}
-		if !IsResourceShortage(err) {
+		case err == nil:
+			_ = conn.Close()
+			return nil, net.ErrClosed
+		case !IsResourceShortage(err):
 			return nil, err
 		}
 		if b.tracker.OnAcceptError != nil {
 			b.tracker.OnAcceptError(err)
 		}
-		b.tracker.evictHalf()
+		b.tracker.freeDescriptors()
 		if !b.pause() {
 			return nil, net.ErrClosed
 		}
@@ -64,7 +66,7 @@
 	return b.Listener.Close()
 }
 
-// awaitRoom waits until a connection may be accepted. It returns false if the listener is
+// awaitRoom waits until one more connection may be open. It returns false if the listener is
 // closed.
 func (b *boundListener) awaitRoom() bool {
 	for !b.tracker.makeRoom() {
@@ -92,27 +94,57 @@
 		errors.Is(err, syscall.ENOMEM) || errors.Is(err, syscall.ECONNABORTED)
 }
 
-// makeRoom closes idle connections until one more may be open, and reports whether it
-// may.
+// makeRoom closes connections until one more may be open, and reports whether it may.
 func (t *Tracker) makeRoom() bool {
 	if t.MaxOpen == nil {
 		return true
 	}
 	maxOpen := t.MaxOpen()
+	now := t.Clock.Now()
+	defer t.reportAll()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	excess := len(t.conns) - t.closing + 1 - maxOpen
-	if excess <= 0 {
-		return true
+	t.shortage.relax(now)
+	for len(t.conns)-t.closing >= maxOpen {
+		if !t.closeOne(now) {
+			return false
+		}
+	}
+	return true
+}
+
+// reportAll calls OnClosed for the connections that were closed to make room.
+func (t *Tracker) reportAll() {
+	t.mu.Lock()
+	reasons := t.closedReasons
+	t.closedReasons = nil
+	t.mu.Unlock()
+	for _, r := range reasons {
+		t.reportClosed(r)
 	}
-	excess -= t.evict(excess)
-	if excess > 0 {
-		excess -= t.evictUnused(excess)
+}
+
+// closeOne closes one connection to make room, and reports whether it did. The caller holds mu.
+func (t *Tracker) closeOne(now time.Time) bool {
+	if !t.closeWorst(now) {
+		t.shortage.handleFailure(now, t.unused.Len()+t.dueConns > 0)
+		return false
+	}
+	t.shortage.handleClose(now)
+	return true
+}
+
+// closeWorst closes the connection that is worth least. At first idle ones go before those of slow
+// callers, which lose a response. In a lasting shortage it is the other way round: idle ones are
+// then those of callers that have taken their responses. The caller holds mu.
+func (t *Tracker) closeWorst(now time.Time) bool {
+	if t.closeUnused(now) {
+		return true
 	}
-	if excess > 0 {
-		excess -= t.evictStalled(excess)
+	if t.shortage.level == 0 {
+		return t.evict(1) > 0 || t.closeSlow(now)
 	}
-	return excess <= 0
+	return t.closeSlow(now) || t.evict(1) > 0
 }
 
 // evict closes up to n of the idle connections, those that have waited longest, and
@@ -126,29 +158,34 @@
 	return count
 }
 
-// evictUnused closes up to n of the connections that have sent no whole request for
-// minUnusedAge, and returns their number. It keeps those on which data has arrived that the
-// server has not come to read. The caller holds mu.
-func (t *Tracker) evictUnused(n int) int {
-	count := 0
-	now := t.Clock.Now()
-	for e := t.unused.Front(); e != nil && count < n; {
+// closeUnused closes the connection that has been open longest without a whole request, if
+// that is longer than the grace of the shortage. It keeps those on which data has arrived that
+// the server has not come to read. The caller holds mu.
+func (t *Tracker) closeUnused(now time.Time) bool {
+	grace := t.shortage.grace()
+	for e := t.unused.Front(); e != nil; e = e.Next() {
 		c := e.Value.(*conn)
-		if now.Sub(c.waitingSince) < minUnusedAge {
+		if now.Sub(c.waitingSince) < grace {
 			break
 		}
-		e = e.Next()
 		if c.raw == nil || !isUnread(c.raw) {
 			t.closeConn(c)
-			count++
+			t.evicted++
+			t.closedReasons = append(t.closedReasons, unusedClosed)
+			return true
 		}
 	}
-	t.evicted += count
-	return count
+	return false
 }
 
-func (t *Tracker) evictHalf() {
+// freeDescriptors closes half of the idle connections, or one other if none is idle.
+func (t *Tracker) freeDescriptors() {
+	now := t.Clock.Now()
+	defer t.reportAll()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.evict((t.idle.Len() + 1) / 2)
+	t.shortage.relax(now)
+	if t.evict((t.idle.Len()+1)/2) == 0 {
+		t.closeOne(now)
+	}
 }
--- a/pkg/connection/connection.go
+++ b/pkg/connection/connection.go
@@ -36,9 +36,13 @@
 	// Dropped is the number of requests that were read as their connection was closed
 	// and did not reach the handler.
 	Dropped int
-	// Evicted is the number of connections without a request that were closed because there
-	// were too many, and Stalled that of those whose callers received nothing.
+	// Evicted is the number of connections without a whole request that were closed because
+	// there were too many, and Stalled that of those whose callers made too little progress
+	// with a body or a response.
 	Evicted, Stalled int
+	// ShortageLevel is how often the progress that keeps a connection was doubled, as none could
+	// be closed for a new one.
+	ShortageLevel int
 	// HeadsTooLarge is the number of requests that were refused because their head was over
 	// the limit. HeadsRefused and HeadsEvicted are the numbers of connections that were closed
 	// because there was no memory for their head, and to make room for that of another.
@@ -64,9 +68,9 @@
 	// Heads bounds the memory for the heads of requests on these connections; nil means no
 	// bound.
 	Heads *memory.Budget
-	// OnHeadClosed is called with the reason for which a connection was closed while the
-	// head of a request was read; nil is allowed. It must not call methods of the tracker.
-	OnHeadClosed func(reason string)
+	// OnClosed is called with the reason for which a connection was closed while a request was
+	// read or a response written; nil is allowed. It must not call methods of the tracker.
+	OnClosed func(reason string)
 
 	// mu guards the fields below and those of the values of conns.
 	mu    sync.Mutex
@@ -84,10 +88,19 @@
 	closing int
 	// evicted is the number of connections closed because of MaxIdle or MaxOpen.
 	evicted int
-	// stalled is the number of connections closed because their callers received nothing.
+	// stalled is the number of connections closed because their callers made too little
+	// progress.
 	stalled int
-	// lastStallScan is when evictStalled last looked at the connections.
-	lastStallScan time.Time
+	// shortage says which connections may be closed for new ones.
+	shortage shortage
+	// slow holds what findSlow found and closeSlow has not closed, dueConns is the number of
+	// connections on which something was due from the caller, and lastScan when findSlow last
+	// looked.
+	slow     []slowConn
+	dueConns int
+	lastScan time.Time
+	// closedReasons holds the reasons that OnClosed has not been called with.
+	closedReasons []string
 	// closed reports whether Close was called.
 	closed  bool
 	dropped int
@@ -113,10 +126,8 @@
 	readingSince time.Time
 	// headReserved is the number of bytes reserved from Tracker.Heads.
 	headReserved int64
-	// stalledSince is since when evictStalled has seen no more than received bytes confirmed
-	// by the caller, or zero if nothing waits for that.
-	stalledSince time.Time
-	received     uint64
+	// progress is that which findSlow last saw.
+	progress progress
 	// limited is netConn if that applies Limits, or nil.
 	limited *limitedConn
 }
@@ -158,7 +169,7 @@
 func (t *Tracker) Counts() Counts {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	counts := Counts{Dropped: t.dropped, Evicted: t.evicted, Stalled: t.stalled, HeadsTooLarge: t.headsTooLarge, HeadsRefused: t.headsRefused, HeadsEvicted: t.headsEvicted}
+	counts := Counts{Dropped: t.dropped, Evicted: t.evicted, Stalled: t.stalled, ShortageLevel: t.shortage.level, HeadsTooLarge: t.headsTooLarge, HeadsRefused: t.headsRefused, HeadsEvicted: t.headsEvicted}
 	for _, c := range t.conns {
 		switch {
 		case c.closed:
@@ -205,8 +216,8 @@
 	}
 }
 
-// closeConn closes a connection that waits for a request, or whose caller receives nothing. The
-// caller holds mu.
+// closeConn closes a connection that waits for a request, or whose caller makes too little
+// progress. The caller holds mu.
 func (t *Tracker) closeConn(c *conn) {
 	c.closed = true
 	t.closing++
--- a/pkg/connection/limited.go
+++ b/pkg/connection/limited.go
@@ -29,7 +29,7 @@
 	lingerTime  = 100 * time.Millisecond
 	lingerBytes = 256 << 10
 
-	// headTooLarge, headRefused and headEvicted are the reasons of Tracker.OnHeadClosed.
+	// headTooLarge, headRefused and headEvicted are reasons of Tracker.OnClosed.
 	headTooLarge = "head over the limit"
 	headRefused  = "no memory for the head"
 	headEvicted  = "memory needed for another head"
@@ -65,6 +65,10 @@
 	// deadline is that of a head.
 	headBytes atomic.Int64
 	timed     atomic.Bool
+	// awaitsBody reports whether the server waits for a part of a body, and bodyBytes is the
+	// number of bytes of bodies that were read.
+	awaitsBody atomic.Bool
+	bodyBytes  atomic.Int64
 	// refused reports whether the head was refused. The server may read again after an error.
 	refused bool
 }
@@ -104,9 +108,12 @@
 func (c *limitedConn) Read(buffer []byte) (int, error) {
 	// While a request is handled, the server reads a single byte to notice that the caller
 	// leaves.
-	if len(buffer) == 1 || c.handling.Load() {
+	if len(buffer) == 1 {
 		return c.TCPConn.Read(buffer)
 	}
+	if c.handling.Load() {
+		return c.readBody(buffer)
+	}
 	before := c.headBytes.Load()
 	if before > 0 {
 		if err := c.admitMore(before); err != nil {
@@ -118,6 +125,15 @@
 	return n, err
 }
 
+// readBody reads a part of a body.
+func (c *limitedConn) readBody(buffer []byte) (int, error) {
+	c.awaitsBody.Store(true)
+	defer c.awaitsBody.Store(false)
+	n, err := c.TCPConn.Read(buffer)
+	c.bodyBytes.Add(int64(n))
+	return n, err
+}
+
 // admitMore checks whether more of a head may be read. A head that arrives in one piece does
 // not come here.
 func (c *limitedConn) admitMore(read int64) error {
@@ -186,12 +202,12 @@
 	t.mu.Lock()
 	t.headsTooLarge++
 	t.mu.Unlock()
-	t.reportHead(headTooLarge)
+	t.reportClosed(headTooLarge)
 }
 
-func (t *Tracker) reportHead(reason string) {
-	if t.OnHeadClosed != nil {
-		t.OnHeadClosed(reason)
+func (t *Tracker) reportClosed(reason string) {
+	if t.OnClosed != nil {
+		t.OnClosed(reason)
 	}
 }
 
@@ -224,10 +240,10 @@
 	}
 	t.mu.Unlock()
 	for range evicted {
-		t.reportHead(headEvicted)
+		t.reportClosed(headEvicted)
 	}
 	if !reserved && !closed {
-		t.reportHead(headRefused)
+		t.reportClosed(headRefused)
 	}
 	return reserved, closed
 }
--- a/pkg/connection/limited_test.go
+++ b/pkg/connection/limited_test.go
@@ -23,7 +23,7 @@
 	address string
 
 	mu sync.Mutex
-	// reasons holds the reasons of Tracker.OnHeadClosed.
+	// reasons holds the reasons of Tracker.OnClosed.
 	reasons []string
 }
 
@@ -32,7 +32,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
 	s := &limitedServer{address: l.Addr().String()}
-	s.tracker = &Tracker{Clock: clock.System{}, Limits: func() Limits { return limits }, Heads: budget, MaxOpen: func() int { return maxOpen }, OnHeadClosed: func(reason string) {
+	s.tracker = &Tracker{Clock: clock.System{}, Limits: func() Limits { return limits }, Heads: budget, MaxOpen: func() int { return maxOpen }, OnClosed: func(reason string) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.reasons = append(s.reasons, reason)
@@ -242,11 +242,11 @@
 			go func() { _, _ = io.WriteString(stalled, requests) }()
 			// Between two responses the connection is idle, and would be closed as such.
 			time.Sleep(500 * time.Millisecond)
-			maxOpen.Store(2)
 			last, lastReader := s.dial(t)
 			_, err = io.WriteString(last, headOf("/a", 100))
 			is.NoErr(err)
 			is.Equal(statusOf(t, lastReader), http.StatusOK)
+			maxOpen.Store(2)
 			other, reader := s.dial(t)
 			_, err = io.WriteString(other, headOf("/a", 100))
 			is.NoErr(err)
@@ -267,3 +267,23 @@
 		})
 	}
 }
+
+// Connections whose bodies arrive slowly take all the room. Guards against callers that are not
+// accepted until these have ended.
+func TestSlowBodiesMakeRoom(t *testing.T) {
+	is := is.New(t)
+	s := newLimitedServer(t, generousLimits, nil, 2)
+	for range 2 {
+		conn, _ := s.dial(t)
+		_, err := io.WriteString(conn, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4000\r\n\r\nb")
+		is.NoErr(err)
+	}
+	for deadline := time.Now().Add(5 * time.Second); s.tracker.Counts().Busy < 2 && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+	conn, reader := s.dial(t)
+	_, err := io.WriteString(conn, headOf("/a", 100))
+	is.NoErr(err)
+	is.Equal(statusOf(t, reader), http.StatusOK)
+	is.Equal(s.tracker.Counts().Stalled, 1)
+}
--- a/pkg/mesh/budgets.go
+++ b/pkg/mesh/budgets.go
@@ -80,7 +80,7 @@
 // limitHeads makes the connections of a server apply the limits of heads. Those of the
 // configuration concern callers only: others may reuse connections that were idle for longer.
 func (n *Node) limitHeads(t *connection.Tracker) {
-	t.Limits, t.Heads, t.OnHeadClosed = defaultHeadLimits, &n.budgets.heads, n.onHeadClosed
+	t.Limits, t.Heads, t.OnClosed = defaultHeadLimits, &n.budgets.heads, n.onConnClosed
 	if t == &n.callerConns {
 		t.Limits = n.headLimits
 	}
@@ -109,8 +109,8 @@
 	return limits
 }
 
-// onHeadClosed logs a connection that was closed while the head of a request was read.
-func (n *Node) onHeadClosed(reason string) {
+// onConnClosed logs a connection that was closed while a request was read or a response written.
+func (n *Node) onConnClosed(reason string) {
 	n.events.Log(eventConnClosed, func() logrus.Fields {
 		return logrus.Fields{"reason": reason, "headBytes": n.budgets.heads.Used(), "headBytesLimit": n.budgets.heads.Limit}
 	})
--- a/pkg/mesh/gauges.go
+++ b/pkg/mesh/gauges.go
@@ -48,6 +48,7 @@
 	}
 	n.updateBudgetGauges(conns)
 	n.meter.Gauge("caller_connections_evicted").Update(float64(conns.Evicted))
+	n.meter.Gauge("caller_connections_shortage").Update(float64(conns.ShortageLevel))
 	n.meter.Gauge("scheduling_delay_seconds").Update(n.processor.Delay().Seconds())
 	n.evacuations.updateGauges(n.meter)
 	if age, known := n.configFollower.Age(); known {
