memory: small responses have budgets of their own

Cause: responses of up to 32 kB reserved nothing. A heap profile shows where they were: at the callers' node as bodies that handlers could not write (17 of 37 MB), at the one beside the instance in the send queue of the link (40 of 50 MB), which is bounded by 16 MB a peer, but grows in copies. Ruled out: the link's large messages, heads, and outcomes that the gate retains (all within their budgets). Change: a message of 4 to 32 kB reserves from a budget for small ones, beside that for large ones: from the instance until it is written to its link, where a reservation ended before when it was queued, and until the caller has it. A local response keeps the first reservation until it has the second. Waiting for memory keeps the slot at the instance. Connections get 0.3 of the memory in place of 0.4, so that the sum still fits. The tests of large replies and bodies are as strict as before; they name the budget as a tier now.

--- a/pkg/caller/handler.go
+++ b/pkg/caller/handler.go
@@ -55,7 +55,7 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	start := h.Clock.Now()
-	responses := connection.Responses{Clock: h.Clock, Budget: h.Responses}
+	responses := connection.Responses{Clock: h.Clock, Large: h.Responses}
 	responses.Limit(w, start, start.Add(h.DefaultDeadline))
 	c, err := h.readCall(r, start)
 	var response *call.Response
--- a/pkg/connection/responses.go
+++ b/pkg/connection/responses.go
@@ -12,6 +12,8 @@
 const (
 	// defaultWriteMargin is the value of Responses.Margin where none is set.
 	defaultWriteMargin = 10 * time.Second
+	// maxHoldWait bounds how long a small response waits for memory.
+	maxHoldWait = 250 * time.Millisecond
 	// writeChunkBytes is the size of the pieces in which a large response is written.
 	writeChunkBytes = 64 << 10
 )
@@ -19,9 +21,9 @@
 // Responses writes responses to callers that may not read them. Set Clock.
 type Responses struct {
 	Clock clock.Clock
-	// Budget bounds the memory for large responses that callers have not read; nil means no
-	// bound.
-	Budget *memory.HeldBudget
+	// Small and Large bound the memory for responses that callers have not read, by their size
+	// as memory.Tiers does; nil means no bound.
+	Small, Large *memory.HeldBudget
 	// Margin is how long after the time at which its caller stops waiting a response is still
 	// written; 0 means defaultWriteMargin.
 	Margin time.Duration
@@ -49,14 +51,19 @@
 }
 
 // Hold reserves memory for a response of size bytes. The caller ends the reservation, which
-// is nil for a small response. Hold returns false if there is no memory.
+// is nil for a tiny response. A small response waits for room for up to maxHoldWait. Hold returns
+// false if there is no memory.
 func (r *Responses) Hold(w http.ResponseWriter, size int) (*memory.Hold, bool) {
-	n := memory.Large(size)
-	if r.Budget == nil || n == 0 {
+	budget, maxWait := r.Large, time.Duration(0)
+	if size <= memory.SmallBytes {
+		budget, maxWait = r.Small, maxHoldWait
+	}
+	n := memory.Counted(size)
+	if budget == nil || n == 0 {
 		return nil, true
 	}
 	past := r.Clock.Now()
-	hold := r.Budget.Hold(n, func() { setWriteDeadline(w, past) })
+	hold := budget.AwaitHold(n, func() { setWriteDeadline(w, past) }, maxWait)
 	return hold, hold != nil
 }
 
--- a/pkg/entrance/dispatch.go
+++ b/pkg/entrance/dispatch.go
@@ -129,7 +129,9 @@
 	}
 	remaining := r.Deadline.Sub(now)
 	message.RemainingUs, message.PatienceUs = remaining.Microseconds(), maxWaitOf(r, remaining).Microseconds()
+	releaseOutcome(r)
 	outcome, incarnation, err := target.Peer.Run(ctx, message)
+	r.outcome, r.runBy = outcome, target.Peer
 	var notSent *link.NotSentError
 	var connectionLost *link.ConnectionLostError
 	switch {
--- a/pkg/entrance/entrance.go
+++ b/pkg/entrance/entrance.go
@@ -54,9 +54,9 @@
 	// SmallBodies bounds the memory for smaller bodies that are being read; nil means no
 	// bound.
 	SmallBodies *memory.HeldBudget
-	// Responses bounds the memory for large responses that callers have not read; nil means
-	// no bound.
-	Responses *memory.HeldBudget
+	// SmallResponses and Responses bound the memory for small and large responses that callers
+	// have not read, as memory.Tiers does; nil means no bound.
+	SmallResponses, Responses *memory.HeldBudget
 	// WriteMargin is how long after the time at which its caller stops waiting a response is
 	// still written; 0 means the default of connection.Responses.
 	WriteMargin time.Duration
@@ -138,6 +138,7 @@
 	defer e.inFlight.Add(-1)
 	r, refusal := e.newRequest(hr)
 	defer e.releaseBody(r)
+	defer releaseOutcome(r)
 	e.limitWrite(w, r)
 	var outcome *linkrpc.Outcome
 	if refusal == nil {
@@ -147,6 +148,7 @@
 		refusal = e.holdResponse(w, r, outcome)
 		defer e.releaseResponse(r)
 	}
+	releaseOutcome(r)
 	status := 0
 	if refusal != nil {
 		status = refusal.Status()
--- a/pkg/entrance/request.go
+++ b/pkg/entrance/request.go
@@ -11,6 +11,7 @@
 	"github.com/plantainramp/plantainramp/pkg/connection"
 	"github.com/plantainramp/plantainramp/pkg/fleet"
 	"github.com/plantainramp/plantainramp/pkg/memory"
+	"github.com/plantainramp/plantainramp/pkg/peering"
 	"github.com/plantainramp/plantainramp/pkg/problem"
 	"github.com/plantainramp/plantainramp/pkg/routing"
 	"github.com/plantainramp/plantainramp/rpc/linkrpc"
@@ -66,7 +67,10 @@
 	// reservedBytes is the number of bytes reserved from Entrance.Bodies.
 	reservedBytes int64
 	// held is the reservation for the response, or nil.
-	held    *memory.Hold
+	held *memory.Hold
+	// outcome is the last outcome whose body runBy has reserved memory for, or nil.
+	outcome *linkrpc.Outcome
+	runBy   *peering.Peer
 	message linkrpc.Run
 }
 
--- a/pkg/entrance/response.go
+++ b/pkg/entrance/response.go
@@ -12,7 +12,7 @@
 
 // responses returns the writer of responses to callers.
 func (e *Entrance) responses() connection.Responses {
-	return connection.Responses{Clock: e.Clock, Budget: e.Responses, Margin: e.WriteMargin}
+	return connection.Responses{Clock: e.Clock, Small: e.SmallResponses, Large: e.Responses, Margin: e.WriteMargin}
 }
 
 // limitWrite sets the time until which the response to a request may be written.
@@ -25,7 +25,7 @@
 	responses.Limit(w, r.Arrived, expires)
 }
 
-// holdResponse reserves memory for a large response until releaseResponse. If there is none,
+// holdResponse reserves memory for a response until releaseResponse. If there is none,
 // it returns a refusal that says that the request was executed.
 func (e *Entrance) holdResponse(w http.ResponseWriter, r *Request, outcome *linkrpc.Outcome) *problem.Error {
 	responses := e.responses()
@@ -49,6 +49,15 @@
 	return errors.As(err, &discarded)
 }
 
+// releaseOutcome ends the reservation for the body of the last outcome. That of holdResponse
+// replaces it.
+func releaseOutcome(r *Request) {
+	if r.outcome != nil {
+		r.runBy.ReleaseBody(r.outcome)
+		r.outcome = nil
+	}
+}
+
 // releaseResponse ends the reservation for the response to a request.
 func (e *Entrance) releaseResponse(r *Request) {
 	if r.held != nil {
--- a/pkg/entrance/response_test.go
+++ b/pkg/entrance/response_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -22,6 +23,12 @@
 	// largeResponseBytes is the size of a response that the buffers of the system do not hold
 	// for a caller that does not read.
 	largeResponseBytes = 1 << 20
+	// smallBudgetBytes has room for one small response of smallResponseBytes. unreadResponses of
+	// these exceed the buffers of a connection.
+	smallBudgetBytes, smallResponseBytes = 40 << 10, 32 << 10
+	unreadResponses                      = 20
+	// smallStall is how long a caller of the tests may leave a small response unread.
+	smallStall = 10 * time.Millisecond
 	// responseMargin is the write margin of the tests.
 	responseMargin = 300 * time.Millisecond
 )
@@ -47,6 +54,7 @@
 	t.Helper()
 	cluster := newTestCluster(t, 1, routing.Route{AllowAnonymous: true, MaxAttempts: 1})
 	cluster.entrance.Responses = &memory.HeldBudget{Budget: memory.Budget{Limit: budgetBytes, AdmitsFirst: true}, Clock: clock.System{}}
+	cluster.entrance.SmallResponses = &memory.HeldBudget{Budget: memory.Budget{Limit: smallBudgetBytes}, MinStall: smallStall, Clock: clock.System{}}
 	cluster.entrance.WriteMargin = responseMargin
 	cluster.answer = func(w http.ResponseWriter, r *http.Request) {
 		size, err := strconv.Atoi(r.URL.Path[1:])
@@ -154,3 +162,28 @@
 	s.awaitHeld(t, 0)
 	is.True(time.Since(started) >= 500*time.Millisecond+responseMargin)
 }
+
+// Callers leave small responses unread, each of which takes all the memory for these. Guards
+// against responses that are held beyond the budget, and against callers that read and get none.
+func TestUnreadSmallResponsesMakeRoom(t *testing.T) {
+	is := is.New(t)
+	s := newResponseServer(t, largeResponseBytes)
+	for range 4 {
+		conn, err := net.Dial("tcp", s.address)
+		is.NoErr(err)
+		t.Cleanup(func() { _ = conn.Close() })
+		is.NoErr(conn.(*net.TCPConn).SetReadBuffer(4 << 10))
+		request := fmt.Sprintf("GET /%d HTTP/1.1\r\nHost: h\r\nId: 1\r\nLeft: 20000\r\n\r\n", smallResponseBytes)
+		_, err = io.WriteString(conn, strings.Repeat(request, unreadResponses))
+		is.NoErr(err)
+	}
+	for deadline := time.Now().Add(5 * time.Second); s.entrance.SmallResponses.Evicted() == 0 && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+	is.True(s.entrance.SmallResponses.Evicted() > 0)
+	status, size, err := receive(t, s.ask(t, smallResponseBytes, 20*time.Second))
+	is.NoErr(err)
+	is.Equal(status, http.StatusOK)
+	is.Equal(size, smallResponseBytes)
+	is.True(s.entrance.SmallResponses.Used() <= smallBudgetBytes)
+}
--- a/pkg/instance/body.go
+++ b/pkg/instance/body.go
@@ -20,7 +20,7 @@
 func (e *NoMemoryError) Error() string { return "no memory for the response body" }
 
 // readBody reads the body of a response, up to MaxBodyBytes. The response to a HEAD call has
-// none, whatever its length says. It reserves memory.Large bytes for the body that it returns,
+// none, whatever its length says. It reserves memory.Counted bytes for the body that it returns,
 // and none if it fails.
 func (c *Client) readBody(response *http.Response) ([]byte, error) {
 	if response.Request.Method == http.MethodHead {
@@ -32,13 +32,13 @@
 	if response.ContentLength < 0 {
 		return c.readUnknownLength(response.Body)
 	}
-	size := memory.Large(int(response.ContentLength))
+	size := memory.Counted(int(response.ContentLength))
 	if !c.reserve(0, size) {
 		return nil, &NoMemoryError{}
 	}
 	body := make([]byte, response.ContentLength)
 	if _, err := io.ReadFull(response.Body, body); err != nil {
-		c.release(size)
+		c.Budgets.Release(size)
 		return nil, err
 	}
 	return body, nil
@@ -53,7 +53,7 @@
 		err = &ResponseTooLargeError{LimitBytes: c.MaxBodyBytes}
 	}
 	if err != nil {
-		c.release(w.reserved)
+		c.Budgets.Release(w.reserved)
 		return nil, err
 	}
 	return body, nil
@@ -68,25 +68,18 @@
 
 // Write implements io.Writer. It returns *NoMemoryError if there is no memory for the data.
 func (w *bodyWriter) Write(data []byte) (int, error) {
-	size := memory.Large(w.buffer.Len() + len(data))
-	if !w.client.reserve(w.reserved, size-w.reserved) {
+	size := memory.Counted(w.buffer.Len() + len(data))
+	if !w.client.reserve(w.reserved, size) {
 		return 0, &NoMemoryError{}
 	}
 	w.reserved = size
 	return w.buffer.Write(data)
 }
 
-// reserve reserves n bytes more for the body of a response that holds own bytes.
-func (c *Client) reserve(own, n int64) bool {
-	return c.Budget == nil || n == 0 || c.Budget.AwaitGrow(c.Clock, own, n, maxBudgetWait)
+// reserve changes the reservation for the body of a response.
+func (c *Client) reserve(from, to int64) bool {
+	return c.Budgets.AwaitResize(c.Clock, from, to, maxBudgetWait)
 }
 
 // ReleaseBody ends the reservation for the body of a response.
-func (c *Client) ReleaseBody(body []byte) { c.release(memory.Large(len(body))) }
-
-// release ends a reservation.
-func (c *Client) release(n int64) {
-	if c.Budget != nil && n != 0 {
-		c.Budget.Release(n)
-	}
-}
+func (c *Client) ReleaseBody(body []byte) { c.Budgets.Release(memory.Counted(len(body))) }
--- a/pkg/instance/body_test.go
+++ b/pkg/instance/body_test.go
@@ -45,19 +45,20 @@
 				_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\n" + c.response))
 			}))
 			client.MaxBodyBytes = 1 << 20
-			client.Budget = &memory.Budget{Limit: limit}
-			is.True(client.Budget.Reserve(c.used))
+			budget := &memory.Budget{Limit: limit}
+			client.Budgets = memory.Tiers{Large: budget}
+			is.True(budget.Reserve(c.used))
 			call := newCall("a")
 			call.KeepsReservation = true
 			response, err := client.Do(t.Context(), call)
-			is.Equal(client.Budget.Used(), c.used+c.reserved)
+			is.Equal(budget.Used(), c.used+c.reserved)
 			if c.cause != nil {
 				is.True(errors.As(err, c.cause))
 				return
 			}
 			is.NoErr(err)
 			client.ReleaseBody(response.Body)
-			is.Equal(client.Budget.Used(), c.used)
+			is.Equal(budget.Used(), c.used)
 		})
 	}
 }
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -71,8 +71,8 @@
 	Headers Headers
 	// MaxBodyBytes bounds the body of a response.
 	MaxBodyBytes int64
-	// Budget bounds the memory for large response bodies; nil means no bound.
-	Budget *memory.Budget
+	// Budgets bound the memory for response bodies.
+	Budgets memory.Tiers
 	// Dial connects to the instance; nil means TCP without keep-alive probes.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// OnConnect is called for each new connection; nil is allowed.
--- a/pkg/link/frame.go
+++ b/pkg/link/frame.go
@@ -138,16 +138,18 @@
 	// treatment returns how the message of a stream is read in parts; nil means that all are
 	// reserved for.
 	treatment func(stream StreamID) treatment
-	// replies is the budget that the messages in large have reserved from, or nil.
-	replies *memory.Budget
+	// replies are the budgets that the messages in pending and large have reserved from.
+	replies memory.Tiers
 
-	// mu guards pending, pendingRequests, large, largeBytes, sendsParts, finishing and
+	// mu guards pending, pendingRequests, pendingReserved, large, largeBytes, sendsParts, finishing and
 	// closeErr.
 	mu sync.Mutex
 	// pending holds the encoded messages that writeLoop has not picked up yet.
 	pending []byte
 	// pendingRequests lists the requests in pending, in their order there.
 	pendingRequests []queuedRequest
+	// pendingReserved lists the reservations of the messages in pending.
+	pendingReserved []int64
 	// large holds the messages that are sent in parts, the one whose part is next first,
 	// and largeBytes is the number of their bytes that are not written yet.
 	large      []*largeMessage
--- a/pkg/link/parts.go
+++ b/pkg/link/parts.go
@@ -91,7 +91,7 @@
 	}
 	f.large = f.large[1:]
 	f.largeBytes -= len(rest)
-	f.releaseReply(m.reserved)
+	f.replies.Release(m.reserved)
 	start := len(batch)
 	batch = appendFrameHeader(batch, len(rest), m.kind, m.stream)
 	batch = append(batch, rest...)
@@ -207,19 +207,21 @@
 	}
 }
 
-// releaseReply releases bytes of a message that was sent, or is not.
-func (f *framer) releaseReply(reserved int64) {
-	if f.replies != nil && reserved > 0 {
-		f.replies.Release(reserved)
+// releaseReplies releases the bytes of messages that were sent, or are not.
+func (f *framer) releaseReplies(reserved []int64) {
+	for _, n := range reserved {
+		f.replies.Release(n)
 	}
 }
 
-// dropLarge drops the messages in large when writeLoop ends.
-func (f *framer) dropLarge() {
+// dropQueued drops the messages in the send queue when writeLoop ends.
+func (f *framer) dropQueued() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.releaseReplies(f.pendingReserved)
+	f.pendingReserved = nil
 	for _, m := range f.large {
-		f.releaseReply(m.reserved)
+		f.replies.Release(m.reserved)
 	}
 	f.large, f.largeBytes = nil, 0
 }
--- a/pkg/link/reply_test.go
+++ b/pkg/link/reply_test.go
@@ -21,14 +21,20 @@
 // largeReplier returns the address of a server that answers with large bodies, each of which
 // it reserves from the budget.
 func largeReplier(t *testing.T, replies *memory.Budget) string {
+	t.Helper()
+	return replier(t, replies, replyBytes)
+}
+
+// replier is largeReplier for bodies of any size.
+func replier(t *testing.T, replies *memory.Budget, size int) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
-	server := &Server{Clock: clock.System{}, Hello: hello, Replies: replies, Handle: func(_ context.Context, r Request) proto.Message {
-		if r.Kind == KindRun && !replies.Reserve(replyBytes) {
+	server := &Server{Clock: clock.System{}, Hello: hello, Replies: memory.Tiers{Small: replies, Large: replies}, Handle: func(_ context.Context, r Request) proto.Message {
+		if r.Kind == KindRun && !replies.Reserve(int64(size)) {
 			t.Error("no room for the reply")
 		}
-		return &linkrpc.Outcome{Fate: linkrpc.Fate_FATE_ANSWERED, Body: make([]byte, replyBytes)}
+		return &linkrpc.Outcome{Fate: linkrpc.Fate_FATE_ANSWERED, Body: make([]byte, size)}
 	}}
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() {
@@ -90,3 +96,26 @@
 	close(resume)
 	is.True(awaitZero(&replies))
 }
+
+// A peer does not read, and small replies to it wait in the send queue. Guards against memory
+// that is held there without a reservation, and against reservations that outlast the connection.
+func TestSmallRepliesInTheQueueAreReservedFor(t *testing.T) {
+	is := is.New(t)
+	const (
+		size  = 20 << 10
+		calls = 1000
+	)
+	var replies memory.Budget
+	address := replier(t, &replies, size)
+	resume := make(chan struct{})
+	l := newPausedLink(t, address, resume)
+	is.NoErr(l.Connect(t.Context()))
+	for range calls {
+		go func() { _, _ = l.Call(t.Context(), KindRun, &linkrpc.Run{}) }()
+	}
+	await(func() bool { return replies.Used() >= calls/2*size })
+	is.True(replies.Used() >= calls/2*size)
+	l.Close()
+	close(resume)
+	is.True(awaitZero(&replies))
+}
--- a/pkg/link/send.go
+++ b/pkg/link/send.go
@@ -27,23 +27,23 @@
 // queue is full, and *EncodeError. The queue always takes the cancellation of a request. With isRequest set,
 // the stream is passed to beforeWrite.
 func (f *framer) send(kind Kind, stream StreamID, message proto.Message, isRequest bool) error {
-	_, err := f.sendReserved(kind, stream, message, isRequest, 0)
-	return err
+	return f.sendReserved(kind, stream, message, isRequest, 0)
 }
 
-// sendReserved is send for a message for which bytes of f.replies are reserved. It reports
-// whether these are released once the message is written; if not, the caller releases them.
-func (f *framer) sendReserved(kind Kind, stream StreamID, message proto.Message, isRequest bool, reserved int64) (released bool, err error) {
+// sendReserved is send for a message for which bytes of f.replies are reserved. These are
+// released once the message is written, or is not any more. If it returns an error, its caller
+// releases them.
+func (f *framer) sendReserved(kind Kind, stream StreamID, message proto.Message, isRequest bool, reserved int64) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.closeErr != nil {
-		return false, f.closeErr
+		return f.closeErr
 	}
 	if f.finishing {
-		return false, net.ErrClosed
+		return net.ErrClosed
 	}
 	if len(f.pending)+f.largeBytes > maxPendingBytes && kind != KindCancel {
-		return false, &BacklogError{}
+		return &BacklogError{}
 	}
 	start := len(f.pending)
 	f.pending = append(f.pending, 0, 0, 0, 0, byte(kind))
@@ -52,7 +52,7 @@
 		encoded, err := proto.MarshalOptions{}.MarshalAppend(f.pending, message)
 		if err != nil {
 			f.pending = f.pending[:start]
-			return false, &EncodeError{Kind: kind, Cause: err}
+			return &EncodeError{Kind: kind, Cause: err}
 		}
 		f.pending = encoded
 	}
@@ -61,14 +61,17 @@
 		f.queueLarge(&largeMessage{kind: kind, stream: stream, isRequest: isRequest, payload: f.pending[start+headerBytes:], reserved: reserved})
 		f.pending = bytes.Clone(f.pending[:start])
 		f.wakeWriter()
-		return true, nil
+		return nil
 	}
 	binary.BigEndian.PutUint32(f.pending[start:], uint32(len(f.pending)-start-headerBytes))
 	if isRequest {
 		f.pendingRequests = append(f.pendingRequests, queuedRequest{stream: stream, start: start, end: len(f.pending)})
 	}
+	if reserved > 0 {
+		f.pendingReserved = append(f.pendingReserved, reserved)
+	}
 	f.wakeWriter()
-	return false, nil
+	return nil
 }
 
 // withdraw removes a request from the send queue. It returns false if the request is not
@@ -104,21 +107,24 @@
 // writeLoop writes queued messages until the connection fails or finishWrites was
 // called. It swaps two buffers, so that messages can be queued during a write.
 func (f *framer) writeLoop() {
-	defer f.dropLarge()
+	defer f.dropQueued()
 	var spare []byte
 	for range f.wake {
 		for more := true; more; {
 			f.mu.Lock()
-			batch, requests := f.pending, f.pendingRequests
-			f.pending, f.pendingRequests = spare[:0], nil
+			batch, requests, reserved := f.pending, f.pendingRequests, f.pendingReserved
+			f.pending, f.pendingRequests, f.pendingReserved = spare[:0], nil, nil
 			batch, requests = f.appendPart(batch, requests)
 			more = len(f.large) > 0
 			closeErr, isLast := f.closeErr, f.finishing && !more
 			f.mu.Unlock()
 			if closeErr != nil {
+				f.releaseReplies(reserved)
 				return
 			}
-			if err := f.write(batch, requests); err != nil {
+			err := f.write(batch, requests)
+			f.releaseReplies(reserved)
+			if err != nil {
 				f.closeWithError(err)
 				return
 			}
--- a/pkg/link/server.go
+++ b/pkg/link/server.go
@@ -33,6 +33,8 @@
 	// acceptRetryInterval is the time after which an Accept that failed for lack of
 	// resources is tried again.
 	acceptRetryInterval = 20 * time.Millisecond
+	// maxReplyWait bounds how long the reply to a query waits for memory.
+	maxReplyWait = 250 * time.Millisecond
 	// backlogPollInterval is the time between two looks at a full send queue.
 	backlogPollInterval = 10 * time.Millisecond
 )
@@ -83,10 +85,9 @@
 	// Budget bounds the bytes of the requests that arrive in parts, until they are
 	// answered; nil means no bound.
 	Budget *memory.Budget
-	// Replies bounds the memory for large bodies of replies until they are written; nil means
-	// no bound. Handle has reserved memory.Large bytes for the body of an outcome that it
-	// returns for a KindRun.
-	Replies *memory.Budget
+	// Replies bounds the memory for bodies of replies until they are written. Handle has
+	// reserved memory.Counted bytes for the body of an outcome that it returns for a KindRun.
+	Replies memory.Tiers
 
 	// CloseTimeout bounds how long Close waits for the requests being handled, the
 	// writing of their replies and the peers' receipt of these. It begins again each time
@@ -262,11 +263,11 @@
 // no memory for it.
 func (s *Server) reserveReply(r *serverRequest, reply proto.Message) (reserved int64, ok bool) {
 	outcome, isOutcome := reply.(*linkrpc.Outcome)
-	if s.Replies == nil || !isOutcome {
+	if !isOutcome {
 		return 0, true
 	}
-	reserved = memory.Large(len(outcome.Body))
-	return reserved, r.Kind == KindRun || reserved == 0 || s.Replies.Reserve(reserved)
+	reserved = memory.Counted(len(outcome.Body))
+	return reserved, r.Kind == KindRun || s.Replies.AwaitResize(s.Clock, 0, reserved, maxReplyWait)
 }
 
 // substituteReply returns the reply to a request whose own reply cannot be encoded. A call may
@@ -282,24 +283,19 @@
 // queueReply queues a reply. While the queue is full it waits. The bytes reserved for the reply
 // are released once it is written, or cannot be.
 func (s *Server) queueReply(c *serverConn, stream StreamID, reply proto.Message, reserved int64) error {
-	queued := false
-	defer func() {
-		if !queued {
-			c.releaseReply(reserved)
-		}
-	}()
 	for {
-		var err error
-		queued, err = c.sendReserved(KindReply, stream, reply, false, reserved)
+		err := c.sendReserved(KindReply, stream, reply, false, reserved)
 		if err == nil {
 			return nil
 		}
 		var backlog *BacklogError
 		if !errors.As(err, &backlog) {
+			s.Replies.Release(reserved)
 			return err
 		}
 		select {
 		case <-c.ended:
+			s.Replies.Release(reserved)
 			return err
 		case <-s.Clock.After(backlogPollInterval):
 		}
--- a/pkg/memory/budget.go
+++ b/pkg/memory/budget.go
@@ -8,22 +8,8 @@
 	"github.com/plantainramp/plantainramp/pkg/clock"
 )
 
-const (
-	// SmallBytes is the size up to which a response needs no reservation, so that ordinary
-	// callers are answered while the memory for large ones is used up.
-	SmallBytes = 32 << 10
-	// waitInterval is the time between two tries of AwaitGrow.
-	waitInterval = 5 * time.Millisecond
-)
-
-// Large returns the number of bytes to reserve for a response of n bytes: none for a small
-// one.
-func Large(n int) int64 {
-	if n <= SmallBytes {
-		return 0
-	}
-	return int64(n)
-}
+// waitInterval is the time between two tries of AwaitGrow.
+const waitInterval = 5 * time.Millisecond
 
 // Budget bounds the bytes that are reserved at the same time. It answers a burst of large
 // requests: those beyond the limit are turned away before they take memory. The zero value
--- a/pkg/memory/held.go
+++ b/pkg/memory/held.go
@@ -8,9 +8,8 @@
 	"github.com/plantainramp/plantainramp/pkg/clock"
 )
 
-// minStall is how long a receiver must have taken nothing before its reservation is ended to
-// make room for another.
-const minStall = 250 * time.Millisecond
+// defaultMinStall is the value of HeldBudget.MinStall where none is set.
+const defaultMinStall = 250 * time.Millisecond
 
 // HeldBudget is a budget for data that receivers take at their own pace. If it is used up, the
 // reservations of the receivers that have taken nothing for longest are ended. It answers
@@ -19,6 +18,9 @@
 type HeldBudget struct {
 	Budget
 	Clock clock.Clock
+	// MinStall is how long a receiver must have taken nothing before its reservation is ended to
+	// make room for another; 0 means defaultMinStall. It is not changed after the first use.
+	MinStall time.Duration
 	// OnEvict is called for each reservation that is ended to make room; nil is allowed.
 	OnEvict func()
 
@@ -42,15 +44,33 @@
 }
 
 // Hold reserves n bytes. If there is no room, it ends the reservations that have had no
-// progress for minStall, and returns nil if that is not enough. end is called if the
+// progress for MinStall, and returns nil if that is not enough. end is called if the
 // reservation is ended to make room; it must not wait, and not call methods of the budget.
 func (b *HeldBudget) Hold(n int64, end func()) *Hold {
+	h := b.tryHold(n, end)
+	if h == nil {
+		b.refused.Add(1)
+	}
+	return h
+}
+
+// AwaitHold is Hold, but waits for room for up to maxWait.
+func (b *HeldBudget) AwaitHold(n int64, end func(), maxWait time.Duration) *Hold {
+	for waited := time.Duration(0); waited < maxWait; waited += waitInterval {
+		if h := b.tryHold(n, end); h != nil {
+			return h
+		}
+		<-b.Clock.After(waitInterval)
+	}
+	return b.Hold(n, end)
+}
+
+func (b *HeldBudget) tryHold(n int64, end func()) *Hold {
 	now := b.Clock.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for !b.TryReserve(n) {
 		if !b.evict(now) {
-			b.refused.Add(1)
 			return nil
 		}
 	}
@@ -60,13 +80,17 @@
 }
 
 // evict ends the reservation that has had no progress for longest if that is at least
-// minStall, and reports whether it did. The caller holds mu.
+// MinStall, and reports whether it did. The caller holds mu.
 func (b *HeldBudget) evict(now time.Time) bool {
 	front := b.holds.Front()
 	if front == nil {
 		return false
 	}
 	oldest := front.Value.(*Hold)
+	minStall := b.MinStall
+	if minStall == 0 {
+		minStall = defaultMinStall
+	}
 	if now.Sub(oldest.progress) < minStall {
 		return false
 	}
--- a/pkg/memory/held_test.go
+++ b/pkg/memory/held_test.go
@@ -20,7 +20,7 @@
 		return b.Hold(n, func() { ended = append(ended, name) })
 	}
 	stalled, reading := hold("stalled", 50), hold("reading", 50)
-	fake.Advance(minStall - time.Millisecond)
+	fake.Advance(defaultMinStall - time.Millisecond)
 	is.True(hold("early", 10) == nil)
 	is.True(reading.Progress())
 	fake.Advance(time.Millisecond)
--- a/pkg/mesh/budgets.go
+++ b/pkg/mesh/budgets.go
@@ -28,9 +28,12 @@
 	headFraction = 1.0 / 12
 	// smallBodiesFraction is for smaller bodies of requests that are being read.
 	smallBodiesFraction = 1.0 / 16
-	// callerResponsesFraction is for responses that callers have not read.
+	// callerResponsesFraction is for large responses that callers have not read, and
+	// smallResponsesFraction for small ones, and again for those on their way from the
+	// instance to other nodes.
 	callerResponsesFraction = 1.0 / 10
-	// outgoingFraction is for responses on their way from the instance to other nodes, and
+	smallResponsesFraction  = 1.0 / 32
+	// outgoingFraction is for large responses on their way from the instance to other nodes, and
 	// incomingFraction for those on their way from other nodes.
 	outgoingFraction = 1.0 / 16
 	incomingFraction = 1.0 / 12
@@ -38,6 +41,9 @@
 	// maxRetainedOutcomesBytes.
 	retainedFraction         = 1.0 / 32
 	maxRetainedOutcomesBytes = 8 << 20
+	// minSmallStall is how long a caller must have taken nothing of a small response before its
+	// connection is closed to make room for that of another: several round trips.
+	minSmallStall = 50 * time.Millisecond
 	// ordinaryConns is the number of connections of callers that a node has in ordinary
 	// operation.
 	ordinaryConns = 1000
@@ -50,11 +56,11 @@
 	// smallBodies is for bodies of requests that are being read and need no memory of
 	// Node.callerBodies.
 	smallBodies memory.HeldBudget
-	// callerResponses is for responses that callers have not read. outgoing is for those
-	// that are read from the instance or wait to be sent to a peer, and incoming for those
-	// that are read from peers.
-	callerResponses    memory.HeldBudget
-	outgoing, incoming memory.Budget
+	// callerResponses and smallResponses are for large and small responses that callers have
+	// not read. outgoing and smallOutgoing are for those that are read from the instance or
+	// wait to be sent to a peer, and incoming is for large ones that are read from peers.
+	callerResponses, smallResponses   memory.HeldBudget
+	outgoing, smallOutgoing, incoming memory.Budget
 	// onHeld is the function of OnHeldBytes, or nil.
 	onHeld func(bytes int64)
 }
@@ -65,10 +71,17 @@
 	b.heads.Limit = part(headFraction)
 	b.smallBodies.Limit, b.smallBodies.Clock = part(smallBodiesFraction), c
 	b.callerResponses.Limit, b.callerResponses.AdmitsFirst, b.callerResponses.Clock = part(callerResponsesFraction), true, c
+	b.smallResponses.Limit, b.smallResponses.MinStall, b.smallResponses.Clock = part(smallResponsesFraction), minSmallStall, c
+	b.smallOutgoing.Limit = part(smallResponsesFraction)
 	b.outgoing.Limit, b.outgoing.AdmitsFirst = part(outgoingFraction), true
 	b.incoming.Limit, b.incoming.AdmitsFirst = part(incomingFraction), true
 }
 
+// outgoingTiers returns the budgets of responses on their way from the instance.
+func (b *budgets) outgoingTiers() memory.Tiers {
+	return memory.Tiers{Small: &b.smallOutgoing, Large: &b.outgoing}
+}
+
 // retainedBytes returns the bound of the outcomes that the gate retains.
 func retainedBytes(memoryBytes int64) int {
 	if memoryBytes <= 0 {
@@ -120,8 +133,8 @@
 // another caller.
 func (n *Node) onResponseEvicted() {
 	n.events.Log(eventConnClosed, func() logrus.Fields {
-		b := &n.budgets.callerResponses
-		return logrus.Fields{"reason": "memory needed for another response", "responseBytes": b.Used(), "responseBytesLimit": b.Limit}
+		b := &n.budgets
+		return logrus.Fields{"reason": "memory needed for another response", "responseBytes": b.callerResponses.Used(), "responseBytesLimit": b.callerResponses.Limit, "smallResponseBytes": b.smallResponses.Used(), "smallResponseBytesLimit": b.smallResponses.Limit}
 	})
 }
 
@@ -137,7 +150,7 @@
 	}
 	held := n.callerBodies.Used() + n.peerBodies.Used()
 	b := &n.budgets
-	for _, budget := range []*memory.Budget{&b.heads, &b.smallBodies.Budget, &b.callerResponses.Budget, &b.outgoing, &b.incoming} {
+	for _, budget := range []*memory.Budget{&b.heads, &b.smallBodies.Budget, &b.callerResponses.Budget, &b.smallResponses.Budget, &b.outgoing, &b.smallOutgoing, &b.incoming} {
 		held += budget.Used()
 	}
 	conns := n.callerConns.Counts()
@@ -158,6 +171,7 @@
 	b := &n.budgets
 	for kind, budget := range map[string]*memory.Budget{
 		"heads": &b.heads, "small_bodies": &b.smallBodies.Budget, "caller_responses": &b.callerResponses.Budget, "outgoing_responses": &b.outgoing, "incoming_responses": &b.incoming,
+		"small_responses": &b.smallResponses.Budget, "small_outgoing_responses": &b.smallOutgoing,
 	} {
 		n.meter.LabelledGauge("budget_bytes", "kind", kind).Update(float64(budget.Used()))
 		n.meter.LabelledGauge("budget_limit_bytes", "kind", kind).Update(float64(budget.Limit))
@@ -165,7 +179,7 @@
 	}
 	for reason, count := range map[string]int{
 		"head_too_large": conns.HeadsTooLarge, "head_refused": conns.HeadsRefused, "head_evicted": conns.HeadsEvicted,
-		"body_evicted": b.smallBodies.Evicted(), "response_evicted": b.callerResponses.Evicted(), "too_many": conns.Evicted, "stalled": conns.Stalled,
+		"body_evicted": b.smallBodies.Evicted(), "response_evicted": b.callerResponses.Evicted() + b.smallResponses.Evicted(), "too_many": conns.Evicted, "stalled": conns.Stalled,
 	} {
 		n.meter.LabelledGauge("caller_connections_closed", "reason", reason).Update(float64(count))
 	}
--- a/pkg/mesh/budgets_test.go
+++ b/pkg/mesh/budgets_test.go
@@ -50,7 +50,7 @@
 	const memoryBytes = 184 << 20
 	var b budgets
 	b.init(memoryBytes, nil)
-	total := b.heads.Limit + b.smallBodies.Limit + b.callerResponses.Limit + b.outgoing.Limit + b.incoming.Limit + int64(retainedBytes(memoryBytes))
+	total := b.heads.Limit + b.smallBodies.Limit + b.callerResponses.Limit + b.smallResponses.Limit + b.outgoing.Limit + b.smallOutgoing.Limit + b.incoming.Limit + int64(retainedBytes(memoryBytes))
 	is.True(total < memoryBytes/2)
 	is.True(float64(total)+(2*bodyFraction+connMemoryFraction)*memoryBytes < memoryBytes)
 	is.Equal(retainedBytes(1<<30), maxRetainedOutcomesBytes)
--- a/pkg/mesh/descriptors.go
+++ b/pkg/mesh/descriptors.go
@@ -22,7 +22,7 @@
 	// connBytes is the memory that a connection takes without large heads and bodies, and
 	// connMemoryFraction the fraction of the memory that connections of callers may take.
 	connBytes          = 24 << 10
-	connMemoryFraction = 0.4
+	connMemoryFraction = 0.3
 )
 
 // maxDescriptors returns the number of descriptors that the process may have.
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -185,7 +185,7 @@
 	n.callerBodies.Limit = int64(bodyFraction * float64(s.MemoryBytes))
 	n.peerBodies.Limit = n.callerBodies.Limit
 	n.budgets.init(s.MemoryBytes, c)
-	n.budgets.callerResponses.OnEvict, n.budgets.smallBodies.OnEvict = n.onResponseEvicted, n.onBodyEvicted
+	n.budgets.callerResponses.OnEvict, n.budgets.smallResponses.OnEvict, n.budgets.smallBodies.OnEvict = n.onResponseEvicted, n.onResponseEvicted, n.onBodyEvicted
 	n.makeGate()
 	n.makeDirectory()
 	n.makeEntrance()
@@ -201,7 +201,7 @@
 }
 
 func (n *Node) makeGate() {
-	n.instance = &instance.Client{Address: n.settings.InstanceAddress, Clock: n.clock, Headers: n.platform.InstanceHeaders, MaxBodyBytes: maxResponseBytes, Budget: &n.budgets.outgoing, OnStray: n.onStray, OnJoined: n.onJoined, OnRepeatedID: n.onRepeatedID}
+	n.instance = &instance.Client{Address: n.settings.InstanceAddress, Clock: n.clock, Headers: n.platform.InstanceHeaders, MaxBodyBytes: maxResponseBytes, Budgets: n.budgets.outgoingTiers(), OnStray: n.onStray, OnJoined: n.onJoined, OnRepeatedID: n.onRepeatedID}
 	n.gate = &gate.Gate{
 		Clock: n.clock, Headers: n.platform.GateHeaders, Instance: n.instance, View: n.view.Load, OnStart: n.onExecutionStarted, OnDecision: n.onDecided, OnRateLimit: n.onRateLimit, OnLeaving: n.onLeaving,
 		OutOfDate: n.evacuationsOutOfDate, Region: n.regionOf(n.settings.DataCentre), MaxRetainedBytes: retainedBytes(n.settings.MemoryBytes),
@@ -229,13 +229,13 @@
 		Relay:     n.relay(linkrpc.Topic_TOPIC_DIRECTORY, func() *topic.Follower { return n.directoryFollower }),
 	}
 	n.demand = &demand.Monitor{Clock: n.clock, LocalNode: self, Service: n.settings.Service, Load: n.gate.Load, View: n.view.Load, Directory: n.directory.Snapshot, OnPlan: n.onPlan, Excluded: n.evacuations.Has}
-	n.links = &link.Server{Clock: n.clock, Hello: n.hello, Handle: n.handlePeerRequest, OnStatus: n.handleStatus, OnTokenGifts: n.handleTokenGifts, OnReports: n.handleReports, OnUnreadable: func(err error) { n.logUnreadable("message without a reply", err) }, OnUnencodable: n.logUnencodable, OnAcceptError: n.onAcceptFailed, OnPanic: n.onPanic, CloseLimit: n.linkCloseLimit, Budget: &n.peerBodies, Replies: &n.budgets.outgoing}
+	n.links = &link.Server{Clock: n.clock, Hello: n.hello, Handle: n.handlePeerRequest, OnStatus: n.handleStatus, OnTokenGifts: n.handleTokenGifts, OnReports: n.handleReports, OnUnreadable: func(err error) { n.logUnreadable("message without a reply", err) }, OnUnencodable: n.logUnencodable, OnAcceptError: n.onAcceptFailed, OnPanic: n.onPanic, CloseLimit: n.linkCloseLimit, Budget: &n.peerBodies, Replies: n.budgets.outgoingTiers()}
 }
 
 func (n *Node) makeEntrance() {
 	n.rateLimiter = &quota.Limiter{Clock: n.clock, Uptime: n.uptime, StartFull: n.settings.FirstStart}
 	n.entrance = &entrance.Entrance{
-		Clock: n.clock, Headers: n.platform.EntranceHeaders, Service: n.settings.Service, Peers: n.peers, RateLimiter: n.rateLimiter, Bodies: &n.callerBodies, SmallBodies: &n.budgets.smallBodies, Responses: &n.budgets.callerResponses,
+		Clock: n.clock, Headers: n.platform.EntranceHeaders, Service: n.settings.Service, Peers: n.peers, RateLimiter: n.rateLimiter, Bodies: &n.callerBodies, SmallBodies: &n.budgets.smallBodies, Responses: &n.budgets.callerResponses, SmallResponses: &n.budgets.smallResponses,
 		View: n.view.Load, ConfigFresh: n.keysFresh, Stopping: n.stopping.Load, Takes: n.takes, OnFinish: n.onFinished, Incarnation: n.incarnation,
 		OnArrival: n.onArrived, Unavailable: n.unavailable, Region: n.regionOf, Admit: n.admit, RetryFraction: n.executions.repeatedFraction, OnRetry: n.onRetry, TokenHome: n.tokenHome, OnBorrowError: n.onBorrowFailed, OnForeignAnswer: n.onForeignAnswer,
 	}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -146,7 +146,7 @@
 	n.upstream = &upstream.Client{
 		Address: n.settings.UpstreamAddress, Clock: n.clock, MaxResponseBytes: n.settings.MaxResponseBytes,
 		Unfenced: n.settings.Disabled[settings.MechanismFence],
-		Budget:   &memory.Budget{Limit: upstreamResponseBytes, AdmitsFirst: true},
+		Budgets:  memory.Tiers{Large: &memory.Budget{Limit: upstreamResponseBytes, AdmitsFirst: true}},
 	}
 	n.admission = &admission.Controller{Clock: n.clock, Disabled: n.settings.Disabled[settings.MechanismAdmission]}
 	n.upstream.OnDialError = n.admission.StartRamp
--- a/pkg/peering/outcome.go
+++ b/pkg/peering/outcome.go
@@ -15,7 +15,7 @@
 // would take as much memory again.
 func decodeOutcome(payload []byte) (*linkrpc.Outcome, error) {
 	var body []byte
-	if memory.Large(len(payload)) > 0 {
+	if len(payload) > memory.SmallBytes {
 		payload, body = splitBody(payload)
 	}
 	outcome := &linkrpc.Outcome{}
--- a/pkg/peering/peer.go
+++ b/pkg/peering/peer.go
@@ -96,7 +96,8 @@
 func (p *Peer) Release() { p.holds.Add(-1) }
 
 // Run runs a call at the peer and returns its outcome and the incarnation of the
-// peer, which is 0 for the local node. It returns the errors of link.Call.
+// peer, which is 0 for the local node. It returns the errors of link.Call. The memory for the
+// body of an outcome of the local node stays reserved until ReleaseBody.
 func (p *Peer) Run(ctx context.Context, run *linkrpc.Run) (*linkrpc.Outcome, uint64, error) {
 	p.pendingCalls.Add(1)
 	defer p.pendingCalls.Add(-1)
@@ -113,12 +114,22 @@
 // runLocally runs a call at the local gate. The call is cancelled when ctx ends.
 func (p *Peer) runLocally(ctx context.Context, run *linkrpc.Run) (*linkrpc.Outcome, uint64, error) {
 	outcome := p.gate.Run(ctx, context.Background(), run)
-	p.gate.ReleaseBody(outcome)
 	p.noteLeaving(outcome.Load)
-	if outcome.Fate == linkrpc.Fate_FATE_NOT_RUN && ctx.Err() != nil {
+	if ctx.Err() == nil {
+		return outcome, 0, nil
+	}
+	p.gate.ReleaseBody(outcome)
+	if outcome.Fate == linkrpc.Fate_FATE_NOT_RUN {
 		return nil, 0, &link.NotSentError{Cause: ctx.Err()}
 	}
-	return outcome, 0, ctx.Err()
+	return nil, 0, ctx.Err()
+}
+
+// ReleaseBody ends the reservation for the body of an outcome that Run has returned.
+func (p *Peer) ReleaseBody(outcome *linkrpc.Outcome) {
+	if p.gate != nil {
+		p.gate.ReleaseBody(outcome)
+	}
 }
 
 // QueryOutcome queries the outcome of an attempt. It returns the incarnation of
--- a/pkg/upstream/body.go
+++ b/pkg/upstream/body.go
@@ -33,20 +33,13 @@
 
 // Write implements io.Writer. It returns *NoMemoryError if there is no memory for the data.
 func (b *bodyReader) Write(data []byte) (int, error) {
-	size := memory.Large(b.buffer.Len() + len(data))
-	budget := b.client.Budget
-	if budget != nil && size > b.reserved {
-		if !budget.AwaitGrow(b.client.Clock, b.reserved, size-b.reserved, maxBudgetWait) {
-			return 0, &NoMemoryError{}
-		}
-		b.reserved = size
+	size := memory.Counted(b.buffer.Len() + len(data))
+	if !b.client.Budgets.AwaitResize(b.client.Clock, b.reserved, size, maxBudgetWait) {
+		return 0, &NoMemoryError{}
 	}
+	b.reserved = size
 	return b.buffer.Write(data)
 }
 
 // release ends the reservation.
-func (b *bodyReader) release() {
-	if b.reserved > 0 {
-		b.client.Budget.Release(b.reserved)
-	}
-}
+func (b *bodyReader) release() { b.client.Budgets.Release(b.reserved) }
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -45,8 +45,8 @@
 	Clock   clock.Clock
 	// MaxResponseBytes bounds the body of a response. Larger responses are refused.
 	MaxResponseBytes int64
-	// Budget bounds the memory for large responses while they are read; nil means no bound.
-	Budget *memory.Budget
+	// Budgets bound the memory for responses while they are read.
+	Budgets memory.Tiers
 	// Unfenced disables the check that the start deadline of a call has not passed.
 	Unfenced bool
 	// OnDialError, if set, is called when a connection to the upstream cannot be
