link: connections that come from no node are bounded, and their messages are short

Callers saw: a client that is no node, and connects to the port for other nodes, holds a descriptor for 1 s each without any bound (419 of 256), and 9 bytes make the node take 64 MB for a message that it announces: 400 such connections with 1 MB sent took a node of 64 MB to 457 MB. Cause: Serve accepted everything, and the payload of a message was allocated, up to 80 MB, before it had arrived and before the handshake. Ruled out: an HTTP request there (its first bytes are a length over the limit, so it is closed at once). Change: at most 32 connections are in their handshake; the oldest makes room once it is 50 ms old. The handshake message has at most 4 kB. Memory for later payloads is taken as they arrive. A peer sends its handshake message at once, so its connection leaves the bound within a round trip. Evidence: TestStrangersAtPeerPort/send_nothing and /announce_a_long_message failed before; unit tests on a clock of their own. Open: a client that speaks the whole protocol between nodes counts as a node.

--- a/pkg/link/frame.go
+++ b/pkg/link/frame.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -206,7 +207,10 @@
 
 // readMessage blocks until it has read a message. A message in parts is returned once it
 // is whole; each part before the last is returned as a message of KindPart.
-func (f *framer) readMessage() (message, error) {
+func (f *framer) readMessage() (message, error) { return f.readMessageUpTo(maxMessageBytes) }
+
+// readMessageUpTo is readMessage with a bound for the payload.
+func (f *framer) readMessageUpTo(maxBytes int) (message, error) {
 	var header [headerBytes]byte
 	if _, err := io.ReadFull(f.reader, header[:]); err != nil {
 		return message{}, err
@@ -214,7 +218,7 @@
 	length := int(binary.BigEndian.Uint32(header[:]))
 	m := message{kind: Kind(header[4]), stream: StreamID(binary.BigEndian.Uint32(header[5:]))}
 	switch {
-	case length > maxMessageBytes:
+	case length > maxBytes:
 		return message{}, &FrameError{Length: length}
 	case m.kind == KindPart:
 		return m, f.readPart(m.stream, length)
@@ -223,11 +227,23 @@
 	case f.partial[m.stream] != nil:
 		return f.readLastPart(m, length)
 	}
-	m.payload = make([]byte, length)
-	if _, err := io.ReadFull(f.reader, m.payload); err != nil {
-		return message{}, err
+	var err error
+	m.payload, err = f.readPayload(length)
+	return m, err
+}
+
+// readPayload reads a payload. Memory for a long one is taken as the data arrives.
+func (f *framer) readPayload(length int) ([]byte, error) {
+	payload := make([]byte, 0, min(length, partBytes))
+	for len(payload) < length {
+		start := len(payload)
+		payload = slices.Grow(payload, min(length-start, max(start, partBytes)))
+		payload = payload[:min(cap(payload), length)]
+		if _, err := io.ReadFull(f.reader, payload[start:]); err != nil {
+			return nil, err
+		}
 	}
-	return m, nil
+	return payload, nil
 }
 
 // cause returns the error that closed the connection, or nil while it is open.
--- a/pkg/link/link_test.go
+++ b/pkg/link/link_test.go
@@ -257,7 +257,7 @@
 		near, far := net.Pipe()
 		s := &Server{Clock: clock.System{}, Hello: hello, Handle: echo}
 		done := make(chan struct{})
-		go func() { s.serveConn(far); close(done) }()
+		go func() { s.serveConn(far, func() {}); close(done) }()
 		go func() { _, _ = io.Copy(io.Discard, near) }()
 		_ = near.SetWriteDeadline(time.Now().Add(time.Second))
 		_, _ = near.Write(raw)
--- a/pkg/link/server.go
+++ b/pkg/link/server.go
@@ -119,11 +119,13 @@
 // Serve accepts connections until the listener is closed, and returns the error of
 // Accept. It passes over a lack of descriptors or memory.
 func (s *Server) Serve(l net.Listener) error {
+	waiting := &strangers{clock: s.Clock}
 	for {
 		conn, err := l.Accept()
 		switch {
 		case err == nil:
-			go s.serveConn(conn)
+			one := waiting.add(conn)
+			go s.serveConn(conn, func() { waiting.remove(one) })
 		case connection.IsResourceShortage(err):
 			if s.OnAcceptError != nil {
 				s.OnAcceptError(err)
@@ -165,7 +167,9 @@
 	return timeout, max(limit, timeout)
 }
 
-func (s *Server) serveConn(netConn net.Conn) {
+// serveConn serves a connection, and calls greeted once its handshake has ended.
+func (s *Server) serveConn(netConn net.Conn, greeted func()) {
+	defer greeted()
 	c := &serverConn{framer: newFramer(netConn, s.Clock, nil), ended: make(chan struct{}), requests: map[StreamID]*serverRequest{}}
 	c.budget, c.replies = s.Budget, s.Replies
 	defer close(c.ended)
@@ -177,7 +181,7 @@
 	defer s.removeConn(c)
 	go c.writeLoop()
 	_ = netConn.SetReadDeadline(s.Clock.Now().Add(dialTimeout))
-	first, err := c.readMessage()
+	first, err := c.readMessageUpTo(maxHelloBytes)
 	if err != nil || first.kind != KindHello || !c.startRequests() {
 		return
 	}
@@ -187,6 +191,7 @@
 		return
 	}
 	_ = netConn.SetReadDeadline(time.Time{})
+	greeted()
 	if c.send(KindHello, 0, withCapabilities(s.Hello()), false) != nil {
 		return
 	}
--- a/pkg/mesh/budgets.go
+++ b/pkg/mesh/budgets.go
@@ -19,7 +19,7 @@
 	// maxHeaderBytes bounds the headers of a request whatever the configuration says.
 	maxHeaderBytes = 512 << 10
 	// maxOtherConns bounds the connections of each server that is not for callers. They
-	// come out of reservedDescriptors.
+	// come out of reservedDescriptors, as do those in the handshake with another node.
 	maxOtherConns = 64
 	// The fractions below are of the memory of the process. With the bodies of requests and
 	// the connections of callers they add up to less than all of it.
