plantainnode: connections, heads, bodies and messages are bounded together

Callers saw: crowds within the limits of each request took plantainnode over its 128 MB: 160 MB by heads without end, 218 MB by bodies without end, 167 MB by responses of 31 kB that nobody reads; with more connections than descriptors (256), an ordinary caller got no answer within 10 s, as the node could not reach its upstream. Cause: it bounded each head and body alone, connections not at all, and a body had no deadline; messages of peers, up to 32 MB, were read before their code was checked. Ruled out: a second way beside that of plantainmesh: it uses pkg/connection and pkg/memory, whose collector replaces the reader of the upstream's bodies. Change: trackers with bounds on all four servers, budgets as parts of [limits] memoryMB (128, the limit it had), [limits] descriptors, a deadline for bodies, log lines and metrics. An HTTP/2 connection is recognised by its first bytes and bounded by its own server. peer.Verify is a type, as it needs a clock and budgets; its tests are the same.

--- a/internal/nodecmd/nodecmd.go
+++ b/internal/nodecmd/nodecmd.go
@@ -31,9 +31,9 @@
 	// gcPercent lets the heap grow further between garbage collections than the default
 	// of 100, since a node's live heap is small compared with its memory budget of 128 MB.
 	gcPercent = 200
-	// memoryLimitBytes is the memory use above which garbage collections become more
-	// frequent.
-	memoryLimitBytes = 80 << 20
+	// memoryLimitFraction is the fraction of the memory of the node above which garbage
+	// collections become more frequent.
+	memoryLimitFraction = 0.625
 )
 
 // Main runs the daemon until SIGTERM or SIGINT and returns its exit code.
@@ -61,7 +61,7 @@
 		return ExitSettings
 	}
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(memoryLimitBytes)
+	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(s.MemoryBytes)))
 	if err := serve(stopsignal.Context(), s, out); err != nil {
 		_, _ = fmt.Fprintf(errOut, "plantainnode: %s\n", err)
 		return ExitFailed
--- a/pkg/caller/handler.go
+++ b/pkg/caller/handler.go
@@ -23,8 +23,12 @@
 	"github.com/plantainramp/plantainramp/pkg/upstream"
 )
 
-// maxCallDepth is the maximum number of calls in a chain of calls.
-const maxCallDepth = 16
+const (
+	// maxCallDepth is the maximum number of calls in a chain of calls.
+	maxCallDepth = 16
+	// maxBodyWait bounds how long the body of a request waits for memory.
+	maxBodyWait = 250 * time.Millisecond
+)
 
 // Handler is an http.Handler that reads requests as calls and passes them to
 // CallHandler. All exported fields but FindParent and ForwardKeys must be set before
@@ -47,17 +51,21 @@
 	MaxBodyBytes int64
 	// DefaultDeadline is the time until the deadline of requests that set none.
 	DefaultDeadline time.Duration
-	// Responses bounds the memory for large responses that callers have not read; nil means
-	// no bound.
-	Responses *memory.HeldBudget
+	// SmallResponses and LargeResponses bound the memory for responses that callers have not
+	// read, as memory.Tiers does; nil means no bound.
+	SmallResponses, LargeResponses *memory.HeldBudget
+	// Bodies bound the memory for the bodies of requests until these end.
+	Bodies memory.Tiers
 }
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	start := h.Clock.Now()
-	responses := connection.Responses{Clock: h.Clock, Large: h.Responses}
+	responses := connection.Responses{Clock: h.Clock, Small: h.SmallResponses, Large: h.LargeResponses}
 	responses.Limit(w, start, start.Add(h.DefaultDeadline))
-	c, err := h.readCall(r, start)
+	body := &memory.Collector{Clock: h.Clock, Tiers: h.Bodies, MaxWait: maxBodyWait}
+	defer body.Release()
+	c, err := h.readCall(w, r, body, start)
 	var response *call.Response
 	if err == nil {
 		response, err = h.handleCall(r.Context(), c)
@@ -110,7 +118,7 @@
 
 // readCall validates a request and converts it to a call. The returned call is never
 // nil; if readCall fails, the call has at least a request id.
-func (h *Handler) readCall(r *http.Request, now time.Time) (*parsedCall, error) {
+func (h *Handler) readCall(w http.ResponseWriter, r *http.Request, body *memory.Collector, now time.Time) (*parsedCall, error) {
 	c := &parsedCall{Call: &call.Call{Request: fleet.RequestID(fleet.NewID()), Weight: 1}}
 	view := h.Follower.View()
 	if !h.Ready() {
@@ -137,7 +145,10 @@
 	if c.Organisation == "" && !c.Route.Open {
 		return c, problem.New(problem.KindInvalidKey, "this route needs a key")
 	}
-	return c, h.readDetails(c, r, dest, now)
+	if err := h.readDetails(c, r, dest, now); err != nil {
+		return c, err
+	}
+	return c, h.readBody(w, r, body, c)
 }
 
 // inheritClass returns a copy of a route with the class of the parent call, so that all
@@ -192,8 +203,8 @@
 	return nil
 }
 
-// readDetails sets the deadline, idempotency key, path, headers and body of the call. A
-// call does not outlive the deadline of its parent.
+// readDetails sets the deadline, idempotency key, path and headers of the call. A call does not
+// outlive the deadline of its parent.
 func (h *Handler) readDetails(c *parsedCall, r *http.Request, dest target, now time.Time) error {
 	timeout, err := readDeadline(r.Header, h.DefaultDeadline)
 	if err != nil {
@@ -206,9 +217,6 @@
 	if c.IdempotencyKey, err = readIdempotencyKey(r.Header); err != nil {
 		return err
 	}
-	if c.Body, err = readBody(r, h.MaxBodyBytes); err != nil {
-		return err
-	}
 	c.Path = dest.path
 	if _, query, hasQuery := strings.Cut(r.RequestURI, "?"); hasQuery {
 		c.Path += "?" + query
@@ -217,10 +225,24 @@
 		c.Header = r.Header.Clone()
 		return nil
 	}
-	if containsAPIKey(r.RequestURI, c.Body, strings.TrimPrefix(r.Header.Get("Authorization"), bearerPrefix)) {
+	c.Header = cleanHeaders(r.Header)
+	return nil
+}
+
+// readBody reads the body of a call until its deadline.
+func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, body *memory.Collector, c *parsedCall) error {
+	controller := http.NewResponseController(w)
+	// A connection without deadlines is read at any pace.
+	_ = controller.SetReadDeadline(c.Deadline)
+	var err error
+	if c.Body, err = readBody(r, body, h.MaxBodyBytes); err != nil {
+		return err
+	}
+	// While the call runs, the server reads on to notice that the caller leaves.
+	_ = controller.SetReadDeadline(time.Time{})
+	if !h.ForwardKeys && containsAPIKey(r.RequestURI, c.Body, strings.TrimPrefix(r.Header.Get("Authorization"), bearerPrefix)) {
 		return newMalformedError("path, query or body hold a key; a key belongs into the Authorization header only")
 	}
-	c.Header = cleanHeaders(r.Header)
 	return nil
 }
 
--- a/pkg/caller/request.go
+++ b/pkg/caller/request.go
@@ -5,9 +5,11 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net/http"
 	"net/url"
+	"os"
 	"regexp"
 	"strconv"
 	"strings"
@@ -15,6 +17,7 @@
 
 	"github.com/plantainramp/plantainramp/pkg/call"
 	"github.com/plantainramp/plantainramp/pkg/fleet"
+	"github.com/plantainramp/plantainramp/pkg/memory"
 	"github.com/plantainramp/plantainramp/pkg/problem"
 	"github.com/plantainramp/plantainramp/pkg/upstream"
 )
@@ -129,13 +132,20 @@
 	return key, nil
 }
 
-// readBody reads the whole body. It fails if the body is larger than limit bytes.
-func readBody(r *http.Request, limit int64) ([]byte, error) {
+// readBody reads the whole body. It fails if the body is larger than limit bytes, or there is
+// no memory for it.
+func readBody(r *http.Request, collector *memory.Collector, limit int64) ([]byte, error) {
 	if r.ContentLength > limit {
 		return nil, newTooLargeError(limit)
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err != nil {
+	body, err := collector.ReadAll(io.LimitReader(r.Body, limit+1))
+	var noMemory *memory.NoMemoryError
+	switch {
+	case errors.As(err, &noMemory):
+		return nil, problem.New(problem.KindShed, "the node has no memory for the body")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, newMalformedError("the body did not arrive before the deadline of the request")
+	case err != nil:
 		return nil, newMalformedError("the body was cut short")
 	}
 	if int64(len(body)) > limit {
--- a/pkg/connection/connection.go
+++ b/pkg/connection/connection.go
@@ -49,6 +49,15 @@
 	HeadsTooLarge, HeadsRefused, HeadsEvicted int
 }
 
+// ClosedByReason returns the numbers of connections that were closed, by the value of a label of
+// the metrics.
+func (c Counts) ClosedByReason() map[string]int {
+	return map[string]int{
+		"head_too_large": c.HeadsTooLarge, "head_refused": c.HeadsRefused, "head_evicted": c.HeadsEvicted,
+		"too_many": c.Evicted, "stalled": c.Stalled,
+	}
+}
+
 // Tracker tracks the connections of one HTTP server. Set Clock, and call Track before
 // the server serves. It is safe for concurrent use.
 type Tracker struct {
--- a/pkg/connection/limited.go
+++ b/pkg/connection/limited.go
@@ -1,6 +1,7 @@
 package connection
 
 import (
+	"bytes"
 	"io"
 	"net"
 	"net/http"
@@ -34,6 +35,9 @@
 	headRefused  = "no memory for the head"
 	headEvicted  = "memory needed for another head"
 
+	// http2Method begins an HTTP/2 connection. No request of HTTP/1 has it.
+	http2Method = "PRI "
+
 	tooLargeResponse = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 	// refusedResponse guarantees that the request is not executed: its head was not read
 	// whole.
@@ -71,6 +75,8 @@
 	bodyBytes  atomic.Int64
 	// refused reports whether the head was refused. The server may read again after an error.
 	refused bool
+	// isHTTP2 reports whether the connection carries HTTP/2, whose server bounds heads itself.
+	isHTTP2 atomic.Bool
 }
 
 // limit returns a connection that applies the limits of the tracker.
@@ -92,7 +98,7 @@
 // SetReadDeadline implements net.Conn. While a head is awaited or read, it replaces
 // serverTimeout by the timeout of the limits.
 func (c *limitedConn) SetReadDeadline(deadline time.Time) error {
-	if deadline.IsZero() || c.handling.Load() {
+	if deadline.IsZero() || c.handling.Load() || c.isHTTP2.Load() {
 		return c.TCPConn.SetReadDeadline(deadline)
 	}
 	limits := c.tracker.Limits()
@@ -108,7 +114,7 @@
 func (c *limitedConn) Read(buffer []byte) (int, error) {
 	// While a request is handled, the server reads a single byte to notice that the caller
 	// leaves.
-	if len(buffer) == 1 {
+	if len(buffer) == 1 || c.isHTTP2.Load() {
 		return c.TCPConn.Read(buffer)
 	}
 	if c.handling.Load() {
@@ -122,6 +128,9 @@
 	}
 	n, err := c.TCPConn.Read(buffer)
 	c.headBytes.Store(before + int64(n))
+	if before == 0 && bytes.HasPrefix(buffer[:n], []byte(http2Method)) {
+		c.isHTTP2.Store(true)
+	}
 	return n, err
 }
 
@@ -179,7 +188,7 @@
 // over the limit.
 func (c *limitedConn) isOverLimit(r *http.Request) bool {
 	limit := c.tracker.Limits().HeaderBytes
-	if c.headBytes.Load() <= int64(limit) {
+	if c.isHTTP2.Load() || c.headBytes.Load() <= int64(limit) {
 		return false
 	}
 	size := 0
--- a/pkg/mesh/budgets.go
+++ b/pkg/mesh/budgets.go
@@ -177,10 +177,9 @@
 		n.meter.LabelledGauge("budget_limit_bytes", "kind", kind).Update(float64(budget.Limit))
 		n.meter.LabelledGauge("budget_refused", "kind", kind).Update(float64(budget.Refused()))
 	}
-	for reason, count := range map[string]int{
-		"head_too_large": conns.HeadsTooLarge, "head_refused": conns.HeadsRefused, "head_evicted": conns.HeadsEvicted,
-		"body_evicted": b.smallBodies.Evicted(), "response_evicted": b.callerResponses.Evicted() + b.smallResponses.Evicted(), "too_many": conns.Evicted, "stalled": conns.Stalled,
-	} {
+	closed := conns.ClosedByReason()
+	closed["body_evicted"], closed["response_evicted"] = b.smallBodies.Evicted(), b.callerResponses.Evicted()+b.smallResponses.Evicted()
+	for reason, count := range closed {
 		n.meter.LabelledGauge("caller_connections_closed", "reason", reason).Update(float64(count))
 	}
 }
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -18,7 +18,6 @@
 	"github.com/plantainramp/plantainramp/pkg/fleet"
 	"github.com/plantainramp/plantainramp/pkg/logs"
 	"github.com/plantainramp/plantainramp/pkg/member"
-	"github.com/plantainramp/plantainramp/pkg/memory"
 	"github.com/plantainramp/plantainramp/pkg/meter"
 	"github.com/plantainramp/plantainramp/pkg/outcome"
 	"github.com/plantainramp/plantainramp/pkg/peer"
@@ -71,8 +70,10 @@
 	adminAPI        *admin.API
 	snapshotter     *config.Snapshotter
 	failureDetector *member.FailureDetector
-	// responses bounds the memory for large responses that callers have not read.
-	responses memory.HeldBudget
+	budgets         budgets
+	events          *logs.Sampler
+	// callersIntake is that of the server for callers.
+	callersIntake *intake
 }
 
 // New returns a node. The injector must provide *settings.Settings, clock.Clock,
@@ -94,6 +95,10 @@
 	}
 	n.startTime = n.clock.Now()
 	n.logger = n.logger.WithField("member", n.memberID)
+	n.events = &logs.Sampler{Clock: n.clock, Logger: n.logger, MaxPerSecond: maxLinesPerSecond}
+	n.budgets.init(n.settings.MemoryBytes, n.clock)
+	n.budgets.smallResponses.OnEvict, n.budgets.largeResponses.OnEvict = n.onResponseEvicted, n.onResponseEvicted
+	n.callersIntake = n.newIntake()
 	n.initState()
 	n.initRates()
 	n.initActions()
@@ -146,7 +151,7 @@
 	n.upstream = &upstream.Client{
 		Address: n.settings.UpstreamAddress, Clock: n.clock, MaxResponseBytes: n.settings.MaxResponseBytes,
 		Unfenced: n.settings.Disabled[settings.MechanismFence],
-		Budgets:  memory.Tiers{Large: &memory.Budget{Limit: upstreamResponseBytes, AdmitsFirst: true}},
+		Budgets:  n.budgets.upstreamResponses.tiers(),
 	}
 	n.admission = &admission.Controller{Clock: n.clock, Disabled: n.settings.Disabled[settings.MechanismAdmission]}
 	n.upstream.OnDialError = n.admission.StartRamp
@@ -164,18 +169,17 @@
 }
 
 func (n *Node) initHandlers() {
-	n.responses = memory.HeldBudget{Budget: memory.Budget{Limit: callerResponseBytes, AdmitsFirst: true}, Clock: n.clock}
 	callersChain := call.Chain(n.router.Handle, n.writer.Middleware(), n.limiter.Middleware())
 	n.callersHandler = &caller.Handler{
 		Follower: n.follower, Clock: n.clock, Logger: n.componentLogger(logs.ComponentCaller), Meter: n.meter, CallHandler: callersChain,
-		Ready: n.ready, MaxBodyBytes: n.settings.MaxBodyBytes, DefaultDeadline: n.settings.DefaultDeadline, Responses: &n.responses,
+		Ready: n.ready, MaxBodyBytes: n.settings.MaxBodyBytes, DefaultDeadline: n.settings.DefaultDeadline, SmallResponses: &n.budgets.smallResponses, LargeResponses: &n.budgets.largeResponses, Bodies: n.budgets.bodies.tiers(),
 		ForwardKeys: n.settings.Disabled[settings.MechanismStrip],
 	}
 	outboundChain := call.Chain(n.router.Handle, n.writer.Middleware())
 	n.outboundHandler = &caller.Handler{
 		Follower: n.follower, Clock: n.clock, Logger: n.componentLogger(logs.ComponentCaller), Meter: n.meter, CallHandler: outboundChain,
 		FindParent: n.upstream.RunningCall,
-		Ready:      n.ready, MaxBodyBytes: n.settings.MaxBodyBytes, DefaultDeadline: n.settings.DefaultDeadline, Responses: &n.responses,
+		Ready:      n.ready, MaxBodyBytes: n.settings.MaxBodyBytes, DefaultDeadline: n.settings.DefaultDeadline, SmallResponses: &n.budgets.smallResponses, LargeResponses: &n.budgets.largeResponses, Bodies: n.budgets.bodies.tiers(),
 	}
 	n.adminAPI = &admin.API{Follower: n.follower, Status: n.status, Metrics: n.meter.Handler(), Version: n.version}
 }
--- a/pkg/node/run.go
+++ b/pkg/node/run.go
@@ -10,20 +10,26 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/plantainramp/plantainramp/pkg/clock"
+	"github.com/plantainramp/plantainramp/pkg/connection"
 	"github.com/plantainramp/plantainramp/pkg/peer"
 	"github.com/plantainramp/plantainramp/pkg/settings"
 	"github.com/plantainramp/plantainramp/rpc/peerrpc"
 )
 
 const (
-	// headerTimeout is the maximum time to read the headers of a request.
+	// headerTimeout is the maximum time to read the headers of a request, and idleTimeout how
+	// long a connection may wait for one.
 	headerTimeout = 5 * time.Second
+	idleTimeout   = 2 * time.Minute
 	// pollInterval is the interval between checks for calls in flight during a stop, and for
 	// the first announcement of the upstream.
 	pollInterval = 10 * time.Millisecond
 	// endedCheckInterval is the interval at which the node checks whether it was removed
 	// from the list of members.
 	endedCheckInterval = 500 * time.Millisecond
+
+	// serverCallers, serverCallsOut, serverPeers and serverAdmin are the names of the servers.
+	serverCallers, serverCallsOut, serverPeers, serverAdmin = "callers", "callsOut", "peers", "admin"
 )
 
 // server is one of the node's HTTP servers with its open listener.
@@ -51,17 +57,18 @@
 	})
 	var peers http.Handler = peerrpc.NewPeerServer(n.peerServer)
 	if !n.settings.Disabled[settings.MechanismAuth] {
-		peers = peer.Verify(n.settings.PeerSecret, peers)
+		verifier := &peer.Verifier{Secret: n.settings.PeerSecret, Clock: n.clock, Budgets: n.budgets.peerMessages.tiers()}
+		peers = verifier.Handler(peers)
 	}
 	serverSpecs := []struct {
 		name, address string
 		handler       http.Handler
 		intake        *intake
 	}{
-		{"callers", n.settings.CallersAddress, n.callersHandler, n.newIntake()},
-		{"callsOut", n.settings.CallsOutAddress, outbound, n.newIntake()},
-		{"peers", n.settings.PeersAddress, peers, nil},
-		{"admin", n.settings.AdminAddress, n.adminAPI.Handler(), nil},
+		{serverCallers, n.settings.CallersAddress, n.callersHandler, n.callersIntake},
+		{serverCallsOut, n.settings.CallsOutAddress, outbound, n.newIntake()},
+		{serverPeers, n.settings.PeersAddress, peers, nil},
+		{serverAdmin, n.settings.AdminAddress, n.adminAPI.Handler(), nil},
 	}
 	var servers []*server
 	for _, e := range serverSpecs {
@@ -71,9 +78,7 @@
 			return nil, err
 		}
 		s.httpServer.BaseContext = func(net.Listener) context.Context { return requestCtx }
-		if s.intake = e.intake; s.intake != nil {
-			s.intake.watch(s.httpServer)
-		}
+		n.track(s, e.intake)
 		servers = append(servers, s)
 	}
 	return servers, nil
@@ -88,10 +93,26 @@
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
 	return &server{name: name, listener: l, httpServer: &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: n.settings.MaxHeaderBytes, Protocols: protocols,
+		Handler: handler, Protocols: protocols,
 	}}, nil
 }
 
+// track makes a server report its connections and bounds them. i may be nil.
+func (n *Node) track(s *server, i *intake) {
+	tracker := &connection.Tracker{Clock: n.clock}
+	if i != nil {
+		tracker = &i.tracker
+	}
+	n.boundConns(tracker, s.name)
+	if s.intake = i; i != nil {
+		i.watch(s.httpServer)
+	} else {
+		tracker.Track(s.httpServer)
+	}
+	n.boundHTTP2(s.httpServer)
+	s.listener = tracker.Bound(s.listener)
+}
+
 func closeListeners(servers []*server) {
 	for _, s := range servers {
 		_ = s.listener.Close()
@@ -144,7 +165,7 @@
 
 func (n *Node) startControllers(ctx context.Context, group *sync.WaitGroup) {
 	for _, controller := range []func(context.Context){
-		n.gossiper.FollowLog, n.gossiper.Pull, n.join, n.failureDetector.Run, n.slotController.Run, n.limiter.Run, n.snapshotter.Run,
+		n.gossiper.FollowLog, n.gossiper.Pull, n.join, n.failureDetector.Run, n.slotController.Run, n.limiter.Run, n.snapshotter.Run, n.runGauges,
 	} {
 		group.Go(func() { controller(ctx) })
 	}
--- a/pkg/peer/auth.go
+++ b/pkg/peer/auth.go
@@ -8,13 +8,18 @@
 	"crypto/hmac"
 	"crypto/sha256"
 	"encoding/base64"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"strconv"
 	"sync/atomic"
+	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/plantainramp/plantainramp/pkg/clock"
+	"github.com/plantainramp/plantainramp/pkg/memory"
 )
 
 const (
@@ -28,6 +33,10 @@
 	macBytes = 16
 	// maxMessageBytes limits the size of a request body.
 	maxMessageBytes = 32 << 20
+	// messageTimeout bounds the time for reading a request body.
+	messageTimeout = 2 * time.Second
+	// maxBudgetWait bounds how long a request body waits for memory.
+	maxBudgetWait = 250 * time.Millisecond
 )
 
 // unusedHeaders are set by the generated client but not used by the server. They are
@@ -94,20 +103,41 @@
 	return resp, nil
 }
 
-// Verify returns a handler that passes only requests with a valid authentication code
-// to next. It rejects others with status 403, and incomplete or too large ones with
-// status 400.
-func Verify(secret Secret, next http.Handler) http.Handler {
+// Verifier checks the authentication codes of requests. Set Secret and Clock.
+type Verifier struct {
+	Secret Secret
+	Clock  clock.Clock
+	// Budgets bound the memory for the bodies of requests until these are handled. A body is
+	// read before it is known to come from a node.
+	Budgets memory.Tiers
+}
+
+// Handler returns a handler that passes only requests with a valid authentication code
+// to next. It rejects others with status 403, incomplete or too large ones with status 400, and
+// those for which there is no memory with status 503.
+func (v *Verifier) Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if id := r.Header.Get(headerMessageID); id != "" {
 			w.Header().Set(headerMessageID, id)
 		}
-		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxMessageBytes))
-		if err != nil {
+		// A message that does not arrive would keep its memory. The deadline ends that of a node
+		// too, whose connection has then stalled.
+		_ = http.NewResponseController(w).SetReadDeadline(v.Clock.Now().Add(messageTimeout))
+		collector := memory.Collector{Clock: v.Clock, Tiers: v.Budgets, MaxWait: maxBudgetWait}
+		defer collector.Release()
+		body, err := collector.ReadAll(http.MaxBytesReader(w, r.Body, maxMessageBytes))
+		var noMemory *memory.NoMemoryError
+		switch {
+		case errors.As(err, &noMemory):
+			w.Header().Set("Connection", "close")
+			http.Error(w, "no memory for the message", http.StatusServiceUnavailable)
+			return
+		case err != nil:
 			http.Error(w, "message too large or cut short", http.StatusBadRequest)
 			return
 		}
-		want := secret.mac(r.URL.Path, body)
+		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+		want := v.Secret.mac(r.URL.Path, body)
 		if !hmac.Equal([]byte(want), []byte(r.Header.Get(headerMAC))) {
 			http.Error(w, "not a node of this fleet", http.StatusForbidden)
 			return
--- a/pkg/peer/latereply_test.go
+++ b/pkg/peer/latereply_test.go
@@ -108,7 +108,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			secret := Secret("the secret of the test fleet")
-			address := serveWithLateCopies(t, Verify(secret, peerrpc.NewPeerServer(echoPeer{})))
+			address := serveWithLateCopies(t, newVerifier(secret).Handler(peerrpc.NewPeerServer(echoPeer{})))
 			pool := &Pool{Secret: secret, Clock: clock.System{}}
 			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 			defer cancel()
--- a/pkg/peer/run_test.go
+++ b/pkg/peer/run_test.go
@@ -43,7 +43,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			secret := Secret("the secret of the test fleet")
-			server := httptest.NewServer(Verify(secret, peerrpc.NewPeerServer(&fakePeer{reply: tt.reply})))
+			server := httptest.NewServer(newVerifier(secret).Handler(peerrpc.NewPeerServer(&fakePeer{reply: tt.reply})))
 			defer server.Close()
 			pool := &Pool{Secret: secret, Clock: clock.System{}}
 			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
@@ -60,7 +60,7 @@
 // authentication code of another secret.
 func TestForgedRequestIsRejected(t *testing.T) {
 	is := is.New(t)
-	server := httptest.NewServer(Verify(Secret("the secret of the test fleet"), peerrpc.NewPeerServer(&fakePeer{reply: &peerrpc.RunReply{CallId: "c1"}})))
+	server := httptest.NewServer(newVerifier(Secret("the secret of the test fleet")).Handler(peerrpc.NewPeerServer(&fakePeer{reply: &peerrpc.RunReply{CallId: "c1"}})))
 	defer server.Close()
 	pool := &Pool{Secret: Secret("another secret of 28 letters"), Clock: clock.System{}}
 	_, err := pool.Get(server.Listener.Addr().String()).Run(t.Context(), clock.System{}, &peerrpc.RunRequest{CallId: "c1"})
@@ -118,7 +118,7 @@
 			remote := &slowReplyPeer{clock: fake, start: fake.Now()}
 			fake.Advance(time.Hour)
 			secret := Secret("the secret of the test fleet")
-			server := httptest.NewServer(Verify(secret, peerrpc.NewPeerServer(remote)))
+			server := httptest.NewServer(newVerifier(secret).Handler(peerrpc.NewPeerServer(remote)))
 			defer server.Close()
 			p := (&Pool{Secret: secret, Clock: fake}).Get(server.Listener.Addr().String())
 			for _, s := range tt.steps {
@@ -134,3 +134,5 @@
 		})
 	}
 }
+
+func newVerifier(secret Secret) *Verifier { return &Verifier{Secret: secret, Clock: clock.System{}} }
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"math"
 	"os"
 	"slices"
 	"strings"
@@ -60,6 +61,10 @@
 maxHeader = 32768
 # Deadline of calls that do not set one.
 deadline = 5s
+# Memory that the node may take, in MB. Its budgets for what callers leave there are parts of it.
+memoryMB = 128
+# File descriptors that the node may take; 0 means those of the process.
+descriptors = 0
 
 [policy]
 # Mechanisms to switch off, separated by commas, for tests and baselines only:
@@ -135,6 +140,11 @@
 
 	MaxBodyBytes, MaxResponseBytes int64
 	MaxHeaderBytes                 int
+	// MemoryBytes is the memory that the node may take; 0 means no bound.
+	MemoryBytes int64
+	// MaxDescriptors is the number of descriptors that the node may have; 0 means the limit of
+	// the process.
+	MaxDescriptors int
 	// DefaultDeadline applies to calls that do not set a deadline.
 	DefaultDeadline time.Duration
 
@@ -243,6 +253,14 @@
 	}
 }
 
+const (
+	// defaultMemoryMB is the memory of a node in MB where the settings name none, and
+	// minMemoryMB and maxMemoryMB bound what they may name.
+	defaultMemoryMB = 128
+	minMemoryMB     = 64
+	maxMemoryMB     = 1 << 20
+)
+
 // minSecretBytes is the minimum length of the peer secret.
 const minSecretBytes = 16
 
@@ -267,6 +285,8 @@
 	s.MaxResponseBytes = int64(l.Int("maxAnswer", 8<<20, 1, 16<<20))
 	s.MaxHeaderBytes = l.Int("maxHeader", 32<<10, 1<<10, 1<<20)
 	s.DefaultDeadline = l.Duration("deadline", 5*time.Second, time.Millisecond)
+	s.MemoryBytes = int64(l.Int("memoryMB", defaultMemoryMB, minMemoryMB, maxMemoryMB)) << 20
+	s.MaxDescriptors = l.Int("descriptors", 0, 0, math.MaxInt32)
 }
 
 func (s *Settings) readPolicy(p *inifile.Section) {
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -9,7 +9,9 @@
 	"net/http"
 	"slices"
 	"strings"
+	"time"
 
+	"github.com/plantainramp/plantainramp/pkg/memory"
 	"github.com/plantainramp/plantainramp/pkg/seam"
 	"github.com/plantainramp/plantainramp/pkg/socket"
 )
@@ -26,6 +28,8 @@
 	// asyncWriteBytes is the size of a body above which a request is written while the
 	// response is being read.
 	asyncWriteBytes = 4 << 10
+	// maxBudgetWait bounds how long a response waits for memory.
+	maxBudgetWait = 250 * time.Millisecond
 )
 
 // commonHeaders lists headers, besides those of the body and of the connection, whose values are
@@ -69,9 +73,9 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	reader := bodyReader{client: u}
-	defer reader.release()
-	body, err := reader.readAll(io.LimitReader(response.Body, limitBytes+1))
+	collector := memory.Collector{Clock: u.Clock, Tiers: u.Budgets, MaxWait: maxBudgetWait}
+	defer collector.Release()
+	body, err := collector.ReadAll(io.LimitReader(response.Body, limitBytes+1))
 	isWhole := err == nil && int64(len(body)) <= limitBytes
 	if isWhole && x.isJoined(response, body) {
 		err = &JoinedResponsesError{Status: response.Status}
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -125,7 +125,7 @@
 	if ctx.Err() != nil {
 		return problem.NewUncertain(problem.KindDeadline, "the call was cancelled while it ran")
 	}
-	var noMemory *NoMemoryError
+	var noMemory *memory.NoMemoryError
 	if eris.As(err, &noMemory) {
 		return problem.NewUncertain(problem.KindUncertain, "the node has no memory for the answer of the upstream")
 	}
