mesh: one response is bounded by the memory of its node

Callers saw: one response of 32 MB from an instance took the node beside it to 83.2 MB of 64, so that its machine would end it. Cause: a single response is admitted whatever its size, up to 32 MB, and is in memory twice once it is encoded for its link. Ruled out: the callers' node, which reads it into the memory that it reserved (52.3 MB), and the local path (50.8 MB). Evidence: TestHugeResponse/showcase failed before (83.2 MB), and passes now (19.7 and 19.4 MB).

--- a/overlimit/harness_test.go
+++ b/overlimit/harness_test.go
@@ -40,6 +40,8 @@
 	largeBytes = 1 << 20
 	// mediumBytes is the size of a response that is just too small to be counted.
 	mediumBytes = 31_000
+	// hugeBytes is the size of the largest response that a node passes on, whatever its memory.
+	hugeBytes = 32 << 20
 	// slowTime is how long a request to /slow/ or /late/ takes at the server.
 	slowTime = time.Second
 	// sampleInterval is the time between two looks at a process.
@@ -102,7 +104,7 @@
 	process *exec.Cmd
 	logPath string
 	exited  chan struct{}
-	// server answers all requests but those to large, medium, late and slow paths, which
+	// server answers all requests but those to huge, large, medium, late and slow paths, which
 	// handler answers.
 	server *platformtest.Server
 
@@ -136,6 +138,7 @@
 		Routes: []map[string]any{
 			{"name": "large", "host": testHost, "path_prefix": "/large/", "kind": "non_idempotent", "timeout": "20s", "target_latency": "8s", "priority": 2, "service": services[len(services)-1]},
 			{"name": "medium", "host": testHost, "path_prefix": "/medium/", "kind": "non_idempotent", "timeout": "20s", "target_latency": "8s", "priority": 2, "service": services[len(services)-1]},
+			{"name": "huge", "host": testHost, "path_prefix": "/huge/", "kind": "idempotent", "timeout": "20s", "target_latency": "8s", "priority": 2, "service": services[len(services)-1]},
 			{"name": "late", "host": testHost, "path_prefix": "/late/", "kind": "non_idempotent", "timeout": "20s", "target_latency": "8s", "priority": 2, "service": services[len(services)-1]},
 			{"name": "slow", "host": testHost, "path_prefix": "/slow/", "kind": "idempotent", "timeout": "20s", "target_latency": "8s", "priority": 2, "service": services[len(services)-1]},
 			{"name": "small", "host": testHost, "path_prefix": "/small/", "kind": "idempotent", "timeout": "5s", "target_latency": "2s", "priority": 0, "service": services[len(services)-1]},
@@ -216,12 +219,12 @@
 	c.nodes = append(c.nodes, n)
 }
 
-// handler answers requests to /large/ and /late/ with largeBytes, those to /medium/ with
-// mediumBytes, and those to /slow/ with nothing, late and slow ones after slowTime. It passes
+// handler answers requests to /large/ and /late/ with largeBytes, those to /huge/ and /medium/ with
+// hugeBytes and mediumBytes, and those to /slow/ with nothing, late and slow ones after slowTime. It passes
 // others on to the server.
 func (n *node) handler() http.Handler {
-	sizes := map[string]int{"large": largeBytes, "late": largeBytes, "medium": mediumBytes, "slow": 0}
-	padding := make([]byte, largeBytes)
+	sizes := map[string]int{"huge": hugeBytes, "large": largeBytes, "late": largeBytes, "medium": mediumBytes, "slow": 0}
+	padding := make([]byte, hugeBytes)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		kind, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 		size, known := sizes[kind]
--- a/pkg/mesh/budgets.go
+++ b/pkg/mesh/budgets.go
@@ -44,6 +44,10 @@
 	// minSmallStall is how long a caller must have taken nothing of a small response before its
 	// connection is closed to make room for that of another: several round trips.
 	minSmallStall = 50 * time.Millisecond
+	// maxResponseFraction bounds the body of one response, at most maxAnyResponseBytes. On its way
+	// to another node it is in memory twice, three times if its length is not announced.
+	maxResponseFraction = 1.0 / 8
+	maxAnyResponseBytes = 32 << 20
 	// ordinaryConns is the number of connections of callers that a node has in ordinary
 	// operation.
 	ordinaryConns = 1000
@@ -77,6 +81,14 @@
 	b.incoming.Limit, b.incoming.AdmitsFirst = part(incomingFraction), true
 }
 
+// maxResponseBytes returns the bound of the body of one response.
+func maxResponseBytes(memoryBytes int64) int64 {
+	if memoryBytes <= 0 {
+		return maxAnyResponseBytes
+	}
+	return min(maxAnyResponseBytes, int64(maxResponseFraction*float64(memoryBytes)))
+}
+
 // outgoingTiers returns the budgets of responses on their way from the instance.
 func (b *budgets) outgoingTiers() memory.Tiers {
 	return memory.Tiers{Small: &b.smallOutgoing, Large: &b.outgoing}
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -57,8 +57,6 @@
 	// that is added to the limits. The rest covers tokens that a node holds beyond its
 	// share after it borrowed them.
 	usedToleranceFraction = 0.9
-	// maxResponseBytes bounds the body of an instance's response.
-	maxResponseBytes = 32 << 20
 	// bodyFraction is the fraction of the memory of the process that large request bodies
 	// may take at the entrance, and again at the gate. A body is copied on its way, so that
 	// it takes up to three times its size.
@@ -201,7 +199,7 @@
 }
 
 func (n *Node) makeGate() {
-	n.instance = &instance.Client{Address: n.settings.InstanceAddress, Clock: n.clock, Headers: n.platform.InstanceHeaders, MaxBodyBytes: maxResponseBytes, Budgets: n.budgets.outgoingTiers(), OnStray: n.onStray, OnJoined: n.onJoined, OnRepeatedID: n.onRepeatedID}
+	n.instance = &instance.Client{Address: n.settings.InstanceAddress, Clock: n.clock, Headers: n.platform.InstanceHeaders, MaxBodyBytes: maxResponseBytes(n.settings.MemoryBytes), Budgets: n.budgets.outgoingTiers(), OnStray: n.onStray, OnJoined: n.onJoined, OnRepeatedID: n.onRepeatedID}
 	n.gate = &gate.Gate{
 		Clock: n.clock, Headers: n.platform.GateHeaders, Instance: n.instance, View: n.view.Load, OnStart: n.onExecutionStarted, OnDecision: n.onDecided, OnRateLimit: n.onRateLimit, OnLeaving: n.onLeaving,
 		OutOfDate: n.evacuationsOutOfDate, Region: n.regionOf(n.settings.DataCentre), MaxRetainedBytes: retainedBytes(n.settings.MemoryBytes),
