entrance, link: small bodies are counted until their requests end

Callers saw: 2,000 callers with bodies of 31 kB, all within the limits, took nodes of 64 MB to 78.5 MB (own instance), and to 94.2 and 89.2 MB (callers' node and the one beside the instance) while the instance ran or queued their requests. Cause: a body of up to 32 kB was counted only while it was read, and a call of a peer that arrives in one frame not at all, though it is there twice. Ruled out: heads and responses (none here), large bodies (budgets of their own). Change: the reservation for a small body is pinned once the body is read, and lasts until the request ends. Calls of peers with such bodies have a budget, beyond which they are handed back as not run, as large ones are; its fraction fits beside the others.

--- a/pkg/entrance/body.go
+++ b/pkg/entrance/body.go
@@ -64,9 +64,7 @@
 	if !held {
 		return nil, bodiesFullError()
 	}
-	if hold != nil {
-		defer hold.Release()
-	}
+	r.heldBody = hold
 	if err := controller.SetReadDeadline(r.Deadline); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		return nil, problem.New(problem.KindMalformed, "the body could not be read whole: "+err.Error())
 	}
@@ -77,19 +75,20 @@
 	})
 	body, err := e.readWhole(http.MaxBytesReader(w, hr.Body, limit), hr.ContentLength, r)
 	stopWatching()
-	if hold != nil {
-		// What ends the reservation changes the deadline.
-		hold.Release()
-	}
+	// What ends the reservation changes the deadline.
+	evicted := hold != nil && !hold.Pin()
 	if err != nil {
 		return nil, bodyError(hr.Context(), err, limit)
 	}
+	if evicted {
+		return nil, bodiesFullError()
+	}
 	// While the request runs, the server reads on to notice that the caller leaves.
 	_ = controller.SetReadDeadline(time.Time{})
 	return body, nil
 }
 
-// holdSmallBody reserves memory for a body that reserve does not cover, while it is read. The
+// holdSmallBody reserves memory for a body that reserve does not cover, until releaseBody. The
 // reservation is nil if the body needs none. If there is no memory, the bodies that have been
 // read longest are refused, or else holdSmallBody returns false.
 func (e *Entrance) holdSmallBody(controller *http.ResponseController, length int64, r *Request) (hold *memory.Hold, held bool) {
@@ -168,6 +167,9 @@
 
 // releaseBody ends the reservation for the body of a request.
 func (e *Entrance) releaseBody(r *Request) {
+	if r.heldBody != nil {
+		r.heldBody.Release()
+	}
 	if e.Bodies != nil {
 		e.Bodies.Release(r.reservedBytes)
 	}
--- a/pkg/entrance/entrance.go
+++ b/pkg/entrance/entrance.go
@@ -51,7 +51,7 @@
 	RateLimiter *quota.Limiter
 	// Bodies bounds the memory for large request bodies; nil means no bound.
 	Bodies *memory.Budget
-	// SmallBodies bounds the memory for smaller bodies that are being read; nil means no
+	// SmallBodies bounds the memory for smaller bodies until their requests end; nil means no
 	// bound.
 	SmallBodies *memory.HeldBudget
 	// SmallResponses and Responses bound the memory for small and large responses that callers
--- a/pkg/entrance/request.go
+++ b/pkg/entrance/request.go
@@ -66,6 +66,8 @@
 	bodyRead bool
 	// reservedBytes is the number of bytes reserved from Entrance.Bodies.
 	reservedBytes int64
+	// heldBody is the reservation for a small body, or nil.
+	heldBody *memory.Hold
 	// held is the reservation for the response, or nil.
 	held *memory.Hold
 	// outcome is the last outcome whose body runBy has reserved memory for, or nil.
--- a/pkg/link/server.go
+++ b/pkg/link/server.go
@@ -43,8 +43,8 @@
 type Request struct {
 	Kind    Kind
 	Payload []byte
-	// Discarded reports that the message was read without its payload, as Server.Budget
-	// had no room for it.
+	// Discarded reports that the message was read without its payload, as Server.Budget or
+	// Server.SmallCalls had no room for it.
 	Discarded bool
 	// Wanted ends with the cause *CancelledError when the peer cancels the request. It
 	// does not end with the connection.
@@ -85,6 +85,9 @@
 	// Budget bounds the bytes of the requests that arrive in parts, until they are
 	// answered; nil means no bound.
 	Budget *memory.Budget
+	// SmallCalls bounds the bytes of the calls (KindRun) that arrive in one frame and are not
+	// tiny, until they are answered; nil means no bound.
+	SmallCalls *memory.Budget
 	// Replies bounds the memory for bodies of replies until they are written. Handle has
 	// reserved memory.Counted bytes for the body of an outcome that it returns for a KindRun.
 	Replies memory.Tiers
@@ -171,7 +174,7 @@
 func (s *Server) serveConn(netConn net.Conn, greeted func()) {
 	defer greeted()
 	c := &serverConn{framer: newFramer(netConn, s.Clock, nil), ended: make(chan struct{}), requests: map[StreamID]*serverRequest{}}
-	c.budget, c.replies = s.Budget, s.Replies
+	c.budget, c.replies, c.smallCalls = s.Budget, s.Replies, s.SmallCalls
 	defer close(c.ended)
 	defer c.dropPartials()
 	defer c.close()
--- a/pkg/link/serverconn.go
+++ b/pkg/link/serverconn.go
@@ -5,11 +5,15 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/plantainramp/plantainramp/pkg/memory"
 )
 
 // serverConn is one connection from a peer.
 type serverConn struct {
 	*framer
+	// smallCalls is Server.SmallCalls.
+	smallCalls *memory.Budget
 	// ended is closed when serveConn has returned.
 	ended chan struct{}
 	// handlers counts the requests whose reply is not queued yet.
@@ -34,8 +38,9 @@
 	ctx context.Context
 	// cancel ends Wanted, and lose ends ctx only.
 	cancel, lose context.CancelCauseFunc
-	// reserved is the number of bytes to release from the budget at the end.
-	reserved int64
+	// reserved is the number of bytes to release from the budget at the end, and small that to
+	// release from the budget of small calls.
+	reserved, small int64
 }
 
 // addConn adds an accepted connection. It returns false if the server is closed.
@@ -94,7 +99,8 @@
 		c.release(m.reserved)
 		return nil
 	}
-	r := &serverRequest{stream: m.stream, reserved: m.reserved, Request: Request{Kind: m.kind, Payload: m.payload, Discarded: m.discarded}}
+	small := c.reserveSmall(&m)
+	r := &serverRequest{stream: m.stream, reserved: m.reserved, small: small, Request: Request{Kind: m.kind, Payload: m.payload, Discarded: m.discarded}}
 	r.Wanted, r.cancel = context.WithCancelCause(context.Background())
 	r.ctx, r.lose = context.WithCancelCause(r.Wanted)
 	c.requests[m.stream] = r
@@ -102,12 +108,29 @@
 	return r
 }
 
+// reserveSmall reserves memory for a call that arrived in one frame and is not tiny, and returns
+// the number of bytes. If there is no room, the call is discarded.
+func (c *serverConn) reserveSmall(m *message) int64 {
+	if c.smallCalls == nil || m.kind != KindRun || m.reserved > 0 || m.discarded {
+		return 0
+	}
+	n := memory.Counted(len(m.payload))
+	if n > 0 && !c.smallCalls.Reserve(n) {
+		m.payload, m.discarded = nil, true
+		return 0
+	}
+	return n
+}
+
 // endRequest releases a request that was handled.
 func (c *serverConn) endRequest(r *serverRequest) {
 	c.mu.Lock()
 	delete(c.requests, r.stream)
 	c.mu.Unlock()
 	c.release(r.reserved)
+	if r.small > 0 {
+		c.smallCalls.Release(r.small)
+	}
 	r.cancel(nil)
 }
 
--- a/pkg/memory/held.go
+++ b/pkg/memory/held.go
@@ -39,8 +39,10 @@
 	end func()
 	// progress is when the receiver last took data.
 	progress time.Time
-	// element is that in HeldBudget.holds, or nil once the reservation has ended.
+	// element is that in HeldBudget.holds, or nil once the reservation has ended or is pinned.
 	element *list.Element
+	// pinned reports whether the reservation lasts until Release.
+	pinned bool
 }
 
 // Hold reserves n bytes. If there is no room, it ends the reservations that have had no
@@ -124,11 +126,29 @@
 	return true
 }
 
+// Pin makes the reservation last until Release. It returns false if the reservation was ended
+// before.
+func (h *Hold) Pin() bool {
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	if h.element == nil {
+		return h.pinned
+	}
+	h.budget.holds.Remove(h.element)
+	h.element, h.pinned = nil, true
+	return true
+}
+
 // Release ends the reservation, unless it was ended to make room. end is not called after
 // Release has returned.
 func (h *Hold) Release() {
 	h.budget.mu.Lock()
 	defer h.budget.mu.Unlock()
+	if h.pinned {
+		h.pinned = false
+		h.budget.Budget.Release(h.bytes)
+		return
+	}
 	h.remove()
 }
 
--- a/pkg/memory/held_test.go
+++ b/pkg/memory/held_test.go
@@ -63,3 +63,25 @@
 	is.True(b.AwaitGrow(clock.System{}, 0, 50, 10*time.Second))
 	is.Equal(b.Used(), int64(90))
 }
+
+// Guards against data that is in use and loses its reservation, and against a pinned reservation
+// that is released twice or never.
+func TestPinnedReservationIsNotEvicted(t *testing.T) {
+	is := is.New(t)
+	fake := &clock.Fake{}
+	b := &HeldBudget{Budget: Budget{Limit: 100}, Clock: fake}
+	ends := 0
+	hold := func(n int64) *Hold { return b.Hold(n, func() { ends++ }) }
+	pinned, evicted := hold(60), hold(40)
+	is.True(pinned.Pin())
+	is.True(pinned.Pin())
+	fake.Advance(defaultMinStall)
+	is.True(hold(50) == nil)
+	is.Equal(ends, 1)
+	is.True(!evicted.Pin())
+	is.Equal(b.Used(), int64(60))
+	pinned.Release()
+	pinned.Release()
+	evicted.Release()
+	is.Equal(b.Used(), int64(0))
+}
--- a/pkg/mesh/budgets.go
+++ b/pkg/mesh/budgets.go
@@ -26,8 +26,10 @@
 	//
 	// headFraction is for the heads of requests.
 	headFraction = 1.0 / 12
-	// smallBodiesFraction is for smaller bodies of requests that are being read.
+	// smallBodiesFraction is for smaller bodies of requests, and smallCallsFraction for calls of
+	// peers with such bodies.
 	smallBodiesFraction = 1.0 / 16
+	smallCallsFraction  = 1.0 / 32
 	// callerResponsesFraction is for large responses that callers have not read, and
 	// smallResponsesFraction for small ones, and again for those on their way from the
 	// instance to other nodes.
@@ -57,9 +59,10 @@
 type budgets struct {
 	// heads is for the heads of requests.
 	heads memory.Budget
-	// smallBodies is for bodies of requests that are being read and need no memory of
-	// Node.callerBodies.
+	// smallBodies is for bodies of requests that need no memory of Node.callerBodies, and
+	// smallCalls for those of peers that need none of Node.peerBodies.
 	smallBodies memory.HeldBudget
+	smallCalls  memory.Budget
 	// callerResponses and smallResponses are for large and small responses that callers have
 	// not read. outgoing and smallOutgoing are for those that are read from the instance or
 	// wait to be sent to a peer, and incoming is for large ones that are read from peers.
@@ -74,6 +77,7 @@
 	part := func(fraction float64) int64 { return int64(fraction * float64(bytes)) }
 	b.heads.Limit = part(headFraction)
 	b.smallBodies.Limit, b.smallBodies.Clock = part(smallBodiesFraction), c
+	b.smallCalls.Limit = part(smallCallsFraction)
 	b.callerResponses.Limit, b.callerResponses.AdmitsFirst, b.callerResponses.Clock = part(callerResponsesFraction), true, c
 	b.smallResponses.Limit, b.smallResponses.MinStall, b.smallResponses.Clock = part(smallResponsesFraction), minSmallStall, c
 	b.smallOutgoing.Limit = part(smallResponsesFraction)
@@ -162,7 +166,7 @@
 	}
 	held := n.callerBodies.Used() + n.peerBodies.Used()
 	b := &n.budgets
-	for _, budget := range []*memory.Budget{&b.heads, &b.smallBodies.Budget, &b.callerResponses.Budget, &b.smallResponses.Budget, &b.outgoing, &b.smallOutgoing, &b.incoming} {
+	for _, budget := range []*memory.Budget{&b.heads, &b.smallBodies.Budget, &b.smallCalls, &b.callerResponses.Budget, &b.smallResponses.Budget, &b.outgoing, &b.smallOutgoing, &b.incoming} {
 		held += budget.Used()
 	}
 	conns := n.callerConns.Counts()
@@ -183,7 +187,7 @@
 	b := &n.budgets
 	for kind, budget := range map[string]*memory.Budget{
 		"heads": &b.heads, "small_bodies": &b.smallBodies.Budget, "caller_responses": &b.callerResponses.Budget, "outgoing_responses": &b.outgoing, "incoming_responses": &b.incoming,
-		"small_responses": &b.smallResponses.Budget, "small_outgoing_responses": &b.smallOutgoing,
+		"small_calls": &b.smallCalls, "small_responses": &b.smallResponses.Budget, "small_outgoing_responses": &b.smallOutgoing,
 	} {
 		n.meter.LabelledGauge("budget_bytes", "kind", kind).Update(float64(budget.Used()))
 		n.meter.LabelledGauge("budget_limit_bytes", "kind", kind).Update(float64(budget.Limit))
--- a/pkg/mesh/budgets_test.go
+++ b/pkg/mesh/budgets_test.go
@@ -52,7 +52,7 @@
 	b.init(memoryBytes, nil)
 	total := b.heads.Limit + b.smallBodies.Limit + b.callerResponses.Limit + b.smallResponses.Limit + b.outgoing.Limit + b.smallOutgoing.Limit + b.incoming.Limit + int64(retainedBytes(memoryBytes))
 	is.True(total < memoryBytes/2)
-	is.True(float64(total)+(2*bodyFraction+connMemoryFraction)*memoryBytes < memoryBytes)
+	is.True(float64(total)+(2*bodyFraction+smallCallsFraction+connMemoryFraction)*memoryBytes < memoryBytes)
 	is.Equal(maxResponseBytes(184<<20), int64(23<<20))
 	is.Equal(maxResponseBytes(1<<30), int64(maxAnyResponseBytes))
 	is.Equal(maxResponseBytes(0), int64(maxAnyResponseBytes))
--- a/pkg/mesh/events.go
+++ b/pkg/mesh/events.go
@@ -36,7 +36,7 @@
 	eventColdCheckFailed  logs.EventKind = "health check does not tell whether the instance is cold"
 	eventPace             logs.EventKind = "pace of the instance changed"
 	eventPanic            logs.EventKind = "panic"
-	eventBodyDiscarded    logs.EventKind = "large body of a peer discarded"
+	eventBodyDiscarded    logs.EventKind = "body of a peer discarded"
 	eventNotAccepted      logs.EventKind = "connection not accepted"
 	eventConnClosed       logs.EventKind = "connection closed"
 	eventRepeatedID       logs.EventKind = "request id sent to the instance again"
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -227,7 +227,7 @@
 		Relay:     n.relay(linkrpc.Topic_TOPIC_DIRECTORY, func() *topic.Follower { return n.directoryFollower }),
 	}
 	n.demand = &demand.Monitor{Clock: n.clock, LocalNode: self, Service: n.settings.Service, Load: n.gate.Load, View: n.view.Load, Directory: n.directory.Snapshot, OnPlan: n.onPlan, Excluded: n.evacuations.Has}
-	n.links = &link.Server{Clock: n.clock, Hello: n.hello, Handle: n.handlePeerRequest, OnStatus: n.handleStatus, OnTokenGifts: n.handleTokenGifts, OnReports: n.handleReports, OnUnreadable: func(err error) { n.logUnreadable("message without a reply", err) }, OnUnencodable: n.logUnencodable, OnAcceptError: n.onAcceptFailed, OnPanic: n.onPanic, CloseLimit: n.linkCloseLimit, Budget: &n.peerBodies, Replies: n.budgets.outgoingTiers()}
+	n.links = &link.Server{Clock: n.clock, Hello: n.hello, Handle: n.handlePeerRequest, OnStatus: n.handleStatus, OnTokenGifts: n.handleTokenGifts, OnReports: n.handleReports, OnUnreadable: func(err error) { n.logUnreadable("message without a reply", err) }, OnUnencodable: n.logUnencodable, OnAcceptError: n.onAcceptFailed, OnPanic: n.onPanic, CloseLimit: n.linkCloseLimit, Budget: &n.peerBodies, SmallCalls: &n.budgets.smallCalls, Replies: n.budgets.outgoingTiers()}
 }
 
 func (n *Node) makeEntrance() {
