connection: heads of requests on HTTP/2 connections are counted

Callers saw nothing yet: plantainnode also speaks HTTP/2, on which 32 requests at a time may have a head of 32 kB each on every connection, and none of that was counted. Cause: heads are counted as they are read from a connection, which is not possible for frames. Change: the head of a request over 4 kB is reserved for when it reaches the handler, and until that returns; without room the answer is 503, not executed.

--- a/pkg/connection/connection.go
+++ b/pkg/connection/connection.go
@@ -162,6 +162,14 @@
 			t.refuseLargeHead(w)
 			return
 		}
+		if tracked && c.limited != nil && c.limited.isHTTP2.Load() {
+			reserved, ok := t.reserveHTTP2Head(r)
+			if !ok {
+				t.refuseHTTP2Head(w)
+				return
+			}
+			defer t.releaseHTTP2Head(reserved)
+		}
 		next.ServeHTTP(w, r)
 	})
 }
--- a/pkg/connection/limited.go
+++ b/pkg/connection/limited.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"github.com/plantainramp/plantainramp/pkg/memory"
 )
 
 const (
@@ -191,13 +193,44 @@
 	if c.isHTTP2.Load() || c.headBytes.Load() <= int64(limit) {
 		return false
 	}
+	return headBytesOf(r) > limit
+}
+
+// headBytesOf returns the size of the header fields of a request.
+func headBytesOf(r *http.Request) int {
 	size := 0
 	for name, values := range r.Header {
 		for _, v := range values {
 			size += len(name) + len(": \r\n") + len(v)
 		}
 	}
-	return size > limit
+	return size
+}
+
+// reserveHTTP2Head reserves memory for the head of a request on an HTTP/2 connection, which was
+// read whole, and returns the number of bytes. Tiny heads need none.
+func (t *Tracker) reserveHTTP2Head(r *http.Request) (reserved int64, ok bool) {
+	if t.Heads == nil {
+		return 0, true
+	}
+	reserved = headCostFactor * memory.Counted(headBytesOf(r))
+	return reserved, reserved == 0 || t.Heads.Reserve(reserved)
+}
+
+func (t *Tracker) releaseHTTP2Head(reserved int64) {
+	if reserved > 0 {
+		t.Heads.Release(reserved)
+	}
+}
+
+// refuseHTTP2Head answers a request for whose head there is no memory. It was not executed.
+func (t *Tracker) refuseHTTP2Head(w http.ResponseWriter) {
+	t.mu.Lock()
+	t.headsRefused++
+	t.mu.Unlock()
+	t.reportClosed(headRefused)
+	w.Header().Set("Retry-After", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
 // refuseLargeHead answers a request whose head is over the limit.
