--- a/pkg/connection/limited_test.go
+++ b/pkg/connection/limited_test.go
@@ -287,3 +287,23 @@
 	is.Equal(statusOf(t, reader), http.StatusOK)
 	is.Equal(s.tracker.Counts().Stalled, 1)
 }
+
+// Guards against connections that stay open for empty lines in place of a request: the first ones
+// end their connection, before a request and after one.
+func TestEmptyLinesEndTheConnection(t *testing.T) {
+	for name, before := range map[string]string{"new connection": "", "after a request": headOf("/a", 100)} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newLimitedServer(t, generousLimits, nil, 100)
+			conn, reader := s.dial(t)
+			_, err := io.WriteString(conn, before+"\r\n\r\n")
+			is.NoErr(err)
+			if before != "" {
+				is.Equal(statusOf(t, reader), http.StatusOK)
+			}
+			is.Equal(statusOf(t, reader), http.StatusBadRequest)
+			_, err = reader.ReadByte()
+			is.Equal(err, io.EOF)
+		})
+	}
+}
