One collector of bodies, one count of descriptors, one set of gauges for budgets

Cause: the client of the instance had a collector of its own for bodies of unknown length and an error for it; the two daemons read the limit of descriptors and set the gauges of budgets each for itself. Change: instance uses memory.Collector and memory.NoMemoryError, connection.MaxDescriptors and meter.UpdateBudget serve both daemons. No behaviour changes; the tests name the error by its new type.

--- a/pkg/gate/learned.go
+++ b/pkg/gate/learned.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/plantainramp/plantainramp/pkg/instance"
+	"github.com/plantainramp/plantainramp/pkg/memory"
 	"github.com/plantainramp/plantainramp/pkg/slowstart"
 	"github.com/plantainramp/plantainramp/rpc/linkrpc"
 )
@@ -61,7 +62,7 @@
 	}
 	now := g.Clock.Now()
 	s := slowstart.Sample{RunTime: now.Sub(d.SentAt)}
-	var noMemory *instance.NoMemoryError
+	var noMemory *memory.NoMemoryError
 	switch {
 	case d.Outcome.Fate == linkrpc.Fate_FATE_ANSWERED && d.Outcome.Status >= http.StatusInternalServerError:
 		s.Outcome = slowstart.OutcomeError
--- a/pkg/gate/results.go
+++ b/pkg/gate/results.go
@@ -9,6 +9,7 @@
 
 	"github.com/plantainramp/plantainramp/pkg/failurerate"
 	"github.com/plantainramp/plantainramp/pkg/instance"
+	"github.com/plantainramp/plantainramp/pkg/memory"
 	"github.com/plantainramp/plantainramp/rpc/linkrpc"
 )
 
@@ -86,7 +87,7 @@
 func isFault(ctx context.Context, d *Decision, usual time.Duration) bool {
 	var givenUp *GivenUpError
 	var noResponse *instance.ResponseError
-	var noMemory *instance.NoMemoryError
+	var noMemory *memory.NoMemoryError
 	switch {
 	case errors.As(d.Cause, &noMemory):
 		// The node lacks the memory for the response.
--- a/pkg/instance/body_test.go
+++ b/pkg/instance/body_test.go
@@ -32,8 +32,8 @@
 		{"large, chunked", "Id: a\r\n" + chunked(body), 0, large, nil},
 		{"small", "Id: a\r\nContent-Length: 1000\r\n\r\n" + small, limit, 0, nil},
 		{"small, chunked", "Id: a\r\n" + chunked(small), limit, 0, nil},
-		{"no room", fmt.Sprintf("Id: a\r\nContent-Length: %d\r\n\r\n%s", large, body), limit, 0, new(*NoMemoryError)},
-		{"no room, chunked", "Id: a\r\n" + chunked(body), limit, 0, new(*NoMemoryError)},
+		{"no room", fmt.Sprintf("Id: a\r\nContent-Length: %d\r\n\r\n%s", large, body), limit, 0, new(*memory.NoMemoryError)},
+		{"no room, chunked", "Id: a\r\n" + chunked(body), limit, 0, new(*memory.NoMemoryError)},
 		{"cut off", fmt.Sprintf("Id: a\r\nContent-Length: %d\r\n\r\nb", large), 0, 0, new(*ResponseError)},
 		{"of another call", fmt.Sprintf("Id: x\r\nContent-Length: %d\r\n\r\n%s", large, body), 0, 0, new(*RequestIDMismatchError)},
 	}
--- a/pkg/memory/held.go
+++ b/pkg/memory/held.go
@@ -8,8 +8,12 @@
 	"github.com/plantainramp/plantainramp/pkg/clock"
 )
 
-// defaultMinStall is the value of HeldBudget.MinStall where none is set.
-const defaultMinStall = 250 * time.Millisecond
+const (
+	// MinSmallStall is the HeldBudget.MinStall for small responses: several round trips.
+	MinSmallStall = 50 * time.Millisecond
+	// defaultMinStall is the value of HeldBudget.MinStall where none is set.
+	defaultMinStall = 250 * time.Millisecond
+)
 
 // HeldBudget is a budget for data that receivers take at their own pace. If it is used up, the
 // reservations of the receivers that have taken nothing for longest are ended. It answers
--- a/pkg/mesh/budgets.go
+++ b/pkg/mesh/budgets.go
@@ -43,9 +43,6 @@
 	// maxRetainedOutcomesBytes.
 	retainedFraction         = 1.0 / 32
 	maxRetainedOutcomesBytes = 8 << 20
-	// minSmallStall is how long a caller must have taken nothing of a small response before its
-	// connection is closed to make room for that of another: several round trips.
-	minSmallStall = 50 * time.Millisecond
 	// maxResponseFraction bounds the body of one response, at most maxAnyResponseBytes. On its way
 	// to another node it is in memory twice, three times if its length is not announced.
 	maxResponseFraction = 1.0 / 8
@@ -79,7 +76,7 @@
 	b.smallBodies.Limit, b.smallBodies.Clock = part(smallBodiesFraction), c
 	b.smallCalls.Limit = part(smallCallsFraction)
 	b.callerResponses.Limit, b.callerResponses.AdmitsFirst, b.callerResponses.Clock = part(callerResponsesFraction), true, c
-	b.smallResponses.Limit, b.smallResponses.MinStall, b.smallResponses.Clock = part(smallResponsesFraction), minSmallStall, c
+	b.smallResponses.Limit, b.smallResponses.MinStall, b.smallResponses.Clock = part(smallResponsesFraction), memory.MinSmallStall, c
 	b.smallOutgoing.Limit = part(smallResponsesFraction)
 	b.outgoing.Limit, b.outgoing.AdmitsFirst = part(outgoingFraction), true
 	b.incoming.Limit, b.incoming.AdmitsFirst = part(incomingFraction), true
@@ -189,9 +186,7 @@
 		"heads": &b.heads, "small_bodies": &b.smallBodies.Budget, "caller_responses": &b.callerResponses.Budget, "outgoing_responses": &b.outgoing, "incoming_responses": &b.incoming,
 		"small_calls": &b.smallCalls, "small_responses": &b.smallResponses.Budget, "small_outgoing_responses": &b.smallOutgoing,
 	} {
-		n.meter.LabelledGauge("budget_bytes", "kind", kind).Update(float64(budget.Used()))
-		n.meter.LabelledGauge("budget_limit_bytes", "kind", kind).Update(float64(budget.Limit))
-		n.meter.LabelledGauge("budget_refused", "kind", kind).Update(float64(budget.Refused()))
+		n.meter.UpdateBudget(kind, budget)
 	}
 	closed := conns.ClosedByReason()
 	closed["body_evicted"], closed["response_evicted"] = b.smallBodies.Evicted(), b.callerResponses.Evicted()+b.smallResponses.Evicted()
--- a/pkg/mesh/descriptors.go
+++ b/pkg/mesh/descriptors.go
@@ -1,10 +1,9 @@
 package mesh
 
 import (
-	"math"
-
 	"github.com/sirupsen/logrus"
-	"golang.org/x/sys/unix"
+
+	"github.com/plantainramp/plantainramp/pkg/connection"
 )
 
 const (
@@ -25,18 +24,6 @@
 	connMemoryFraction = 0.3
 )
 
-// maxDescriptors returns the number of descriptors that the process may have.
-func (n *Node) maxDescriptors() int {
-	if n.settings.MaxDescriptors > 0 {
-		return n.settings.MaxDescriptors
-	}
-	var limit unix.Rlimit
-	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > math.MaxInt32 {
-		return math.MaxInt32
-	}
-	return int(limit.Cur)
-}
-
 // maxCallerConns returns the number of connections of callers that leaves descriptors for
 // the links to peers and for the connections to the instance, and memory for all else.
 func (n *Node) maxCallerConns() int {
@@ -59,7 +46,7 @@
 
 // boundCallerConns sets the bounds of the connections of callers.
 func (n *Node) boundCallerConns() {
-	n.descriptors = n.maxDescriptors()
+	n.descriptors = connection.MaxDescriptors(n.settings.MaxDescriptors)
 	n.callerConns.MaxIdle = n.minCallerConns()
 	n.callerConns.MaxOpen = n.maxCallerConns
 	n.callerConns.OnAcceptError = n.onAcceptFailed
--- a/pkg/node/budgets.go
+++ b/pkg/node/budgets.go
@@ -1,8 +1,6 @@
 package node
 
 import (
-	"time"
-
 	"github.com/plantainramp/plantainramp/pkg/clock"
 	"github.com/plantainramp/plantainramp/pkg/memory"
 )
@@ -22,9 +20,6 @@
 	// smallFraction is for small bodies, and again for small messages of peers, small responses
 	// that are read and small responses that callers have not read.
 	smallFraction = 1.0 / 32
-	// minSmallStall is how long a caller must have taken nothing of a small response before its
-	// connection is closed to make room for that of another: several round trips.
-	minSmallStall = 50 * time.Millisecond
 )
 
 // budgets bounds the memory for what callers and peers may leave at the node.
@@ -51,6 +46,6 @@
 		pair.small.Limit = part(smallFraction)
 		pair.large.Limit, pair.large.AdmitsFirst = part(fraction), true
 	}
-	b.smallResponses.Limit, b.smallResponses.MinStall, b.smallResponses.Clock = part(smallFraction), minSmallStall, c
+	b.smallResponses.Limit, b.smallResponses.MinStall, b.smallResponses.Clock = part(smallFraction), memory.MinSmallStall, c
 	b.largeResponses.Limit, b.largeResponses.AdmitsFirst, b.largeResponses.Clock = part(callerResponseFraction), true, c
 }
--- a/pkg/node/connections.go
+++ b/pkg/node/connections.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"golang.org/x/sys/unix"
 
 	"github.com/plantainramp/plantainramp/pkg/clock"
 	"github.com/plantainramp/plantainramp/pkg/connection"
@@ -38,21 +37,9 @@
 	eventNotAccepted logs.EventKind = "connection not accepted"
 )
 
-// maxDescriptors returns the number of descriptors that the process may have.
-func (n *Node) maxDescriptors() int {
-	if n.settings.MaxDescriptors > 0 {
-		return n.settings.MaxDescriptors
-	}
-	var limit unix.Rlimit
-	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > math.MaxInt32 {
-		return math.MaxInt32
-	}
-	return int(limit.Cur)
-}
-
 // maxConns returns the bound of the connections of a server.
 func (n *Node) maxConns(server string) int {
-	descriptors, byMemory := float64(n.maxDescriptors()), math.MaxInt
+	descriptors, byMemory := float64(connection.MaxDescriptors(n.settings.MaxDescriptors)), math.MaxInt
 	if n.settings.MemoryBytes > 0 {
 		byMemory = int(connMemoryFraction*float64(n.settings.MemoryBytes)) / connBytes
 	}
@@ -124,8 +111,6 @@
 		"upstream_responses": &b.upstreamResponses.large, "small_upstream_responses": &b.upstreamResponses.small,
 		"caller_responses": &b.largeResponses.Budget, "small_responses": &b.smallResponses.Budget,
 	} {
-		n.meter.LabelledGauge("budget_bytes", "kind", kind).Update(float64(budget.Used()))
-		n.meter.LabelledGauge("budget_limit_bytes", "kind", kind).Update(float64(budget.Limit))
-		n.meter.LabelledGauge("budget_refused", "kind", kind).Update(float64(budget.Refused()))
+		n.meter.UpdateBudget(kind, budget)
 	}
 }
