connection: only the whole HTTP/2 preface, at a server of HTTP/2, lifts the limits of heads

Callers saw: after a request with the method 'PRI' had no limit of its head but the 1 MB of the server, at plantainmesh too (a head of 60 kB got 200 in a trial). Cause: a connection counted as HTTP/2 once it began with 'PRI ', whatever the server speaks. Change: the preface is matched whole, also in pieces, and only where the server speaks HTTP/2. Result: 431 as before.

--- a/pkg/connection/connection.go
+++ b/pkg/connection/connection.go
@@ -81,6 +81,9 @@
 	// read or a response written; nil is allowed. It must not call methods of the tracker.
 	OnClosed func(reason string)
 
+	// servesHTTP2 reports whether the server speaks HTTP/2. It is set by Track.
+	servesHTTP2 bool
+
 	// mu guards the fields below and those of the values of conns.
 	mu    sync.Mutex
 	conns map[net.Conn]*conn
@@ -147,6 +150,7 @@
 // must be set already; its ConnContext and ConnState are replaced.
 func (t *Tracker) Track(server *http.Server) {
 	t.conns = map[net.Conn]*conn{}
+	t.servesHTTP2 = server.Protocols != nil && server.Protocols.UnencryptedHTTP2()
 	server.ConnContext = t.accept
 	server.ConnState = t.observe
 	if t.Limits != nil {
--- a/pkg/connection/http2_test.go
+++ b/pkg/connection/http2_test.go
@@ -92,3 +92,50 @@
 	}
 	is.Equal(budget.Used(), int64(0))
 }
+
+// Callers begin a connection like one of HTTP/2 and then send heads over the limit. Guards against
+// limits that do not apply any more.
+func TestBeginningOfHTTP2DoesNotLiftLimits(t *testing.T) {
+	head := "X: " + strings.Repeat("x", 60_000)
+	cases := []struct {
+		name, sent string
+		http2      bool
+		// answered is the number of requests that are handled: a server of HTTP/1 takes the
+		// preface for one, and closes the connection after it.
+		answered int
+	}{
+		{"method, HTTP/1 only", "PRI /a HTTP/1.1\r\nHost: h\r\n" + head, false, 0},
+		{"method, HTTP/2 too", "PRI /a HTTP/1.1\r\nHost: h\r\n" + head, true, 0},
+		{"preface, HTTP/1 only", http2Preface + "GET /a HTTP/1.1\r\nHost: h\r\n" + head, false, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newLimitedServer(t, generousLimits, &memory.Budget{Limit: 1 << 20}, 100)
+			s.tracker.servesHTTP2 = c.http2
+			conn, reader := s.dial(t)
+			go func() { _, _ = io.WriteString(conn, c.sent) }()
+			read, _ := io.ReadAll(reader)
+			is.Equal(strings.Count(string(read), "200 OK"), c.answered)
+			is.Equal(s.tracker.Counts().HeadsTooLarge, 1-c.answered)
+		})
+	}
+}
+
+// The preface arrives in pieces. Guards against an HTTP/2 connection that is taken for HTTP/1.
+func TestPrefaceInPieces(t *testing.T) {
+	is := is.New(t)
+	c := &limitedConn{tracker: &Tracker{servesHTTP2: true}}
+	read := 0
+	for _, piece := range []string{http2Preface[:3], http2Preface[3:20], http2Preface[20:] + "settings"} {
+		is.True(!c.isHTTP2.Load())
+		c.matchPreface(int64(read), []byte(piece))
+		read += len(piece)
+	}
+	is.True(c.isHTTP2.Load())
+	other := &limitedConn{tracker: &Tracker{servesHTTP2: true}}
+	other.matchPreface(0, []byte("PRI * "))
+	other.matchPreface(6, []byte("HTTP/1.1"))
+	other.matchPreface(14, []byte(http2Preface[14:]))
+	is.True(!other.isHTTP2.Load())
+}
--- a/pkg/connection/limited.go
+++ b/pkg/connection/limited.go
@@ -1,10 +1,10 @@
 package connection
 
 import (
-	"bytes"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -37,8 +37,8 @@
 	headRefused  = "no memory for the head"
 	headEvicted  = "memory needed for another head"
 
-	// http2Method begins an HTTP/2 connection. No request of HTTP/1 has it.
-	http2Method = "PRI "
+	// http2Preface begins an HTTP/2 connection.
+	http2Preface = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
 
 	tooLargeResponse = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 	// refusedResponse guarantees that the request is not executed: its head was not read
@@ -77,8 +77,10 @@
 	bodyBytes  atomic.Int64
 	// refused reports whether the head was refused. The server may read again after an error.
 	refused bool
-	// isHTTP2 reports whether the connection carries HTTP/2, whose server bounds heads itself.
-	isHTTP2 atomic.Bool
+	// prefaceBytes is the number of bytes of http2Preface that the connection began with, and
+	// isHTTP2 reports whether these are all, and the server bounds the heads of HTTP/2 itself.
+	prefaceBytes int
+	isHTTP2      atomic.Bool
 }
 
 // limit returns a connection that applies the limits of the tracker.
@@ -130,12 +132,24 @@
 	}
 	n, err := c.TCPConn.Read(buffer)
 	c.headBytes.Store(before + int64(n))
-	if before == 0 && bytes.HasPrefix(buffer[:n], []byte(http2Method)) {
-		c.isHTTP2.Store(true)
-	}
+	c.matchPreface(before, buffer[:n])
 	return n, err
 }
 
+// matchPreface compares the beginning of the connection with http2Preface. read is the number of
+// bytes that were read before.
+func (c *limitedConn) matchPreface(read int64, data []byte) {
+	if !c.tracker.servesHTTP2 || read != int64(c.prefaceBytes) {
+		return
+	}
+	rest := http2Preface[c.prefaceBytes:]
+	if !strings.HasPrefix(string(data[:min(len(data), len(rest))]), rest[:min(len(data), len(rest))]) {
+		return
+	}
+	c.prefaceBytes += min(len(data), len(rest))
+	c.isHTTP2.Store(c.prefaceBytes == len(http2Preface))
+}
+
 // readBody reads a part of a body.
 func (c *limitedConn) readBody(buffer []byte) (int, error) {
 	c.awaitsBody.Store(true)
