link: a connection whose handshake message has arrived keeps its place; plainer names

Cause: at the start of a large fleet many peers connect at once; a node that gets no processor for 50 ms would have closed connections whose handshake message was there and not read. Change: such a connection is not closed to make room (connection.IsUnread asks the kernel without waiting for the reader). The bound is named after handshakes.

--- a/overlimit/listeners_test.go
+++ b/overlimit/listeners_test.go
@@ -16,9 +16,9 @@
 	heartbeatPort = 1
 	readinessPort = 2
 	peerPort      = 3
-	// strangers is the size of the crowds that connect to the port for other nodes.
-	strangers = 400
-	// announcedBytes is the length of the message that a stranger announces there, and
+	// foreignClients is the size of the crowds that connect to the port for other nodes.
+	foreignClients = 400
+	// announcedBytes is the length of the message that one of them announces there, and
 	// sentBytes how much of it arrives.
 	announcedBytes = 64 << 20
 	sentBytes      = 1 << 20
@@ -47,7 +47,7 @@
 
 // Guards against descriptors and memory held for connections to the port for other nodes that
 // come from no node.
-func TestStrangersAtPeerPort(t *testing.T) {
+func TestForeignClientsAtPeerPort(t *testing.T) {
 	header := binary.BigEndian.AppendUint32(nil, announcedBytes)
 	header = append(header, 1, 0, 0, 0, 0)
 	cases := []struct {
@@ -68,7 +68,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			nodes := newClusterWith(t, resources{memoryMB: memoryMB, descriptors: besideDescriptors}, "showcase", "desk")
-			occupy(t, nodes.nodes[1].address(peerPort), strangers, c.act)
+			occupy(t, nodes.nodes[1].address(peerPort), foreignClients, c.act)
 			time.Sleep(settlingTime)
 			nodes.check()
 		})
--- a/pkg/connection/peerclosed.go
+++ b/pkg/connection/peerclosed.go
@@ -28,6 +28,13 @@
 	return closed || err != nil
 }
 
+// IsUnread reports whether data has arrived on a connection that was not read. It does not wait
+// for a read in progress, and returns false for a connection that is no socket.
+func IsUnread(netConn net.Conn) bool {
+	raw := rawConn(netConn)
+	return raw != nil && isUnread(raw)
+}
+
 // isUnread reports whether data has arrived on a socket that the server has not read.
 func isUnread(raw syscall.RawConn) bool {
 	unread := 0
--- a/pkg/link/strangers_test.go
+++ b/pkg/link/handshakes_test.go
@@ -14,15 +14,17 @@
 )
 
 // Guards against connections of clients that are no nodes beyond the bound, against the close of
-// a peer that is about to send its handshake message, and against places that are not given back.
-func TestStrangersMakeRoom(t *testing.T) {
+// a peer whose handshake message is about to arrive or to be read, and against places that are not
+// given back.
+func TestHandshakesMakeRoom(t *testing.T) {
 	is := is.New(t)
 	fake := &clock.Fake{}
-	s := &strangers{clock: fake}
+	unread := map[net.Conn]bool{}
+	s := &handshakes{clock: fake, hasData: func(conn net.Conn) bool { return unread[conn] }}
 	closed := func(conn net.Conn) bool { return conn.SetDeadline(time.Time{}) != nil }
 	var conns []net.Conn
-	var first *stranger
-	for i := range maxStrangers {
+	var first *handshake
+	for i := range maxHandshakes {
 		conn, _ := net.Pipe()
 		conns = append(conns, conn)
 		added := s.tryAdd(conn)
@@ -34,13 +36,18 @@
 	}
 	other, _ := net.Pipe()
 	is.True(s.tryAdd(other) == nil)
-	fake.Advance(minStrangerAge)
+	fake.Advance(minHandshakeAge)
+	unread[conns[0]] = true
 	is.True(s.tryAdd(other) != nil)
+	is.True(!closed(conns[0]))
+	is.True(closed(conns[1]))
+	unread[conns[0]] = false
+	last, _ := net.Pipe()
+	is.True(s.tryAdd(last) != nil)
 	is.True(closed(conns[0]))
-	is.True(!closed(conns[1]))
 	s.remove(first)
-	is.Equal(s.conns.Len(), maxStrangers)
-	s.remove(s.conns.Front().Value.(*stranger))
+	is.Equal(s.conns.Len(), maxHandshakes)
+	s.remove(s.conns.Front().Value.(*handshake))
 	next, _ := net.Pipe()
 	is.True(s.tryAdd(next) != nil)
 	is.True(!closed(conns[2]))
--- a/pkg/link/server.go
+++ b/pkg/link/server.go
@@ -122,13 +122,13 @@
 // Serve accepts connections until the listener is closed, and returns the error of
 // Accept. It passes over a lack of descriptors or memory.
 func (s *Server) Serve(l net.Listener) error {
-	waiting := &strangers{clock: s.Clock}
+	pending := &handshakes{clock: s.Clock, hasData: connection.IsUnread}
 	for {
 		conn, err := l.Accept()
 		switch {
 		case err == nil:
-			one := waiting.add(conn)
-			go s.serveConn(conn, func() { waiting.remove(one) })
+			h := pending.add(conn)
+			go s.serveConn(conn, func() { pending.remove(h) })
 		case connection.IsResourceShortage(err):
 			if s.OnAcceptError != nil {
 				s.OnAcceptError(err)
@@ -170,9 +170,9 @@
 	return timeout, max(limit, timeout)
 }
 
-// serveConn serves a connection, and calls greeted once its handshake has ended.
-func (s *Server) serveConn(netConn net.Conn, greeted func()) {
-	defer greeted()
+// serveConn serves a connection, and calls handshakeEnded once its handshake has ended.
+func (s *Server) serveConn(netConn net.Conn, handshakeEnded func()) {
+	defer handshakeEnded()
 	c := &serverConn{framer: newFramer(netConn, s.Clock, nil), ended: make(chan struct{}), requests: map[StreamID]*serverRequest{}}
 	c.budget, c.replies, c.smallCalls = s.Budget, s.Replies, s.SmallCalls
 	defer close(c.ended)
@@ -194,7 +194,7 @@
 		return
 	}
 	_ = netConn.SetReadDeadline(time.Time{})
-	greeted()
+	handshakeEnded()
 	if c.send(KindHello, 0, withCapabilities(s.Hello()), false) != nil {
 		return
 	}
