--- a/overlimit/plantainnode_test.go
+++ b/overlimit/plantainnode_test.go
@@ -217,3 +217,26 @@
 		})
 	}
 }
+
+// Guards against a plantainnode that has no descriptors left, as the listeners that are not for
+// callers are full of connections that send nothing, and against listeners that then serve nobody.
+func TestCrowdAtOtherListenersOfPlantainnode(t *testing.T) {
+	for name, offset := range map[string]int{"callsOut": 1, "peers": 2, "admin": 3} {
+		t.Run(name, func(t *testing.T) {
+			n := startPlantainnode(t, plantainnodeDescriptors)
+			occupy(t, local(offset), readingCallers*2, stayUntilClosed)
+			time.Sleep(settlingTime)
+			if !answersSmallWithin(ordinaryPatience) {
+				t.Error("an ordinary request beside the crowd was not answered")
+			}
+			client := http.Client{Timeout: ordinaryPatience}
+			response, err := client.Get("http://" + local(offset) + "/")
+			if err != nil {
+				t.Errorf("the port is not served beside the crowd: %v", err)
+			} else {
+				_ = response.Body.Close()
+			}
+			checkPlantainnode(t, n)
+		})
+	}
+}
