instance: few responses wait for memory at the same time

Cause: a response that waits for memory keeps its slot for up to 250 ms; all 226 slots did so (mean run 140 ms, 319 calls queued), and an ordinary call, although of the highest priority, found none within the 250 ms that it may wait. Ruled out: the admission plan (it admitted the ordinary class whole), connections (accepted at once), memory (139 MB of 184). Change: at most a quarter of the slots wait for memory; further responses are lost at once, as they were after the wait. Responses of unknown length still wait one by one. Evidence: TestFewResponsesWaitForMemory (without the bound all ten wait).

--- a/pkg/instance/body.go
+++ b/pkg/instance/body.go
@@ -26,7 +26,7 @@
 		return c.readUnknownLength(response.Body)
 	}
 	size := memory.Counted(int(response.ContentLength))
-	if !c.reserve(0, size) {
+	if !c.reserve(size) {
 		return nil, &memory.NoMemoryError{}
 	}
 	body := make([]byte, response.ContentLength)
@@ -51,9 +51,18 @@
 	return body, nil
 }
 
-// reserve changes the reservation for the body of a response.
-func (c *Client) reserve(from, to int64) bool {
-	return c.Budgets.AwaitResize(c.Clock, from, to, maxBudgetWait)
+// reserve reserves memory for the body of a response. It waits for that only while no more than
+// MaxWaiting others do: those that wait keep their slots, and other calls need these.
+func (c *Client) reserve(size int64) bool {
+	if c.Budgets.TryReserve(size) {
+		return true
+	}
+	waiting := c.waiting.Add(1)
+	defer c.waiting.Add(-1)
+	if c.MaxWaiting != nil && waiting > int64(c.MaxWaiting()) {
+		return false
+	}
+	return c.Budgets.AwaitResize(c.Clock, 0, size, maxBudgetWait)
 }
 
 // ReleaseBody ends the reservation for the body of a response.
--- a/pkg/instance/body_test.go
+++ b/pkg/instance/body_test.go
@@ -6,7 +6,10 @@
 	"fmt"
 	"net"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -62,3 +65,35 @@
 		})
 	}
 }
+
+// Responses wait for memory that does not become free. Guards against waits that keep more slots
+// than they may.
+func TestFewResponsesWaitForMemory(t *testing.T) {
+	is := is.New(t)
+	body := strings.Repeat("b", memory.SmallBytes+1)
+	client := newClient(newServer(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+		readRequest(r)
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	}))
+	client.MaxBodyBytes = 1 << 20
+	budget := &memory.Budget{Limit: 1}
+	client.Budgets = memory.Tiers{Large: budget}
+	const calls, mayWait = 10, 2
+	client.MaxWaiting = func() int { return mayWait }
+	var waited atomic.Int64
+	var group sync.WaitGroup
+	for range calls {
+		group.Go(func() {
+			started := time.Now()
+			_, err := client.Do(t.Context(), newCall("a"))
+			var noMemory *memory.NoMemoryError
+			is.True(errors.As(err, &noMemory))
+			if time.Since(started) >= maxBudgetWait {
+				waited.Add(1)
+			}
+		})
+	}
+	group.Wait()
+	is.True(waited.Load() <= mayWait)
+	is.Equal(client.waiting.Load(), int64(0))
+}
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -17,6 +17,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/plantainramp/plantainramp/pkg/clock"
@@ -73,6 +74,9 @@
 	MaxBodyBytes int64
 	// Budgets bound the memory for response bodies.
 	Budgets memory.Tiers
+	// MaxWaiting returns how many responses may wait for memory at the same time; nil means any
+	// number.
+	MaxWaiting func() int
 	// Dial connects to the instance; nil means TCP without keep-alive probes.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// OnConnect is called for each new connection; nil is allowed.
@@ -96,6 +100,8 @@
 	// carried its id; nil is allowed.
 	OnRepeatedID func(id string)
 
+	// waiting is the number of responses that wait for memory.
+	waiting atomic.Int64
 	// mu guards idle.
 	mu sync.Mutex
 	// idle holds the idle connections, the most recently used one last.
--- a/pkg/memory/tiers.go
+++ b/pkg/memory/tiers.go
@@ -41,6 +41,13 @@
 	return t.Large
 }
 
+// TryReserve reserves a number of bytes, a result of Counted. It returns false if there is no
+// room.
+func (t Tiers) TryReserve(n int64) bool {
+	b := t.budget(n)
+	return b == nil || b.TryReserve(n)
+}
+
 // AwaitResize changes a reservation from one number of bytes, a result of Counted, to another
 // larger one, and waits for room for up to maxWait. It returns false, and changes nothing, if
 // there is none.
--- a/pkg/mesh/budgets.go
+++ b/pkg/mesh/budgets.go
@@ -43,6 +43,9 @@
 	// maxRetainedOutcomesBytes.
 	retainedFraction         = 1.0 / 32
 	maxRetainedOutcomesBytes = 8 << 20
+	// waitingSlotsFraction is the fraction of the slots of the instance whose responses may wait
+	// for memory, so that other calls find slots.
+	waitingSlotsFraction = 0.25
 	// maxResponseFraction bounds the body of one response, at most maxAnyResponseBytes. On its way
 	// to another node it is in memory twice, three times if its length is not announced.
 	maxResponseFraction = 1.0 / 8
@@ -90,6 +93,16 @@
 	return min(maxAnyResponseBytes, int64(maxResponseFraction*float64(memoryBytes)))
 }
 
+// maxWaitingResponses returns how many responses of the instance may wait for memory at the same
+// time: a part of its slots, which they keep meanwhile.
+func (n *Node) maxWaitingResponses() int {
+	local := n.gate.LocalInstance()
+	if local == nil {
+		return 1
+	}
+	return max(1, int(waitingSlotsFraction*float64(local.Slots)))
+}
+
 // outgoingTiers returns the budgets of responses on their way from the instance.
 func (b *budgets) outgoingTiers() memory.Tiers {
 	return memory.Tiers{Small: &b.smallOutgoing, Large: &b.outgoing}
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -199,7 +199,7 @@
 }
 
 func (n *Node) makeGate() {
-	n.instance = &instance.Client{Address: n.settings.InstanceAddress, Clock: n.clock, Headers: n.platform.InstanceHeaders, MaxBodyBytes: maxResponseBytes(n.settings.MemoryBytes), Budgets: n.budgets.outgoingTiers(), OnStray: n.onStray, OnJoined: n.onJoined, OnRepeatedID: n.onRepeatedID}
+	n.instance = &instance.Client{Address: n.settings.InstanceAddress, Clock: n.clock, Headers: n.platform.InstanceHeaders, MaxBodyBytes: maxResponseBytes(n.settings.MemoryBytes), Budgets: n.budgets.outgoingTiers(), MaxWaiting: n.maxWaitingResponses, OnStray: n.onStray, OnJoined: n.onJoined, OnRepeatedID: n.onRepeatedID}
 	n.gate = &gate.Gate{
 		Clock: n.clock, Headers: n.platform.GateHeaders, Instance: n.instance, View: n.view.Load, OnStart: n.onExecutionStarted, OnDecision: n.onDecided, OnRateLimit: n.onRateLimit, OnLeaving: n.onLeaving,
 		OutOfDate: n.evacuationsOutOfDate, Region: n.regionOf(n.settings.DataCentre), MaxRetainedBytes: retainedBytes(n.settings.MemoryBytes),
