--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -23,6 +23,8 @@
 	// system gives to outgoing connections.
 	firstPort = 20000
 	lastPort  = 31000
+	// portStride keeps apart the ports of fleets that start one after the other.
+	portStride = 211
 	// pollInterval is the time between two looks at a condition.
 	pollInterval = 20 * time.Millisecond
 )
@@ -113,7 +115,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &Fleet{Record: record, Program: program, Store: platformtest.NewStore(), dir: dir, nextPort: firstPort + os.Getpid()%5000}
+	f := &Fleet{Record: record, Program: program, Store: platformtest.NewStore(), dir: dir, nextPort: firstPort + os.Getpid()*portStride%(lastPort-firstPort)}
 	f.StoreAddress = f.FreeAddress()
 	l, err := net.Listen("tcp", f.StoreAddress)
 	if err != nil {
@@ -262,3 +264,6 @@
 	}
 	return false
 }
+
+// Servers returns the servers of the fleet.
+func (f *Fleet) Servers() []*Server { return f.servers }
--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -41,6 +41,8 @@
 	Node  *Node
 	Slots int
 	Born  int64
+	// Quiet keeps executions out of the record.
+	Quiet bool
 	// Answer returns the bytes of the answer to a request that has begun to run; nil, or an
 	// empty result, means a small success.
 	Answer func(s *Server, r *http.Request, body []byte) []byte
@@ -191,7 +193,9 @@
 	s.mu.Lock()
 	s.runs = append(s.runs, Run{Server: s.ID, RequestID: id, Method: r.Method, Target: r.RequestURI, Caller: r.Header.Get("Plantainramp-Caller-Service"), Tenant: r.Header.Get("Plantainramp-Tenant-Name"), At: time.Now()})
 	s.mu.Unlock()
-	s.fleet.Record.Printf("server %s runs request %s %s %s", s.ID, id, r.Method, r.RequestURI)
+	if !s.Quiet {
+		s.fleet.Record.Printf("server %s runs request %s %s %s", s.ID, id, r.Method, r.RequestURI)
+	}
 	if s.Answer != nil {
 		if raw := s.Answer(s, r, body); raw != nil {
 			return raw
