--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -55,7 +55,11 @@
 	sequence  int
 	state     string
 	isCrashed bool
-	stop      chan struct{}
+	// silent reports whether heartbeats have ended.
+	silent bool
+	// leaving reports whether health checks fail, as the server leaves.
+	leaving bool
+	stop    chan struct{}
 }
 
 // AddServer adds a server beside a node. It is not started.
@@ -108,7 +112,9 @@
 
 func (s *Server) beat() {
 	for {
-		s.Heartbeat()
+		if !s.isSilent() {
+			s.Heartbeat()
+		}
 		select {
 		case <-s.stop:
 			return
@@ -117,6 +123,12 @@
 	}
 }
 
+func (s *Server) isSilent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.silent
+}
+
 // SetState sets the state that heartbeats name.
 func (s *Server) SetState(state string) {
 	s.mu.Lock()
@@ -124,20 +136,34 @@
 	s.state = state
 }
 
+// Delay makes a heartbeat that is sent now arrive when the function that it returns is called, which
+// returns the status of the answer, or 0. No other heartbeat follows.
+func (s *Server) Delay() (arrive func() int) {
+	body := s.nextHeartbeat()
+	s.mu.Lock()
+	s.silent = true
+	s.mu.Unlock()
+	return func() int { return s.tell("/Instances.Heartbeat/", body) }
+}
+
 // Heartbeat sends a heartbeat and returns the status of its answer, or 0.
-func (s *Server) Heartbeat() int {
+func (s *Server) Heartbeat() int { return s.tell("/Instances.Heartbeat/", s.nextHeartbeat()) }
+
+func (s *Server) nextHeartbeat() map[string]any {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.sequence++
-	body := map[string]any{
+	return map[string]any{
 		"service": s.Node.Service, "address": s.Node.Instance, "zone": s.Node.Zone, "version": "v1", "slots": s.Slots,
 		"state": s.state, "cold_remaining": "0ms", "sequence": s.sequence, "born": s.Born,
 	}
-	s.mu.Unlock()
-	return s.tell("/Instances.Heartbeat/", body)
 }
 
 // Deregister says that the server leaves and returns the status of the answer, or 0.
 func (s *Server) Deregister() int {
+	s.mu.Lock()
+	s.leaving = true
+	s.mu.Unlock()
 	return s.tell("/Instances.Deregister/", map[string]any{"born": s.Born})
 }
 
@@ -182,8 +208,17 @@
 	}
 }
 
+func (s *Server) isLeaving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaving
+}
+
 func (s *Server) answer(r *http.Request, body []byte) []byte {
 	id := r.Header.Get(HeaderRequestID)
+	if r.URL.Path == HealthPath && s.isLeaving() {
+		return []byte("HTTP/1.1 503 Service Unavailable\r\nPlantainramp-Instance-Id: " + s.ID + "\r\nContent-Length: 0\r\n\r\n")
+	}
 	if r.URL.Path == HealthPath {
 		return []byte("HTTP/1.1 200 OK\r\nPlantainramp-Instance-Id: " + s.ID + "\r\nContent-Length: 0\r\n\r\n")
 	}
