--- a/review/7/main.go
+++ b/review/7/main.go
@@ -1,5 +1,5 @@
-// Command 7 shows that a server which has left is used again after a short outage of the store
-// and the end of the node beside it.
+// Command 7 shows that a server which has left is used again after a short outage of the store and
+// the end of all nodes (with the argument "all"), or of the node beside it (case 8).
 package main
 
 import (
@@ -36,9 +36,11 @@
 	heartbeatAt = 4000 * time.Millisecond
 	// exitAt is when the server exits.
 	exitAt = 8 * time.Second
+	// trafficTail is how long after that the requests go on.
+	trafficTail = 500 * time.Millisecond
 
 	requestInterval = 20 * time.Millisecond
-	workTime        = 20 * time.Millisecond
+	workTime        = 200 * time.Millisecond
 	timeLimit       = 5 * time.Second
 	startTime       = 15 * time.Second
 	settleTime      = 4 * time.Second
@@ -52,6 +54,8 @@
 	recordFile      = "record.txt"
 	program         = "target/plantainmesh"
 	troubleVariable = "TROUBLE"
+	// killsAll is the argument with which all nodes are killed.
+	killsAll = "all"
 )
 
 func main() { os.Exit(run()) }
@@ -72,18 +76,23 @@
 		record.Printf("cannot run: %v", err)
 		return exitNotRun
 	}
-	acknowledged, err := play(fleet, leaving)
+	answers := &answers{byID: map[string]int{}}
+	acknowledged, err := play(fleet, leaving, answers)
 	if err != nil {
 		record.Printf("cannot run: %v", err)
 		return exitNotRun
 	}
-	late := 0
+	late, lost := 0, 0
 	for _, r := range leaving.Runs() {
-		if r.At.Sub(acknowledged) > drain {
-			late++
+		if r.At.Sub(acknowledged) <= drain {
+			continue
+		}
+		late++
+		if answers.of(r.RequestID) != http.StatusOK {
+			lost++
 		}
 	}
-	record.Printf("%d requests reached server %s later than %s after the acknowledgement", late, leaving.ID, drain)
+	record.Printf("%d requests reached server %s later than %s after the acknowledgement; %d of these were lost", late, leaving.ID, drain, lost)
 	if late > 0 {
 		return exitBroken
 	}
@@ -132,7 +141,7 @@
 }
 
 // play lets the server leave, and returns when that was acknowledged.
-func play(fleet *harness.Fleet, leaving *harness.Server) (time.Time, error) {
+func play(fleet *harness.Fleet, leaving *harness.Server, answers *answers) (time.Time, error) {
 	node, trouble := leaving.Node, os.Getenv(troubleVariable) != "0"
 	late := leaving.Delay()
 	fleet.Record.Printf("server %s sends a heartbeat, which arrives late", leaving.ID)
@@ -157,8 +166,12 @@
 	}
 	startErr := error(nil)
 	if trouble {
-		at(killAt, node.Kill)
-		at(startAt, func() { startErr = node.Start() })
+		killed := []*harness.Node{node}
+		if len(os.Args) > 2 && os.Args[2] == killsAll {
+			killed = fleet.Nodes
+		}
+		at(killAt, func() { killNodes(killed) })
+		at(startAt, func() { startErr = startNodes(killed) })
 		at(outageEnd, func() {
 			fleet.Record.Printf("the store answers again")
 			fleet.Store.SetFault(platformtest.FaultNone)
@@ -170,17 +183,46 @@
 	at(exitAt, leaving.Crash)
 	for i := 0; ; i++ {
 		offset := trafficAt + time.Duration(i)*requestInterval
-		if offset >= exitAt-time.Second {
+		if offset >= exitAt+trafficTail {
 			break
 		}
-		at(offset, func() { ask(fleet.Record, node, fmt.Sprintf("q%d", i)) })
+		at(offset, func() { answers.ask(fleet.Record, node, fmt.Sprintf("q%d", i)) })
 	}
 	group.Wait()
 	return acknowledged, startErr
 }
 
+func killNodes(nodes []*harness.Node) {
+	var group sync.WaitGroup
+	for _, n := range nodes {
+		group.Go(n.Kill)
+	}
+	group.Wait()
+}
+
+func startNodes(nodes []*harness.Node) error {
+	for _, n := range nodes {
+		if err := n.Start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// answers holds the statuses of whole answers by the id of their request.
+type answers struct {
+	mu   sync.Mutex
+	byID map[string]int
+}
+
+func (a *answers) of(id string) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.byID[id]
+}
+
 // ask sends a request on a new connection.
-func ask(record *harness.Record, node *harness.Node, id string) {
+func (a *answers) ask(record *harness.Record, node *harness.Node, id string) {
 	conn, err := net.Dial("tcp", node.Callers)
 	if err != nil {
 		record.Printf("request %s: %v", id, err)
@@ -194,6 +236,10 @@
 		record.Printf("request %s at %s: %v", id, node.Name, err)
 		return
 	}
-	_, err = io.Copy(io.Discard, response.Body)
+	if _, err = io.Copy(io.Discard, response.Body); err == nil {
+		a.mu.Lock()
+		a.byID[id] = response.StatusCode
+		a.mu.Unlock()
+	}
 	record.Printf("request %s at %s: answer %d of %q, error %v", id, node.Name, response.StatusCode, response.Header.Get(harness.HeaderSignature), err)
 }
