--- a/review/6/main.go
+++ b/review/6/main.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	// answerBytes is the size of an answer: the largest one of seat-avail.
+	// answerBytes is the size of an answer: the largest one of seat-avail and of group-book.
 	answerBytes = 30000
 	// workTime is how long a server works on a request.
 	workTime = 300 * time.Millisecond
@@ -37,7 +37,8 @@
 	exitBroken      = 1
 	exitNotRun      = 2
 	host            = "rail.example"
-	path            = "/seats/1"
+	readPath        = "/seats/1"
+	bookPath        = "/groups/1"
 	recordFile      = "record.txt"
 	program         = "target/plantainmesh"
 	troubleVariable = "TROUBLE"
@@ -84,10 +85,16 @@
 func start(fleet *harness.Fleet) (*harness.Node, error) {
 	fleet.Configure(map[string]any{
 		"version": 3,
-		"routes": []any{map[string]any{
-			"name": "seat-avail", "host": host, "path_prefix": "/seats/", "kind": "idempotent", "timeout": "4000ms",
-			"target_latency": "1200ms", "priority": 2, "service": "diathesimotita", "max_attempts": 2, "allow_anonymous": true,
-		}},
+		"routes": []any{
+			map[string]any{
+				"name": "seat-avail", "host": host, "path_prefix": "/seats/", "kind": "idempotent", "timeout": "4000ms",
+				"target_latency": "1200ms", "priority": 2, "service": "diathesimotita", "max_attempts": 2, "allow_anonymous": true,
+			},
+			map[string]any{
+				"name": "group-book", "host": host, "path_prefix": "/groups/", "kind": "non_idempotent", "timeout": "4000ms",
+				"target_latency": "1500ms", "priority": 0, "service": "diathesimotita", "max_attempts": 2, "allow_anonymous": true,
+			},
+		},
 		"services": []any{map[string]any{"name": "diathesimotita", "health_path": harness.HealthPath}},
 		"limits":   map[string]any{"header_bytes": 16384, "body_bytes": 1048576, "header_timeout": "5s", "idle_timeout": "10s"},
 	})
@@ -121,7 +128,12 @@
 	sent := make(chan struct{}, clients)
 	for i := range clients {
 		group.Go(func() {
-			err := pipeline(fleet.Record, entrance, fmt.Sprintf("c%d", i), sent)
+			// The first request of every other client is one that may not be repeated.
+			first := request{method: http.MethodGet, path: readPath}
+			if i%2 == 1 {
+				first = request{method: http.MethodPost, path: bookPath}
+			}
+			err := pipeline(fleet.Record, entrance, fmt.Sprintf("c%d", i), first, sent)
 			var cutShort *cutError
 			if errors.As(err, &cutShort) {
 				mu.Lock()
@@ -140,8 +152,14 @@
 	return cut
 }
 
-// pipeline sends a request on a kept connection, and a second one before the first is answered.
-func pipeline(record *harness.Record, entrance *harness.Node, client string, sent chan<- struct{}) error {
+// request is a kind of request.
+type request struct {
+	method, path string
+}
+
+// pipeline sends a request on a kept connection, and an idempotent one before that is answered.
+func pipeline(record *harness.Record, entrance *harness.Node, client string, first request, sent chan<- struct{}) error {
+	read := request{method: http.MethodGet, path: readPath}
 	conn, err := dial(entrance.Callers)
 	if err != nil {
 		sent <- struct{}{}
@@ -149,7 +167,7 @@
 	}
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
-	if err := send(record, conn, client+"-0"); err != nil {
+	if err := send(record, conn, read, client+"-0"); err != nil {
 		sent <- struct{}{}
 		return err
 	}
@@ -157,13 +175,13 @@
 		sent <- struct{}{}
 		return err
 	}
-	err = send(record, conn, client+"-1")
+	err = send(record, conn, first, client+"-1")
 	sent <- struct{}{}
 	if err != nil {
 		return err
 	}
 	time.Sleep(furtherAfter)
-	if err := send(record, conn, client+"-2"); err != nil {
+	if err := send(record, conn, read, client+"-2"); err != nil {
 		return err
 	}
 	if err := receive(record, reader, client+"-1"); err != nil {
@@ -183,9 +201,9 @@
 	return d.Dial("tcp", address)
 }
 
-func send(record *harness.Record, conn net.Conn, id string) error {
-	record.Printf("client sends request %s", id)
-	_, err := conn.Write(harness.Request(http.MethodGet, host, path, id, timeLimit))
+func send(record *harness.Record, conn net.Conn, r request, id string) error {
+	record.Printf("client sends request %s %s %s", id, r.method, r.path)
+	_, err := conn.Write(harness.Request(r.method, host, r.path, id, timeLimit))
 	return err
 }
 
--- a/review/7/main.go
+++ b/review/7/main.go
@@ -32,10 +32,6 @@
 	// trafficAt is when the requests begin: the store has been up, and the node has run, for
 	// longer than connectivity, 3 s.
 	trafficAt = 3800 * time.Millisecond
-	// heartbeatAt is when a heartbeat arrives that the server sent before it left.
-	heartbeatAt = 4000 * time.Millisecond
-	// exitAt is when the server exits.
-	exitAt = 8 * time.Second
 	// trafficTail is how long after that the requests go on.
 	trafficTail = 500 * time.Millisecond
 
@@ -58,6 +54,22 @@
 	killsAll = "all"
 )
 
+// schedule is what differs between the cases.
+type schedule struct {
+	// killsAll reports whether all nodes are killed, not only the one beside the server.
+	killsAll bool
+	// heartbeatAt is when a heartbeat arrives that the server sent before it left, and exitAt when
+	// the server exits.
+	heartbeatAt, exitAt time.Duration
+}
+
+func newSchedule(args []string) schedule {
+	if len(args) > 2 && args[2] == killsAll {
+		return schedule{killsAll: true, heartbeatAt: 1500 * time.Millisecond, exitAt: 5500 * time.Millisecond}
+	}
+	return schedule{heartbeatAt: 4 * time.Second, exitAt: 8 * time.Second}
+}
+
 func main() { os.Exit(run()) }
 
 func run() int {
@@ -77,7 +89,7 @@
 		return exitNotRun
 	}
 	answers := &answers{byID: map[string]int{}}
-	acknowledged, err := play(fleet, leaving, answers)
+	acknowledged, err := play(fleet, leaving, newSchedule(os.Args), answers)
 	if err != nil {
 		record.Printf("cannot run: %v", err)
 		return exitNotRun
@@ -141,7 +153,7 @@
 }
 
 // play lets the server leave, and returns when that was acknowledged.
-func play(fleet *harness.Fleet, leaving *harness.Server, answers *answers) (time.Time, error) {
+func play(fleet *harness.Fleet, leaving *harness.Server, plan schedule, answers *answers) (time.Time, error) {
 	node, trouble := leaving.Node, os.Getenv(troubleVariable) != "0"
 	late := leaving.Delay()
 	fleet.Record.Printf("server %s sends a heartbeat, which arrives late", leaving.ID)
@@ -167,7 +179,7 @@
 	startErr := error(nil)
 	if trouble {
 		killed := []*harness.Node{node}
-		if len(os.Args) > 2 && os.Args[2] == killsAll {
+		if plan.killsAll {
 			killed = fleet.Nodes
 		}
 		at(killAt, func() { killNodes(killed) })
@@ -177,13 +189,13 @@
 			fleet.Store.SetFault(platformtest.FaultNone)
 		})
 	}
-	at(heartbeatAt, func() {
+	at(plan.heartbeatAt, func() {
 		fleet.Record.Printf("the late heartbeat of server %s arrives, answer %d", leaving.ID, late())
 	})
-	at(exitAt, leaving.Crash)
+	at(plan.exitAt, leaving.Crash)
 	for i := 0; ; i++ {
 		offset := trafficAt + time.Duration(i)*requestInterval
-		if offset >= exitAt+trafficTail {
+		if offset >= plan.exitAt+trafficTail {
 			break
 		}
 		at(offset, func() { answers.ask(fleet.Record, node, fmt.Sprintf("q%d", i)) })
