connection: a close does not discard the response before it

Cause: net/http closes the connection behind a response with "Connection: close"; the further request lies unread in the socket, so the system sends a reset and discards what it has not sent.

Change: Close of an accepted connection ends the sending direction and discards what arrives until the caller closes, 0.25 s after its system has confirmed everything, or 5 s. One way for all listeners, for responses, refusals by net/http, our own refusals of heads (which held the goroutine of the server for 100 ms), idle connections and HTTP/2. A stop waits for such connections within its grace period. They count as open and are closed first when a new connection needs room. connection.Shutdown takes trackers.

TestHTTP2ResponseIsWholeBeforeShutdown passed before, too.

--- a/pkg/connection/bound.go
+++ b/pkg/connection/bound.go
@@ -105,7 +105,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.shortage.relax(now)
-	for len(t.conns)-t.closing >= maxOpen {
+	for len(t.conns)-t.closing+t.lingering.count() >= maxOpen {
 		if !t.closeOne(now) {
 			return false
 		}
@@ -134,11 +134,12 @@
 	return true
 }
 
-// closeWorst closes the connection that is worth least. At first idle ones go before those of slow
+// closeWorst closes the connection that is worth least. Those that linger carry no request any
+// more. At first idle ones go before those of slow
 // callers, which lose a response. In a lasting shortage it is the other way round: idle ones are
 // then those of callers that have taken their responses. The caller holds mu.
 func (t *Tracker) closeWorst(now time.Time) bool {
-	if t.closeUnused(now) {
+	if t.closeUnused(now) || t.lingering.closeOldest() {
 		return true
 	}
 	if t.shortage.level == 0 {
--- a/pkg/connection/connection.go
+++ b/pkg/connection/connection.go
@@ -33,6 +33,9 @@
 	// wait for a further request. Busy ones carry a request that was read and whose
 	// response has not been written whole.
 	Unused, Idle, Busy int
+	// Lingering connections are closed for requests, but their callers may not have received
+	// all that was sent.
+	Lingering int
 	// Dropped is the number of requests that were read as their connection was closed
 	// and did not reach the handler.
 	Dropped int
@@ -83,6 +86,11 @@
 
 	// servesHTTP2 reports whether the server speaks HTTP/2. It is set by Track.
 	servesHTTP2 bool
+	// server is set by Track.
+	server *http.Server
+	// lingering holds the closed connections whose callers may not have received all that was
+	// sent.
+	lingering lingering
 
 	// mu guards the fields below and those of the values of conns.
 	mu    sync.Mutex
@@ -149,7 +157,7 @@
 // Track makes the server report its connections to the tracker. The server's handler
 // must be set already; its ConnContext and ConnState are replaced.
 func (t *Tracker) Track(server *http.Server) {
-	t.conns = map[net.Conn]*conn{}
+	t.conns, t.server = map[net.Conn]*conn{}, server
 	t.servesHTTP2 = server.Protocols != nil && server.Protocols.UnencryptedHTTP2()
 	server.ConnContext = t.accept
 	server.ConnState = t.observe
@@ -190,7 +198,7 @@
 func (t *Tracker) Counts() Counts {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	counts := Counts{Dropped: t.dropped, Evicted: t.evicted, Stalled: t.stalled, ShortageLevel: t.shortage.level, HeadsTooLarge: t.headsTooLarge, HeadsRefused: t.headsRefused, HeadsEvicted: t.headsEvicted}
+	counts := Counts{Lingering: t.lingering.count(), Dropped: t.dropped, Evicted: t.evicted, Stalled: t.stalled, ShortageLevel: t.shortage.level, HeadsTooLarge: t.headsTooLarge, HeadsRefused: t.headsRefused, HeadsEvicted: t.headsEvicted}
 	for _, c := range t.conns {
 		switch {
 		case c.closed:
@@ -240,11 +248,16 @@
 // closeConn closes a connection that waits for a request, or whose caller makes too little
 // progress. The caller holds mu.
 func (t *Tracker) closeConn(c *conn) {
+	t.forget(c)
+	_ = c.netConn.Close()
+}
+
+// forget notes that the tracker closes a connection. The caller holds mu.
+func (t *Tracker) forget(c *conn) {
 	c.closed = true
 	t.closing++
 	t.leaveLists(c)
 	t.releaseHead(c)
-	_ = c.netConn.Close()
 }
 
 // leaveLists removes a connection from the lists of those that wait for a request. The
@@ -326,16 +339,21 @@
 	}
 }
 
-// Shutdown closes the servers at the same time, once the responses that are being written
-// are complete, or ctx ends.
-func Shutdown(ctx context.Context, servers []*http.Server) {
+// Shutdown closes the servers of the trackers at the same time, once the responses that are being
+// written are complete and no connection lingers, or ctx ends.
+func Shutdown(ctx context.Context, trackers []*Tracker) {
 	var group sync.WaitGroup
-	for _, s := range servers {
-		group.Go(func() {
-			if s.Shutdown(ctx) != nil {
-				_ = s.Close()
-			}
-		})
+	for _, t := range trackers {
+		group.Go(func() { t.shutdown(ctx) })
 	}
 	group.Wait()
 }
+
+func (t *Tracker) shutdown(ctx context.Context) {
+	if t.server.Shutdown(ctx) != nil {
+		_ = t.server.Close()
+	}
+	for t.lingering.count() > 0 && clock.Sleep(ctx, t.Clock, lingerPollInterval) == nil {
+		continue
+	}
+}
--- a/pkg/connection/limited.go
+++ b/pkg/connection/limited.go
@@ -26,11 +26,8 @@
 	// minHeadAge is how long a head may be read before its connection is closed to make room
 	// for another.
 	minHeadAge = 250 * time.Millisecond
-	// lingerTime is how long a connection is kept open after a refusal, and lingerBytes how
-	// much of it is read, so that the caller gets the refusal: a close over unread data
-	// would discard it.
-	lingerTime  = 100 * time.Millisecond
-	lingerBytes = 256 << 10
+	// refusalWriteTime bounds the write of a refusal.
+	refusalWriteTime = 100 * time.Millisecond
 
 	// headTooLarge, headRefused and headEvicted are reasons of Tracker.OnClosed.
 	headTooLarge = "head over the limit"
@@ -61,7 +58,7 @@
 // Read counts the bytes of a head; those of bodies, and those that a caller sends before its
 // last request is answered and that lie in the buffer of the server, count nothing.
 type limitedConn struct {
-	*net.TCPConn
+	*lingeringConn
 	tracker *Tracker
 	// conn is set by Tracker.accept, before anything is read.
 	conn *conn
@@ -83,13 +80,18 @@
 	isHTTP2      atomic.Bool
 }
 
-// limit returns a connection that applies the limits of the tracker.
+// limit returns a connection that applies the limits of the tracker, and whose Close does not
+// discard what was sent on it.
 func (t *Tracker) limit(netConn net.Conn) net.Conn {
 	tcpConn, isTCP := netConn.(*net.TCPConn)
-	if t.Limits == nil || !isTCP {
+	if !isTCP {
 		return netConn
 	}
-	return &limitedConn{TCPConn: tcpConn, tracker: t}
+	lingering := newLingeringConn(tcpConn, t.Clock, &t.lingering)
+	if t.Limits == nil {
+		return lingering
+	}
+	return &limitedConn{lingeringConn: lingering, tracker: t}
 }
 
 // reset begins the wait for the next head.
@@ -103,7 +105,7 @@
 // serverTimeout by the timeout of the limits.
 func (c *limitedConn) SetReadDeadline(deadline time.Time) error {
 	if deadline.IsZero() || c.handling.Load() || c.isHTTP2.Load() {
-		return c.TCPConn.SetReadDeadline(deadline)
+		return c.lingeringConn.SetReadDeadline(deadline)
 	}
 	limits := c.tracker.Limits()
 	timeout := limits.IdleTimeout
@@ -111,7 +113,7 @@
 		timeout = limits.HeaderTimeout
 		c.timed.Store(true)
 	}
-	return c.TCPConn.SetReadDeadline(deadline.Add(timeout - serverTimeout))
+	return c.lingeringConn.SetReadDeadline(deadline.Add(timeout - serverTimeout))
 }
 
 // Read implements net.Conn.
@@ -119,7 +121,7 @@
 	// While a request is handled, the server reads a single byte to notice that the caller
 	// leaves.
 	if len(buffer) == 1 || c.isHTTP2.Load() {
-		return c.TCPConn.Read(buffer)
+		return c.lingeringConn.Read(buffer)
 	}
 	if c.handling.Load() {
 		return c.readBody(buffer)
@@ -130,7 +132,7 @@
 			return 0, err
 		}
 	}
-	n, err := c.TCPConn.Read(buffer)
+	n, err := c.lingeringConn.Read(buffer)
 	c.headBytes.Store(before + int64(n))
 	c.matchPreface(before, buffer[:n])
 	return n, err
@@ -154,7 +156,7 @@
 func (c *limitedConn) readBody(buffer []byte) (int, error) {
 	c.awaitsBody.Store(true)
 	defer c.awaitsBody.Store(false)
-	n, err := c.TCPConn.Read(buffer)
+	n, err := c.lingeringConn.Read(buffer)
 	c.bodyBytes.Add(int64(n))
 	return n, err
 }
@@ -167,7 +169,7 @@
 	}
 	limits := c.tracker.Limits()
 	if !c.timed.Swap(true) {
-		if err := c.TCPConn.SetReadDeadline(c.tracker.Clock.Now().Add(limits.HeaderTimeout)); err != nil {
+		if err := c.lingeringConn.SetReadDeadline(c.tracker.Clock.Now().Add(limits.HeaderTimeout)); err != nil {
 			return err
 		}
 	}
@@ -189,11 +191,8 @@
 // the server closes the connection without a response of its own.
 func (c *limitedConn) refuse(response string) error {
 	c.refused = true
-	now := c.tracker.Clock.Now()
-	_ = c.TCPConn.SetDeadline(now.Add(lingerTime))
-	if _, err := io.WriteString(c.TCPConn, response); err == nil && c.CloseWrite() == nil {
-		_, _ = io.CopyN(io.Discard, c.TCPConn, lingerBytes)
-	}
+	_ = c.SetWriteDeadline(c.tracker.Clock.Now().Add(refusalWriteTime))
+	_, _ = io.WriteString(c.TCPConn, response) // the connection is closed in any case
 	return closedError()
 }
 
--- a/pkg/connection/progress.go
+++ b/pkg/connection/progress.go
@@ -125,8 +125,10 @@
 // abortConn closes a connection, and discards what its caller has not received: the system would
 // keep that until it has. The caller holds mu.
 func (t *Tracker) abortConn(c *conn) {
-	if l, ok := c.netConn.(interface{ SetLinger(seconds int) error }); ok {
-		_ = l.SetLinger(0)
+	t.forget(c)
+	if a, ok := c.netConn.(interface{ abort() error }); ok {
+		_ = a.abort()
+		return
 	}
-	t.closeConn(c)
+	_ = c.netConn.Close()
 }
--- a/pkg/mesh/budgets.go
+++ b/pkg/mesh/budgets.go
@@ -180,7 +180,7 @@
 		held += budget.Used()
 	}
 	conns := n.callerConns.Counts()
-	n.budgets.onHeld(held + connBytes*int64(max(0, conns.Busy+conns.Idle+conns.Unused-ordinaryConns)))
+	n.budgets.onHeld(held + connBytes*int64(max(0, conns.Busy+conns.Idle+conns.Unused+conns.Lingering-ordinaryConns)))
 }
 
 // onBodyEvicted logs a request that was refused to make room for the body of another one.
--- a/pkg/mesh/drain.go
+++ b/pkg/mesh/drain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/plantainramp/plantainramp/pkg/clock"
@@ -141,13 +140,13 @@
 }
 
 // closeServers closes the servers once the responses that are being written are
-// complete, or the time for that is over.
+// complete and callers have received them, or the time for that is over.
 func (n *Node) closeServers(servers []*httpServer) {
 	ctx, cancel := context.WithTimeout(context.Background(), n.partOfGrace(closeFraction)-n.sinceStop())
 	defer cancel()
-	var closing []*http.Server
+	var closing []*connection.Tracker
 	for _, s := range servers {
-		closing = append(closing, s.server)
+		closing = append(closing, s.tracker)
 	}
 	connection.Shutdown(ctx, closing)
 }
--- a/pkg/mesh/gauges.go
+++ b/pkg/mesh/gauges.go
@@ -39,7 +39,7 @@
 	n.updateRetryGauges()
 	n.meter.Gauge("peers").Update(float64(n.peers.NodeCount() - 1))
 	conns := n.callerConns.Counts()
-	for state, count := range map[string]int{"busy": conns.Busy, "idle": conns.Idle, "unused": conns.Unused} {
+	for state, count := range map[string]int{"busy": conns.Busy, "idle": conns.Idle, "unused": conns.Unused, "lingering": conns.Lingering} {
 		n.meter.LabelledGauge("caller_connections", "state", state).Update(float64(count))
 	}
 	for source, bodies := range map[string]*memory.Budget{"callers": &n.callerBodies, "peers": &n.peerBodies} {
--- a/pkg/node/connections.go
+++ b/pkg/node/connections.go
@@ -96,7 +96,7 @@
 
 func (n *Node) updateGauges() {
 	conns := n.callersIntake.tracker.Counts()
-	for state, count := range map[string]int{"busy": conns.Busy, "idle": conns.Idle, "unused": conns.Unused} {
+	for state, count := range map[string]int{"busy": conns.Busy, "idle": conns.Idle, "unused": conns.Unused, "lingering": conns.Lingering} {
 		n.meter.LabelledGauge("caller_connections", "state", state).Update(float64(count))
 	}
 	n.meter.Gauge("caller_connections_shortage").Update(float64(conns.ShortageLevel))
--- a/pkg/node/run.go
+++ b/pkg/node/run.go
@@ -38,6 +38,7 @@
 	name       string
 	httpServer *http.Server
 	listener   net.Listener
+	tracker    *connection.Tracker
 	// intake is set for the servers that take calls.
 	intake *intake
 }
@@ -110,6 +111,7 @@
 		tracker.Track(s.httpServer)
 	}
 	n.boundHTTP2(s.httpServer)
+	s.tracker = tracker
 	s.listener = tracker.Bound(s.listener)
 }
 
--- a/pkg/node/stop.go
+++ b/pkg/node/stop.go
@@ -151,13 +151,13 @@
 }
 
 // shutDownServers closes all servers at the same time. It waits up to responseTimeout for
-// responses that are being written.
+// responses that are being written or received.
 func shutDownServers(servers []*server) {
 	ctx, cancel := context.WithTimeout(context.Background(), responseTimeout)
 	defer cancel()
-	var closing []*http.Server
+	var closing []*connection.Tracker
 	for _, s := range servers {
-		closing = append(closing, s.httpServer)
+		closing = append(closing, s.tracker)
 	}
 	connection.Shutdown(ctx, closing)
 }
