mesh: a restarted node asks its instance before the gate opens

Callers saw: an instance deregistered while the store was down, its node acknowledged that as three peers had noted it, and all nodes were killed.

Cause: a started process took "the directory's topic has no record of a departure" for "it has not departed". The topic lacks each departure that the store did not take before the processes ended that knew it. Ruled out: a late heartbeat taken for a new one by its sequence (the process has seen no other), a read of the topic that is too old (the first one is sent to the store by the process itself).

Change: after a start the gate opens only once the instance has answered a health check of this process, sent at its first heartbeat, or a heartbeat arrives 10 s or more after the start, which cannot be older than the process. The first start of a fleet needs neither. A departure on record binds in any case. The departure of an instance without a health check is acknowledged only once it is on record: what peers have noted is not enough there. The confirmation moves to a file of its own, and two loops share a wake signal.

--- a/pkg/directory/departure.go
+++ b/pkg/directory/departure.go
@@ -167,8 +167,8 @@
 }
 
 // HasDeparted reports whether an incarnation of the local instance has announced its
-// shutdown, to this process or to an earlier one. It is known once the topic has been read.
-func (d *Directory) HasDeparted(i fleet.Incarnation) (departed, known bool) {
+// shutdown, as far as the topic and this process know, and whether the topic has been read.
+func (d *Directory) HasDeparted(i fleet.Incarnation) (departed, read bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	departed = d.departures.has(d.Self, i)
--- a/pkg/mesh/coldcheck.go
+++ b/pkg/mesh/coldcheck.go
@@ -36,7 +36,7 @@
 // coldChecks starts the health checks of an instance that may be cold.
 type coldChecks struct {
 	// wake holds a value if a check was requested since the last one began.
-	wake chan struct{}
+	wake wakeSignal
 	// logged is the state that was last logged, and loggedPace the rate; only runChecks uses
 	// them.
 	logged, loggedOnce bool
@@ -55,17 +55,12 @@
 }
 
 // request asks for a health check. It does not wait.
-func (c *coldChecks) request() {
-	select {
-	case c.wake <- struct{}{}:
-	default:
-	}
-}
+func (c *coldChecks) request() { c.wake.send() }
 
 // limitColdCalls sets the limit of the gate for a cold instance. It must be called before the
 // gate is prepared.
 func (n *Node) limitColdCalls() {
-	n.coldChecks.wake = make(chan struct{}, 1)
+	n.coldChecks.wake = newWakeSignal()
 	n.gate.ColdRate, n.gate.OnColdUnknown = n.coldRate, n.coldChecks.request
 	n.gate.SlowStart = n.settings.SlowStart
 	n.gate.ColdBound = gate.ColdBound{Overage: n.settings.ColdOverage, Slack: n.settings.ColdSlack}
@@ -107,7 +102,7 @@
 		if cold, _ := n.gate.Cold(); !cold {
 			next = nextIfWarm
 		}
-		var wake <-chan struct{}
+		var wake wakeSignal
 		if !sent {
 			wake = n.coldChecks.wake
 		}
--- a/pkg/mesh/config.go
+++ b/pkg/mesh/config.go
@@ -41,6 +41,7 @@
 			continue
 		}
 		n.activate(view)
+		n.checkDepartures()
 		n.configLogger.WithField("version", view.Version).WithField("organisations", len(view.Organisations)).Info("configuration in force")
 	}
 }
--- a/pkg/mesh/departure.go
+++ b/pkg/mesh/departure.go
@@ -23,8 +23,8 @@
 	departurePeers = 3
 )
 
-// DepartureError reports that the departure of the local instance is known to this process
-// only, so that it must not be acknowledged: a restart of the node would forget it.
+// DepartureError reports that the departure of the local instance is not recorded, so that it
+// must not be acknowledged: a restart of the node would forget it.
 type DepartureError struct {
 	Incarnation fleet.Incarnation
 	// Cause is the error of the write to the store.
@@ -33,7 +33,7 @@
 
 // Error implements error.
 func (e *DepartureError) Error() string {
-	return fmt.Sprintf("the departure of instance %s is recorded nowhere yet: %v", e.Incarnation.Instance, e.Cause)
+	return fmt.Sprintf("the departure of instance %s is not recorded yet: %v", e.Incarnation.Instance, e.Cause)
 }
 
 // Unwrap returns the cause.
@@ -46,6 +46,7 @@
 		logs.WithComponent(n.logger, logs.ComponentMember).WithField("id", h.Instance).WithField("sequence", h.Sequence).Info("heartbeat ignored: it is stale or of another service")
 		return nil
 	}
+	n.healthChecks.wake.send()
 	if h.Draining {
 		return n.recordDeparture(ctx, h.incarnation())
 	}
@@ -63,6 +64,12 @@
 	return n.recordDeparture(ctx, i)
 }
 
+// checkDepartures applies what may have become known of departures of the local instance.
+func (n *Node) checkDepartures() {
+	n.heartbeats.CheckDepartures()
+	n.healthChecks.wake.send()
+}
+
 // onLeaving closes the gate of an instance that says in a response that it leaves.
 func (n *Node) onLeaving(a instance.Announcement) {
 	if n.heartbeats.HandleLeaving(fleet.InstanceName(a.Instance), a.Sent) {
@@ -72,8 +79,8 @@
 }
 
 // recordDeparture makes a departure of the local instance outlast this process: in the
-// store, or at peers if the store does not take it in time. It returns *DepartureError if
-// neither has it.
+// store, or, where mayRelyOnPeers, at peers if the store does not take it in time. It returns
+// *DepartureError if that failed.
 func (n *Node) recordDeparture(ctx context.Context, i fleet.Incarnation) error {
 	logger := logs.WithComponent(n.logger, logs.ComponentMember).WithField("id", i.Instance).WithField("startUnixMs", i.StartUnixMs)
 	writeCtx, cancel := context.WithTimeout(ctx, departureWriteTimeout)
@@ -83,7 +90,7 @@
 		logger.Info("departure recorded")
 		return nil
 	}
-	if told := n.tellDeparture(ctx, i); told > 0 {
+	if told := n.tellDeparture(ctx, i); told > 0 && n.mayRelyOnPeers() {
 		logger.WithError(err).WithField("peers", told).Warn("departure recorded at peers only")
 		return nil
 	}
@@ -121,13 +128,32 @@
 		return
 	}
 	n.peers.NoteLeaving(load)
-	n.directory.NoteDeparture(directory.NodeAddress(status.Node), fleet.Incarnation{
-		Instance: fleet.InstanceName(load.LeavingInstance), StartUnixMs: load.LeavingStartUnixMs,
-	})
+	n.directory.NoteDeparture(directory.NodeAddress(status.Node), leavingOf(load))
+}
+
+// leavingOf returns the incarnation that leaves by the word of its node.
+func leavingOf(load *linkrpc.Load) fleet.Incarnation {
+	return fleet.Incarnation{Instance: fleet.InstanceName(load.LeavingInstance), StartUnixMs: load.LeavingStartUnixMs}
 }
 
 // hasDeparted reports whether the local instance has announced its shutdown, also to an
-// earlier process of the node, and whether that is known.
+// earlier process of the node, and whether that is known for certain.
 func (n *Node) hasDeparted(i fleet.Incarnation) (departed, known bool) {
-	return n.directory.HasDeparted(i)
+	departed, read := n.directory.HasDeparted(i)
+	return departed, departed || read && n.topicHoldsAllDepartures()
+}
+
+// topicHoldsAllDepartures reports whether each departure that an earlier process of the node
+// has acknowledged is in the directory's topic. One that only peers have noted is in none once
+// they restart, too.
+func (n *Node) topicHoldsAllDepartures() bool {
+	path, known := n.healthPath()
+	return n.settings.FirstStart || known && path == ""
+}
+
+// mayRelyOnPeers reports whether a departure may be acknowledged that only peers have noted:
+// the next process of the node asks the instance itself.
+func (n *Node) mayRelyOnPeers() bool {
+	path, known := n.healthPath()
+	return known && path != ""
 }
--- a/pkg/mesh/evacuation.go
+++ b/pkg/mesh/evacuation.go
@@ -139,6 +139,7 @@
 	}
 	if slices.Contains(change.TakenBack, n.settings.DataCentre) {
 		n.gate.AssumeCold()
+		n.healthChecks.wake.send()
 	}
 	if n.gate.SetSuspended(n.suspended()) {
 		n.publishEntry()
--- a/pkg/mesh/heartbeat.go
+++ b/pkg/mesh/heartbeat.go
@@ -45,9 +45,11 @@
 	Clock    clock.Clock
 	Service  fleet.ServiceName
 	Interval time.Duration
+	// StartedAt is when this process started. It is zero if that is not known.
+	StartedAt time.Time
 	// HasDeparted reports whether an incarnation has announced its shutdown to an earlier
-	// process of this node, and whether that is known; nil means that there was none. It is
-	// called with mu held and must not call methods of the tracker.
+	// process of this node, and whether that is known for certain; nil means that there was no
+	// earlier process. It is called with mu held and must not call methods of the tracker.
 	HasDeparted func(i fleet.Incarnation) (departed, known bool)
 	// OnChange is called with each new state, before the heartbeat that caused it is
 	// acknowledged.
@@ -159,22 +161,6 @@
 	})
 }
 
-// confirm reports whether it is known whether the current incarnation has departed, and
-// notes the answer. The caller holds mu.
-func (t *HeartbeatTracker) confirm() bool {
-	if t.confirmed == t.current || t.HasDeparted == nil {
-		return true
-	}
-	departed, known := t.HasDeparted(t.current)
-	switch {
-	case departed:
-		t.markDeparted(t.current)
-	case known:
-		t.confirmed = t.current
-	}
-	return known
-}
-
 func (t *HeartbeatTracker) markDeparted(i fleet.Incarnation) {
 	if t.departed == nil {
 		t.departed = map[fleet.Incarnation]bool{}
@@ -182,46 +168,6 @@
 	t.departed[i] = true
 }
 
-// CheckDepartures applies what has become known of departures: it opens the gate of an
-// instance that was not confirmed, and closes that of one that has departed.
-func (t *HeartbeatTracker) CheckDepartures() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.HasDeparted == nil || t.current.Instance == "" || t.departed[t.current] {
-		return
-	}
-	if departed, _ := t.HasDeparted(t.current); departed {
-		t.closeForGood()
-		return
-	}
-	if t.confirmed != t.current && t.silence() <= maxMissedHeartbeats*t.Interval {
-		t.update()
-	}
-}
-
-// Unconfirmed returns the current incarnation and since when it has sent heartbeats, if it
-// is not known whether it has departed.
-func (t *HeartbeatTracker) Unconfirmed() (i fleet.Incarnation, since time.Time, unconfirmed bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	unconfirmed = t.current.Instance != "" && t.confirmed != t.current && !t.departed[t.current]
-	return t.current, t.currentSince, unconfirmed
-}
-
-// Confirm opens the gate of the current incarnation if it is i, which has said to this
-// process that it does not leave.
-func (t *HeartbeatTracker) Confirm(i fleet.Incarnation) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if i != t.current || t.departed[i] {
-		return
-	}
-	t.confirmed = i
-	if t.silence() <= maxMissedHeartbeats*t.Interval {
-		t.update()
-	}
-}
-
 // silence returns how long this node has run without a heartbeat. The caller holds mu.
 func (t *HeartbeatTracker) silence() time.Duration {
 	return t.Clock.Now().Sub(t.lastHeartbeat) - t.stoodStill
--- a/pkg/mesh/heartbeat_test.go
+++ b/pkg/mesh/heartbeat_test.go
@@ -235,6 +235,40 @@
 	})
 }
 
+// The directory tells nothing for certain, and the instance fails its health checks. Guards against
+// a gate that opens for a heartbeat that may have been sent before the process started, and against
+// one that stays closed for an instance that goes on sending them.
+func TestHeartbeatsThatCannotBeOlderThanTheProcessOpenTheGate(t *testing.T) {
+	is := is.New(t)
+	tracker, fake, last := newTracker()
+	tracker.StartedAt = fake.Now()
+	tracker.HasDeparted = func(fleet.Incarnation) (bool, bool) { return false, false }
+	fake.Advance(maxHeartbeatDelay - 1)
+	tracker.HandleHeartbeat(heartbeat("i-1", 10, 3, false))
+	fake.Advance(time.Second)
+	tracker.CheckDepartures()
+	is.True(!last.Open)
+	tracker.HandleHeartbeat(heartbeat("i-1", 10, 4, false))
+	is.True(last.Open)
+	tracker.HandleHeartbeat(heartbeat("i-2", 20, 1, false))
+	is.True(last.Open)
+	is.Equal(last.ID, fleet.InstanceName("i-2"))
+	_, _, unconfirmed := tracker.Unconfirmed()
+	is.True(!unconfirmed)
+}
+
+// A departure is on record when a heartbeat arrives that cannot be older than the process. Guards
+// against one that counts more than the record.
+func TestRecordedDepartureBindsWhateverHeartbeatsSay(t *testing.T) {
+	is := is.New(t)
+	tracker, fake, last := newTracker()
+	tracker.StartedAt = fake.Now()
+	tracker.HasDeparted = func(fleet.Incarnation) (bool, bool) { return true, true }
+	fake.Advance(2 * maxHeartbeatDelay)
+	tracker.HandleHeartbeat(heartbeat("i-1", 10, 3, false))
+	is.True(!last.Open && last.Leaving)
+}
+
 // Heartbeats are late or out of order. Guards against one of an earlier start, or an older one
 // of the same start, that says how long the instance stays cold.
 func TestOnlyNewerHeartbeatsSayHowLongTheInstanceStaysCold(t *testing.T) {
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -151,15 +151,16 @@
 	// older one are not applied last.
 	limitsMu sync.Mutex
 	// homes holds the nodes that pool tokens, or nil before they were first looked for.
-	homes      atomic.Pointer[tokenHomes]
-	entrance   *entrance.Entrance
-	links      *link.Server
-	demand     *demand.Monitor
-	executions executionCounter
-	processor  processor.Monitor
-	coldChecks coldChecks
-	reports    reportBuffer
-	statuses   statusFilter
+	homes        atomic.Pointer[tokenHomes]
+	entrance     *entrance.Entrance
+	links        *link.Server
+	demand       *demand.Monitor
+	executions   executionCounter
+	processor    processor.Monitor
+	coldChecks   coldChecks
+	healthChecks healthChecks
+	reports      reportBuffer
+	statuses     statusFilter
 	// outliers holds the instances that got probe traffic only at the last tick; only
 	// runPlanner uses it.
 	outliers map[fleet.Incarnation]bool
@@ -207,7 +208,8 @@
 	n.limitColdCalls()
 	n.gate.Init()
 	n.initEvacuations()
-	n.heartbeats = &HeartbeatTracker{Clock: n.clock, Service: n.settings.Service, Interval: n.settings.HeartbeatInterval, HasDeparted: n.hasDeparted, OnChange: n.onInstanceChange, OnCold: n.gate.HandleColdHeartbeat}
+	n.healthChecks.wake = newWakeSignal()
+	n.heartbeats = &HeartbeatTracker{Clock: n.clock, Service: n.settings.Service, Interval: n.settings.HeartbeatInterval, StartedAt: n.clock.Now(), HasDeparted: n.hasDeparted, OnChange: n.onInstanceChange, OnCold: n.gate.HandleColdHeartbeat}
 }
 
 func (n *Node) makeDirectory() {
@@ -259,7 +261,7 @@
 // instance.
 func (n *Node) applyDirectory(records []topic.Record, full bool) {
 	n.directory.Apply(records, full)
-	n.heartbeats.CheckDepartures()
+	n.checkDepartures()
 }
 
 func (n *Node) onDirectoryChange(s *directory.Snapshot) {
--- a/pkg/mesh/settings.go
+++ b/pkg/mesh/settings.go
@@ -35,7 +35,7 @@
 	// Regions holds the region of each data centre that is in one.
 	Regions map[fleet.DataCentre]fleet.Region
 	// FirstStart reports that the whole fleet starts for the first time, so that no
-	// tokens of the rate limits have been spent.
+	// tokens of the rate limits have been spent, and no instance has departed.
 	FirstStart bool
 
 	// CallerAddress is the listen address for clients and the calls of the local
