directory: peers on which an acknowledgement relies record the departure

Change: a peer that is told of a departure by its own message writes it 1 to 1.5 s later, unless the topic holds it, while it reads the topic: a record that it has not seen could be later. A round of writes ends at the first that fails.

--- a/pkg/directory/departure.go
+++ b/pkg/directory/departure.go
@@ -87,12 +87,19 @@
 	}
 }
 
+// keep makes this node write a departure from writeAt on, if the topic lacks it then and no other
+// time is set.
+func (s *departures) keep(node NodeAddress, i fleet.Incarnation, writeAt time.Time) {
+	if at, unwritten := s.unwritten[node]; unwritten && at.IsZero() && s.has(node, i) {
+		s.unwritten[node] = writeAt
+	}
+}
+
 // contradict makes this node write a departure that the topic lacks if the entry of the
 // node says that its instance accepts calls: the node has restarted and has forgotten.
 func (s *departures) contradict(e Entry, now time.Time) {
-	writeAt, unwritten := s.unwritten[e.Node]
-	if e.Open && unwritten && writeAt.IsZero() && s.has(e.Node, e.Incarnation()) {
-		s.unwritten[e.Node] = now.Add(rand.N(maxWriteDelay))
+	if e.Open {
+		s.keep(e.Node, e.Incarnation(), now.Add(rand.N(maxWriteDelay)))
 	}
 }
 
@@ -166,6 +173,14 @@
 	}
 }
 
+// KeepDeparture makes this node write a departure that NoteDeparture has noted, unless the
+// topic holds it within a write of the peer itself: its process may have ended before.
+func (d *Directory) KeepDeparture(node NodeAddress, i fleet.Incarnation) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.departures.keep(node, i, d.Clock.Now().Add(writeTimeout+rand.N(maxWriteDelay)))
+}
+
 // HasDeparted reports whether an incarnation of the local instance has announced its
 // shutdown, as far as the topic and this process know, and whether the topic has been read.
 func (d *Directory) HasDeparted(i fleet.Incarnation) (departed, read bool) {
@@ -180,10 +195,17 @@
 	d.mu.Lock()
 	due := d.departures.due(d.Clock.Now())
 	d.mu.Unlock()
+	upToDate := d.UpToDate == nil || d.UpToDate()
 	for node, i := range due {
-		ctx, cancel := context.WithTimeout(ctx, writeTimeout)
-		_ = d.writeDeparture(ctx, node, i) // logged, and still due
+		if node != d.Self && !upToDate {
+			continue
+		}
+		writeCtx, cancel := context.WithTimeout(ctx, writeTimeout)
+		err := d.writeDeparture(writeCtx, node, i)
 		cancel()
+		if err != nil {
+			return // logged; the store would not take the others either, which stay due
+		}
 	}
 }
 
--- a/pkg/directory/departure_test.go
+++ b/pkg/directory/departure_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -177,6 +178,38 @@
 	})
 }
 
+// A node relies on this one to record the departure of its instance. Guards against a record that
+// waits for the node to say otherwise, that is written while a later one may be in the topic, or
+// that is written again once the topic holds it.
+func TestKeptDepartureIsWritten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &storedTopic{}
+		d := newDirectoryOn(store, "self")
+		var upToDate atomic.Bool
+		d.UpToDate = upToDate.Load
+		runDirectory(t, d, func() {
+			d.NoteDeparture("a", firstLife)
+			d.KeepDeparture("a", firstLife)
+			time.Sleep(5 * time.Second)
+			is.Equal(store.writeCount(), 0)
+			upToDate.Store(true)
+			time.Sleep(2 * recheckInterval)
+			is.Equal(store.writeCount(), 1)
+			d.KeepDeparture("a", firstLife)
+			d.NoteDeparture("b", firstLife)
+			d.KeepDeparture("b", firstLife)
+			d.Apply([]topic.Record{{Key: departureKeyPrefix + "b", Value: []byte(`{"instance":"i-1","startUnixMs":10}`)}}, false)
+			time.Sleep(5 * time.Second)
+			is.Equal(store.writeCount(), 1)
+		})
+		restarted := newDirectoryOn(store, "a")
+		restarted.Apply(store.records(), true)
+		departed, _ := restarted.HasDeparted(firstLife)
+		is.True(departed)
+	})
+}
+
 // Guards against records of another writer that spoil the departures.
 func TestUnreadableDeparturesAreIgnored(t *testing.T) {
 	is := is.New(t)
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -79,6 +79,9 @@
 	// Connected reports whether a node answers on the link to it; nil means that none
 	// does. It is called with mu held and must not call methods of the Directory.
 	Connected func(node NodeAddress) bool
+	// UpToDate reports whether the topic has been read lately; nil means that it has. The
+	// departures of other nodes are written only then: the topic may hold a later one.
+	UpToDate func() bool
 	// OnChange receives each new snapshot; nil is allowed. It is called with mu held
 	// and must not call methods of the Directory other than Snapshot.
 	OnChange func(*Snapshot)
--- a/pkg/mesh/departure.go
+++ b/pkg/mesh/departure.go
@@ -64,6 +64,13 @@
 	return n.recordDeparture(ctx, i)
 }
 
+// directoryUpToDate reports whether the directory's topic was read within the time that one read
+// may take.
+func (n *Node) directoryUpToDate() bool {
+	age, known := n.directoryFollower.Age()
+	return known && age < directoryPollWait+pollMargin
+}
+
 // checkDepartures applies what may have become known of departures of the local instance.
 func (n *Node) checkDepartures() {
 	n.heartbeats.CheckDepartures()
@@ -131,6 +138,15 @@
 	n.directory.NoteDeparture(directory.NodeAddress(status.Node), leavingOf(load))
 }
 
+// keepDeparture notes that the instance of a peer leaves, which relies on this node to record
+// that.
+func (n *Node) keepDeparture(status *linkrpc.Status) {
+	n.noteDeparture(status)
+	if load := status.GetLoad(); load.GetLeavingInstance() != "" {
+		n.directory.KeepDeparture(directory.NodeAddress(status.Node), leavingOf(load))
+	}
+}
+
 // leavingOf returns the incarnation that leaves by the word of its node.
 func leavingOf(load *linkrpc.Load) fleet.Incarnation {
 	return fleet.Incarnation{Instance: fleet.InstanceName(load.LeavingInstance), StartUnixMs: load.LeavingStartUnixMs}
--- a/pkg/mesh/node.go
+++ b/pkg/mesh/node.go
@@ -219,7 +219,7 @@
 		Excluded: n.evacuations.Has, Replies: &n.budgets.incoming,
 	}
 	n.directory = &directory.Directory{
-		Self: self, Clock: n.clock, Logger: logs.WithComponent(n.logger, logs.ComponentMember), Put: n.platform.PutEntry, Connected: n.peers.Connected, OnChange: n.onDirectoryChange,
+		Self: self, Clock: n.clock, Logger: logs.WithComponent(n.logger, logs.ComponentMember), Put: n.platform.PutEntry, Connected: n.peers.Connected, UpToDate: n.directoryUpToDate, OnChange: n.onDirectoryChange,
 	}
 	n.directory.Init()
 	n.directoryFollower = &topic.Follower{
--- a/pkg/mesh/peerrequest.go
+++ b/pkg/mesh/peerrequest.go
@@ -55,7 +55,7 @@
 			n.logUnreadable("departure", err)
 			return nil
 		}
-		n.noteDeparture(status)
+		n.keepDeparture(status)
 		return &linkrpc.Status{}
 	case link.KindTokenRequest:
 		if ctx.Err() != nil {
