mesh: an instance whose clock was set back is used

Cause: a heartbeat of another incarnation with a lower start time was taken for a late one of an earlier life for good.

Change: it counts once the incarnation with the higher start time has been silent for three intervals. Departed incarnations never count.

Evidence: TestInstanceThatStartsAfterItsClockWasSetBackIsUsed failed without the change and passes with it; the tests of pkg/mesh pass.

Result: such an instance is used three intervals after the last heartbeat of the life before.

--- a/pkg/mesh/confirmation.go
+++ b/pkg/mesh/confirmation.go
@@ -50,7 +50,7 @@
 		t.closeForGood()
 		return
 	}
-	if t.confirmed != t.current && t.silence() <= maxMissedHeartbeats*t.Interval {
+	if t.confirmed != t.current && !t.isSilent() {
 		t.update()
 	}
 }
@@ -73,7 +73,7 @@
 		return
 	}
 	t.confirmed = i
-	if t.silence() <= maxMissedHeartbeats*t.Interval {
+	if !t.isSilent() {
 		t.update()
 	}
 }
--- a/pkg/mesh/heartbeat.go
+++ b/pkg/mesh/heartbeat.go
@@ -140,12 +140,17 @@
 	return d.Instance == i.Instance && (unknown || i.StartUnixMs <= d.StartUnixMs)
 }
 
-// isNewer reports whether a heartbeat supersedes the last one applied.
+// isNewer reports whether a heartbeat supersedes the last one applied. One of another incarnation
+// that started earlier may be late, but the clock of the machine may have been set back, too:
+// then the incarnation that started later falls silent.
 func (t *HeartbeatTracker) isNewer(sender fleet.Incarnation, sequence uint64) bool {
-	if sender == t.current {
+	switch {
+	case sender == t.current:
 		return sequence > t.lastSequence
+	case t.departed[sender]:
+		return false
 	}
-	return sender.StartUnixMs >= t.current.StartUnixMs && !t.departed[sender]
+	return sender.StartUnixMs >= t.current.StartUnixMs || t.isSilent()
 }
 
 // update sets the state of the current incarnation. While it may have departed, nothing is
@@ -168,9 +173,10 @@
 	t.departed[i] = true
 }
 
-// silence returns how long this node has run without a heartbeat. The caller holds mu.
-func (t *HeartbeatTracker) silence() time.Duration {
-	return t.Clock.Now().Sub(t.lastHeartbeat) - t.stoodStill
+// isSilent reports whether this node has run for more than maxMissedHeartbeats intervals without a
+// heartbeat. The caller holds mu.
+func (t *HeartbeatTracker) isSilent() bool {
+	return t.Clock.Now().Sub(t.lastHeartbeat)-t.stoodStill > maxMissedHeartbeats*t.Interval
 }
 
 // HandleDeregistration closes the gate of an instance that has announced its shutdown, and
@@ -221,7 +227,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.countPause(t.Clock.Now())
-	if t.silence() > maxMissedHeartbeats*t.Interval {
+	if t.isSilent() {
 		t.closeUntilHeartbeat()
 	}
 }
--- a/pkg/mesh/heartbeat_test.go
+++ b/pkg/mesh/heartbeat_test.go
@@ -235,6 +235,25 @@
 	})
 }
 
+// The clock of the machine is set back, and the instance starts again, so that its start time is
+// lower than before. Guards against a new instance that is taken for a late word of an earlier
+// one until the node restarts, and against a late word that counts while the later one lives.
+func TestInstanceThatStartsAfterItsClockWasSetBackIsUsed(t *testing.T) {
+	is := is.New(t)
+	tracker, fake, last := newTracker()
+	tracker.HandleHeartbeat(heartbeat("i-2", 20, 7, false))
+	fake.Advance(maxMissedHeartbeats * tracker.Interval)
+	is.True(!tracker.HandleHeartbeat(heartbeat("i-1", 10, 1, false)))
+	is.Equal(last.ID, fleet.InstanceName("i-2"))
+	fake.Advance(1)
+	is.True(tracker.HandleHeartbeat(heartbeat("i-1", 10, 2, false)))
+	is.Equal(last.ID, fleet.InstanceName("i-1"))
+	is.True(last.Open)
+	is.True(tracker.HandleHeartbeat(heartbeat("i-1", 10, 3, false)))
+	is.True(tracker.HandleHeartbeat(heartbeat("i-2", 20, 8, false)))
+	is.Equal(last.ID, fleet.InstanceName("i-2"))
+}
+
 // The directory tells nothing for certain, and the instance fails its health checks. Guards against
 // a gate that opens for a heartbeat that may have been sent before the process started, and against
 // one that stays closed for an instance that goes on sending them.
