--- a/pkg/mesh/healthcheck.go
+++ b/pkg/mesh/healthcheck.go
@@ -20,19 +20,6 @@
 	healthCheckTimeout  = 700 * time.Millisecond
 )
 
-// wakeSignal wakes a loop. Signals that the loop has not taken yet count as one.
-type wakeSignal chan struct{}
-
-func newWakeSignal() wakeSignal { return make(wakeSignal, 1) }
-
-// send wakes the loop. It does not wait.
-func (s wakeSignal) send() {
-	select {
-	case s <- struct{}{}:
-	default:
-	}
-}
-
 // healthChecks holds the state of the checks whether the instance leaves.
 type healthChecks struct {
 	// wake ends the wait for the next check: the answer may be needed or possible now.
