connection: the close of a caller that has sent ahead is noticed

Cause: net/http notices a close by reading one byte while a request is handled. A byte of a request that is sent ahead ends that, and the close behind it was noticed before the next placement only.

Change: from that byte on the connection is looked at every 0.1 s, with the poll that the placements use, until no request is handled; a close ends the contexts of the requests on the connection.

--- a/pkg/connection/connection.go
+++ b/pkg/connection/connection.go
@@ -106,6 +106,8 @@
 	// written. It is not updated while the connection is busy.
 	waitingSince time.Time
 	use          Use
+	// cancel ends the contexts of the requests on the connection. It is not changed.
+	cancel context.CancelFunc
 	// idle, unused and reading are the elements in the lists of Tracker, or nil.
 	idle, unused, reading *list.Element
 	// readingSince is when the connection was added to Tracker.reading.
@@ -161,7 +163,8 @@
 }
 
 func (t *Tracker) accept(ctx context.Context, netConn net.Conn) context.Context {
-	c := &conn{netConn: netConn, raw: rawConn(netConn), waitingSince: t.Clock.Now()}
+	ctx, cancel := context.WithCancel(ctx)
+	c := &conn{netConn: netConn, raw: rawConn(netConn), cancel: cancel, waitingSince: t.Clock.Now()}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.conns[netConn] = c
@@ -279,6 +282,7 @@
 			t.leaveLists(c)
 			t.releaseHead(c)
 			delete(t.conns, netConn)
+			c.cancel()
 			if c.closed {
 				t.closing--
 			}
--- a/pkg/connection/limited.go
+++ b/pkg/connection/limited.go
@@ -72,6 +72,8 @@
 	// number of bytes of bodies that were read.
 	awaitsBody atomic.Bool
 	bodyBytes  atomic.Int64
+	// watched reports whether watchPeer runs.
+	watched atomic.Bool
 	// refused reports whether the head was refused. The server may read again after an error.
 	refused bool
 	// prefaceBytes is the number of bytes of http2Preface that the connection began with, and
@@ -118,11 +120,18 @@
 
 // Read implements net.Conn.
 func (c *limitedConn) Read(buffer []byte) (int, error) {
-	// While a request is handled, the server reads a single byte to notice that the caller
-	// leaves.
-	if len(buffer) == 1 || c.isHTTP2.Load() {
+	if c.isHTTP2.Load() {
 		return c.lingeringConn.Read(buffer)
 	}
+	// While a request is handled, the server reads a single byte to notice that the caller
+	// leaves. It reads no further one.
+	if len(buffer) == 1 {
+		n, err := c.lingeringConn.Read(buffer)
+		if n > 0 && c.handling.Load() && c.watched.CompareAndSwap(false, true) {
+			go c.watchPeer()
+		}
+		return n, err
+	}
 	if c.handling.Load() {
 		return c.readBody(buffer)
 	}
--- a/pkg/connection/peerclosed.go
+++ b/pkg/connection/peerclosed.go
@@ -4,10 +4,16 @@
 	"context"
 	"net"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/plantainramp/plantainramp/pkg/clock"
 )
 
+// peerCheckInterval is the time between two looks whether a caller has closed its connection.
+const peerCheckInterval = 100 * time.Millisecond
+
 // PeerClosed reports whether the caller has closed the connection on which the request
 // with this context was read, or its sending direction. It asks the kernel, so it knows of a
 // close that the server has not read yet, also behind unread data. It returns false for
@@ -17,6 +23,20 @@
 	return tracked && c.raw != nil && isPeerClosed(c.raw)
 }
 
+// watchPeer ends the contexts of the requests on the connection once the caller closes it, until no
+// request is handled. The server does not notice that behind a request that the caller has sent
+// ahead.
+func (c *limitedConn) watchPeer() {
+	defer c.watched.Store(false)
+	for c.handling.Load() && !c.closing.Load() {
+		if isPeerClosed(c.raw) {
+			c.conn.cancel()
+			return
+		}
+		_ = clock.Sleep(context.Background(), c.clock, peerCheckInterval)
+	}
+}
+
 func isPeerClosed(raw syscall.RawConn) bool {
 	closed := false
 	// Read would wait for the read that the server has in progress; Control does not.
