connection: lingering connections are looked at less and less often

Cause: each lingering connection was polled every 25 ms for up to 5 s, so that a crowd of a thousand whose callers read nothing would cost 40,000 looks a second.

Change: the time between two looks grows with the time so far, up to the end of the wait; the list keeps the element in the connection, and its type has a name of its own.

Result: some fifteen looks in 5 s instead of 200; TestLingerState checks the times. The tests of pkg/connection pass, three times for those of linger.go, and under the race detector."

--- a/pkg/connection/bound.go
+++ b/pkg/connection/bound.go
@@ -135,9 +135,9 @@
 }
 
 // closeWorst closes the connection that is worth least. Those that linger carry no request any
-// more. At first idle ones go before those of slow
-// callers, which lose a response. In a lasting shortage it is the other way round: idle ones are
-// then those of callers that have taken their responses. The caller holds mu.
+// more. At first idle ones go before those of slow callers, which lose a response. In a lasting
+// shortage it is the other way round: idle ones are then those of callers that have taken their
+// responses. The caller holds mu.
 func (t *Tracker) closeWorst(now time.Time) bool {
 	if t.closeUnused(now) || t.lingering.closeOldest() {
 		return true
--- a/pkg/connection/connection.go
+++ b/pkg/connection/connection.go
@@ -56,7 +56,7 @@
 	server *http.Server
 	// lingering holds the closed connections whose callers may not have received all that was
 	// sent.
-	lingering lingering
+	lingering lingeringConns
 
 	// mu guards the fields below and those of the values of conns.
 	mu    sync.Mutex
@@ -304,7 +304,7 @@
 	if t.server.Shutdown(ctx) != nil {
 		_ = t.server.Close()
 	}
-	for t.lingering.count() > 0 && clock.Sleep(ctx, t.Clock, lingerPollInterval) == nil {
+	for t.lingering.count() > 0 && clock.Sleep(ctx, t.Clock, shutdownPollInterval) == nil {
 		continue
 	}
 }
--- a/pkg/connection/linger.go
+++ b/pkg/connection/linger.go
@@ -22,10 +22,15 @@
 	// lingerBytes is how much is read from a connection meanwhile. Then the window of the
 	// caller fills up.
 	lingerBytes = 256 << 10
-	// lingerBufferBytes is the size of one read, and lingerPollInterval the time between two
-	// looks at what has been confirmed.
-	lingerBufferBytes  = 4 << 10
-	lingerPollInterval = 25 * time.Millisecond
+	// lingerBufferBytes is the size of one read.
+	lingerBufferBytes = 4 << 10
+	// minLingerPoll is the least time between two looks at what has been confirmed, and
+	// lingerPollFraction that time as a fraction of the time so far, so that a crowd of
+	// connections that linger costs little.
+	minLingerPoll      = 25 * time.Millisecond
+	lingerPollFraction = 0.5
+	// shutdownPollInterval is the time between two looks whether connections still linger.
+	shutdownPollInterval = 10 * time.Millisecond
 )
 
 // longAgo is a deadline that ends a read in progress.
@@ -38,8 +43,9 @@
 	*net.TCPConn
 	raw   syscall.RawConn
 	clock clock.Clock
-	// others holds the connection while it lingers.
-	others *lingering
+	// lingering holds the connection while it lingers, at the given element.
+	lingering *lingeringConns
+	element   *list.Element
 	// closing reports whether Close or abort was called. The server cannot read then.
 	closing atomic.Bool
 	// mu guards changes of closing and of the read deadline.
@@ -48,9 +54,8 @@
 	reading sync.Mutex
 }
 
-// newLingeringConn returns a connection that is one of others when it lingers.
-func newLingeringConn(conn *net.TCPConn, c clock.Clock, others *lingering) *lingeringConn {
-	return &lingeringConn{TCPConn: conn, raw: rawConn(conn), clock: c, others: others}
+func newLingeringConn(conn *net.TCPConn, c clock.Clock, lingering *lingeringConns) *lingeringConn {
+	return &lingeringConn{TCPConn: conn, raw: rawConn(conn), clock: c, lingering: lingering}
 }
 
 // Read implements net.Conn.
@@ -97,7 +102,7 @@
 	if err := c.CloseWrite(); err != nil {
 		return c.TCPConn.Close()
 	}
-	c.others.add(c)
+	c.lingering.add(c)
 	go c.linger()
 	return nil
 }
@@ -128,7 +133,7 @@
 	// The server's read in progress ends first.
 	c.reading.Lock()
 	defer c.reading.Unlock()
-	defer c.others.remove(c)
+	defer c.lingering.remove(c)
 	defer func() { _ = c.TCPConn.Close() }()
 	state := lingerState{began: c.clock.Now()}
 	buffer := make([]byte, lingerBufferBytes)
@@ -139,10 +144,10 @@
 			return
 		}
 		if !state.reads() {
-			_ = clock.Sleep(context.Background(), c.clock, lingerPollInterval)
+			_ = clock.Sleep(context.Background(), c.clock, state.nextPoll(now))
 			continue
 		}
-		_ = c.TCPConn.SetReadDeadline(now.Add(lingerPollInterval))
+		_ = c.TCPConn.SetReadDeadline(now.Add(state.nextPoll(now)))
 		n, err := c.TCPConn.Read(buffer)
 		state.discarded += n
 		if err != nil && !isTimeout(err) {
@@ -173,44 +178,50 @@
 	if received && s.receivedAt.IsZero() {
 		s.receivedAt = now
 	}
-	if now.Sub(s.began) >= maxLingerTime {
-		return true
+	return !now.Before(s.end())
+}
+
+// end returns when the connection is closed if its caller does not close it before.
+func (s *lingerState) end() time.Time {
+	end := s.began.Add(maxLingerTime)
+	if received := s.receivedAt.Add(lingerTime); !s.receivedAt.IsZero() && received.Before(end) {
+		return received
 	}
-	return !s.receivedAt.IsZero() && now.Sub(s.receivedAt) >= lingerTime
+	return end
+}
+
+// nextPoll returns the time until the next call of isOver.
+func (s *lingerState) nextPoll(now time.Time) time.Duration {
+	wait := max(minLingerPoll, time.Duration(lingerPollFraction*float64(now.Sub(s.began))))
+	return min(wait, s.end().Sub(now))
 }
 
 // reads reports whether more is read from the caller.
 func (s *lingerState) reads() bool { return s.discarded < lingerBytes }
 
-// lingering holds the connections that linger, the longest lingering first. The zero value is
-// empty. It is safe for concurrent use.
-type lingering struct {
+// lingeringConns holds the connections that linger. The zero value is empty. It is safe for
+// concurrent use.
+type lingeringConns struct {
+	// mu guards conns and lingeringConn.element.
 	mu sync.Mutex
-	// conns holds values of type *lingeringConn.
-	conns    list.List
-	elements map[*lingeringConn]*list.Element
+	// conns holds values of type *lingeringConn, the longest lingering first.
+	conns list.List
 }
 
-func (l *lingering) add(c *lingeringConn) {
+func (l *lingeringConns) add(c *lingeringConn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.elements == nil {
-		l.elements = map[*lingeringConn]*list.Element{}
-	}
-	l.elements[c] = l.conns.PushBack(c)
+	c.element = l.conns.PushBack(c)
 }
 
-func (l *lingering) remove(c *lingeringConn) {
+func (l *lingeringConns) remove(c *lingeringConn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if e := l.elements[c]; e != nil {
-		l.conns.Remove(e)
-		delete(l.elements, c)
-	}
+	l.conns.Remove(c.element)
 }
 
 // count returns the number of connections that linger.
-func (l *lingering) count() int {
+func (l *lingeringConns) count() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.conns.Len()
@@ -218,7 +229,7 @@
 
 // closeOldest closes the connection that has lingered longest, and reports whether there was
 // one. The system goes on sending what its caller has not received.
-func (l *lingering) closeOldest() bool {
+func (l *lingeringConns) closeOldest() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	front := l.conns.Front()
@@ -227,7 +238,6 @@
 	}
 	oldest := front.Value.(*lingeringConn)
 	l.conns.Remove(front)
-	delete(l.elements, oldest)
 	_ = oldest.TCPConn.Close()
 	return true
 }
--- a/pkg/connection/linger_test.go
+++ b/pkg/connection/linger_test.go
@@ -248,7 +248,8 @@
 	is.True(tracker.Counts().Lingering <= maxOpen)
 }
 
-// What is read meanwhile is bounded, and the wait ends after lingerTime or maxLingerTime.
+// What is read meanwhile is bounded, the wait ends after lingerTime or maxLingerTime, and the looks
+// become rarer.
 func TestLingerState(t *testing.T) {
 	is := is.New(t)
 	began := (&clock.Fake{}).Now()
@@ -260,6 +261,10 @@
 	unread := lingerState{began: began}
 	is.True(!unread.isOver(began.Add(maxLingerTime-1), false))
 	is.True(unread.isOver(began.Add(maxLingerTime), false))
+	is.Equal(unread.nextPoll(began), minLingerPoll)
+	is.Equal(unread.nextPoll(began.Add(time.Second)), time.Second/2)
+	is.Equal(unread.nextPoll(began.Add(maxLingerTime-time.Millisecond)), time.Millisecond)
+	is.Equal(received.nextPoll(began.Add(time.Second+lingerTime/2)), lingerTime/2)
 	is.True(unread.reads())
 	unread.discarded = lingerBytes
 	is.True(!unread.reads())
