mesh: a start time that goes back needs the word of the instance

Cause: takes a heartbeat with a lower start time once the instance that started later is silent. That one may have left and still serve, under the same id, while a heartbeat of the life before arrives late: the gate would open for it.

Change: such an incarnation is used only once the instance has answered a health check of this process.

An instance without a health check whose clock was set back is used once its node restarts, as before."

--- a/pkg/mesh/confirmation.go
+++ b/pkg/mesh/confirmation.go
@@ -16,14 +16,17 @@
 // confirm reports whether it is known whether the current incarnation has departed, and
 // notes the answer. The caller holds mu.
 func (t *HeartbeatTracker) confirm() bool {
-	if t.confirmed == t.current || t.HasDeparted == nil {
+	if t.confirmed == t.current || t.HasDeparted == nil && !t.doubted {
 		return true
 	}
-	departed, known := t.HasDeparted(t.current)
+	departed, known := t.hasDeparted()
 	switch {
 	case departed:
 		t.markDeparted(t.current)
 		return true
+	case t.doubted:
+		// Only the instance itself can tell that it is no earlier one whose word is late.
+		return false
 	case known || t.wasSentToThisProcess():
 		t.confirmed = t.current
 		return true
@@ -31,6 +34,14 @@
 	return false
 }
 
+// hasDeparted calls HasDeparted for the current incarnation. The caller holds mu.
+func (t *HeartbeatTracker) hasDeparted() (departed, known bool) {
+	if t.HasDeparted == nil {
+		return false, true
+	}
+	return t.HasDeparted(t.current)
+}
+
 // wasSentToThisProcess reports whether the last heartbeat was sent after this process had
 // started. Its sender had not departed then, and tells this process once it does. The caller
 // holds mu.
--- a/pkg/mesh/heartbeat.go
+++ b/pkg/mesh/heartbeat.go
@@ -62,8 +62,11 @@
 	// mu guards the fields below.
 	mu sync.Mutex
 	// current sent the newest heartbeat, and its first one at currentSince.
-	current       fleet.Incarnation
-	currentSince  time.Time
+	current      fleet.Incarnation
+	currentSince time.Time
+	// doubted reports whether current started before the incarnation that it superseded, by
+	// its own clock.
+	doubted       bool
 	lastSequence  uint64
 	lastHeartbeat time.Time
 	// lastCheck is the time of the last CheckLiveness, and stoodStill the time since
@@ -101,7 +104,7 @@
 	deregistered := t.current.Instance == "" && t.deregistered.covers(sender)
 	isFirst := sender != t.current
 	if isFirst {
-		t.currentSince = now
+		t.currentSince, t.doubted = now, sender.StartUnixMs < t.current.StartUnixMs
 	}
 	t.current, t.lastSequence, t.lastHeartbeat, t.slots = sender, h.Sequence, now, h.Slots
 	t.stoodStill = 0
--- a/pkg/mesh/heartbeat_test.go
+++ b/pkg/mesh/heartbeat_test.go
@@ -247,11 +247,36 @@
 	is.Equal(last.ID, fleet.InstanceName("i-2"))
 	fake.Advance(1)
 	is.True(tracker.HandleHeartbeat(heartbeat("i-1", 10, 2, false)))
+	is.True(!last.Open)
+	i, _, unconfirmed := tracker.Unconfirmed()
+	is.True(unconfirmed)
+	tracker.Confirm(i)
 	is.Equal(last.ID, fleet.InstanceName("i-1"))
 	is.True(last.Open)
 	is.True(tracker.HandleHeartbeat(heartbeat("i-1", 10, 3, false)))
 	is.True(tracker.HandleHeartbeat(heartbeat("i-2", 20, 8, false)))
 	is.Equal(last.ID, fleet.InstanceName("i-2"))
+	is.True(last.Open)
+}
+
+// An instance has left and is silent, but still serves. Guards against a late heartbeat of an
+// earlier life under the same id that opens the gate for it.
+func TestLateHeartbeatOfEarlierLifeDoesNotOpenTheGateOfDepartedInstance(t *testing.T) {
+	is := is.New(t)
+	tracker, fake, last := newTracker()
+	tracker.StartedAt = fake.Now()
+	tracker.HasDeparted = func(fleet.Incarnation) (bool, bool) { return false, true }
+	fake.Advance(2 * maxHeartbeatDelay)
+	tracker.HandleHeartbeat(heartbeat("i-1", 20, 7, false))
+	is.True(last.Open)
+	tracker.HandleHeartbeat(heartbeat("i-1", 20, 8, true))
+	is.True(!last.Open)
+	fake.Advance(2 * maxMissedHeartbeats * tracker.Interval)
+	for sequence := range uint64(3) {
+		tracker.HandleHeartbeat(heartbeat("i-1", 10, 5+sequence, false))
+		tracker.CheckDepartures()
+		is.True(!last.Open)
+	}
 }
 
 // The directory tells nothing for certain, and the instance fails its health checks. Guards against
