soak: servers that leave at a time of trouble

Cause: no soak let a server leave while the store fails and nodes are killed, and every start of a node was told that the whole fleet starts for the first time.

--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -59,7 +59,7 @@
 name = %[1]s
 service = %[2]s
 dataCentre = %[3]s
-firstStart = true
+firstStart = %[10]t
 [listen]
 callers = 127.0.0.1:%[4]d
 heartbeats = 127.0.0.1:%[5]d
@@ -80,10 +80,12 @@
 type machine struct {
 	name   string
 	server *platformtest.Server
-	// port is the first of the node's ports; settings is the path of its file.
-	port     int
-	settings string
-	log      *os.File
+	// port is the first of the node's ports. settings is the path of its file, and
+	// writeSettings writes that before each start.
+	port          int
+	settings      string
+	writeSettings func(firstStart bool) error
+	log           *os.File
 
 	// mu guards the fields below.
 	mu      sync.Mutex
@@ -194,7 +196,7 @@
 			{"name": "search", "host": testHost, "path_prefix": "/archive/", "kind": "idempotent", "timeout": "2000ms", "target_latency": "1500ms", "priority": 2, "service": "archive", "max_attempts": 2},
 			{"name": "version", "host": testHost, "path_prefix": c.versionPath(), "kind": "idempotent", "timeout": "1000ms", "target_latency": "300ms", "priority": 1, "service": "calendar", "allow_anonymous": true},
 		},
-		Services: []map[string]any{{"name": "showcase"}, {"name": "desk"}, {"name": "calendar"}, {"name": "archive"}},
+		Services: []map[string]any{{"name": "showcase"}, {"name": "desk", "health_path": platformtest.HealthPath}, {"name": "calendar"}, {"name": "archive", "health_path": platformtest.HealthPath}},
 		Limits:   map[string]any{"header_bytes": 16384, "body_bytes": 1 << 20},
 		Tenants:  []map[string]any{{"name": "dakar", "api_keys": []string{apiKey}, "rate_per_s": 5000, "burst": 5000}},
 	})
@@ -244,12 +246,12 @@
 	go func() { _ = m.server.Serve(l) }()
 	folder := nodeFolder(c.t, m.name)
 	m.settings = filepath.Join(folder, "node.ini")
-	text := fmt.Sprintf(settingsTemplate, m.name, service, m.server.Zone, port, port+1, port+2, port+3, m.server.Address, store)
-	if evacuates(faultSeed(c.t)) {
-		text += evacuationSettings
-	}
-	if err := os.WriteFile(m.settings, []byte(text), 0o600); err != nil {
-		c.t.Fatal(err)
+	m.writeSettings = func(firstStart bool) error {
+		text := fmt.Sprintf(settingsTemplate, m.name, service, m.server.Zone, port, port+1, port+2, port+3, m.server.Address, store, firstStart)
+		if evacuates(faultSeed(c.t)) {
+			text += evacuationSettings
+		}
+		return os.WriteFile(m.settings, []byte(text), 0o600)
 	}
 	var err error
 	if m.log, err = os.Create(filepath.Join(folder, "node.log")); err != nil {
@@ -287,6 +289,11 @@
 	process := exec.Command(c.binary, "--settings", m.settings)
 	process.Stdout, process.Stderr = m.log, m.log
 	m.logStart = len(m.logFrom(0))
+	if m.writeSettings != nil {
+		if err := m.writeSettings(m.process == nil); err != nil {
+			c.t.Fatal(err)
+		}
+	}
 	if err := process.Start(); err != nil {
 		c.t.Fatal(err)
 	}
